--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,6 @@
+export * from "./enums.ts";
+export * from "./error_kinds.ts";
+export * from "./clock.ts";
+export * from "./log.ts";
+export * from "./ids.ts";
+export * from "./rendezvous.ts";
