Serve a request end to end through entry and broker processes

Cause: nothing was served yet; every later proof needs the whole path. Change: service document and settings with checks that name line and field, authenticated links (ws, msgpackr), fleet view with long-poll watch, a thin pool leader with permits, an entry that calls upstreams directly, stand-ins, the rosemarytiller binary and a test over real processes. Conclusion: the division of docs/design/0001 carries a request; limits across leaders, retries and recovery come next.

--- /dev/null
+++ b/packages/admin/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./handle_admin_request.ts";
--- /dev/null
+++ b/packages/broker/src/create_broker.ts
@@ -0,0 +1,194 @@
+import { handleAdminRequest } from "@rosemarytiller/admin";
+import {
+  handleMessage,
+  keepLink,
+  type KeptLink,
+  type Link,
+  type LinkIdentity,
+  type MessageHandlers,
+  MessageKind,
+  serveLinks,
+} from "@rosemarytiller/link";
+import { createMetrics } from "@rosemarytiller/metrics";
+import {
+  createFleetView,
+  exchangeFleetView,
+  FleetChangeKind,
+  listEntryVms,
+  type PlatformPort,
+  watchPlatform,
+} from "@rosemarytiller/platform";
+import type { Settings } from "@rosemarytiller/settings";
+import {
+  type Clock,
+  EventKind,
+  LogPart,
+  repeat,
+  Role,
+  useLog,
+} from "@rosemarytiller/shared";
+import { createTimeline } from "@rosemarytiller/timeline";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createPool, type Pool } from "./create_pool.ts";
+import { pollLoad } from "./poll_load.ts";
+
+/** Time between two beats to each link. */
+export const BEAT_MS = 300;
+
+/** A running broker. */
+export interface Broker {
+  /** `host:port` of links and admin. */
+  readonly address: string;
+  /** Ends the process's work; streams of entries go on. */
+  stop(): Promise<void>;
+}
+
+/** Ports and settings of a broker. */
+export interface BrokerOptions {
+  settings: Settings;
+  platform: PlatformPort;
+  clock: Clock;
+}
+
+/** Starts a broker. */
+export async function createBroker(options: BrokerOptions): Promise<Broker> {
+  const { settings, platform, clock } = options;
+  const log = useLog(LogPart.Broker);
+  const identity: LinkIdentity = {
+    vm: settings.vm,
+    role: Role.Broker,
+    incarnation: String(clock.wall()),
+    key: settings.linkKey,
+  };
+  const timeline = createTimeline({ process: `${settings.vm}/broker`, clock });
+  const metrics = createMetrics(settings.statsd);
+  const view = createFleetView({ clock });
+  const pools = new Map<string, Pool>();
+  const links = new Set<Link>();
+  const stamps = new Map<Link, number>();
+  const peers = new Map<string, KeptLink>();
+  let stopping = false;
+
+  function poolOf(name: string): Pool {
+    let pool = pools.get(name);
+    if (pool) return pool;
+    pool = createPool(name, {
+      view,
+      clock,
+      timeline,
+      metrics,
+      shareOf: (_upstream, limit) => limit,
+      stampOf: (link) => stamps.get(link) ?? 0,
+    });
+    pools.set(name, pool);
+    timeline.record(EventKind.LeadershipTaken, "", { pool: name });
+    return pool;
+  }
+
+  const handlers: MessageHandlers<Link> = {
+    ...exchangeFleetView(view),
+    [MessageKind.Ask](ask, link) {
+      stamps.set(link, ask.stamp);
+      poolOf(ask.pool).ask(ask, link);
+    },
+    [MessageKind.CancelAsk]({ id }) {
+      for (const pool of pools.values()) pool.cancel(id);
+    },
+    [MessageKind.Done]: (done) => poolOf(done.pool).done(done),
+    [MessageKind.Back](back, link) {
+      stamps.set(link, back.stamp);
+      for (const permit of back.live) poolOf(permit.pool).adopt(permit);
+    },
+  };
+
+  async function serve(link: Link): Promise<void> {
+    links.add(link);
+    link.send(view.digest());
+    await link.messages.observe((message) => {
+      handleMessage(handlers, message, link);
+    });
+    links.delete(link);
+    stamps.delete(link);
+    for (const pool of pools.values()) pool.dropLink(link);
+  }
+
+  /** Keeps one link to each other broker; the smaller name opens it. */
+  function linkPeers(): void {
+    for (const vm of listEntryVms(view.vms())) {
+      if (vm.name <= settings.vm || peers.has(vm.name)) continue;
+      peers.set(vm.name, keepLink(vm.broker, identity, { clock, serve }));
+    }
+  }
+
+  void view.changes.observe((change) => {
+    const { kind, key, revision } = change;
+    timeline.record(REVISION_EVENTS[kind], "", { key, revision });
+    for (const link of links) link.send(view.digest());
+    if (kind === FleetChangeKind.VmList) linkPeers();
+    for (const pool of pools.values()) pool.pump();
+  });
+
+  const server = createServer((request, response) =>
+    handleAdminRequest(request, response, {
+      isReady: () => view.isReady() && !stopping,
+      status: () => ({
+        process: `${settings.vm}/broker`,
+        revision: view.revision(),
+        listRevision: view.listRevision(),
+        pools: [...pools].map(([name, pool]) => ({
+          pool: name,
+          queue: pool.queueLength(),
+          upstreams: pool.upstreams(),
+        })),
+      }),
+      timeline,
+    })
+  );
+  const accepting = serveLinks(server, identity, { clock, serve });
+  server.listen(settings.broker.port, settings.broker.host);
+  await once(server, "listening");
+  const { address, port } = server.address() as AddressInfo;
+  const watch = watchPlatform(view, { platform, clock });
+  const polling = pollLoad(() => pools.values(), { clock });
+  const cancelBeat = repeat(clock, BEAT_MS, () => {
+    for (const pool of pools.values()) pool.pump();
+    const summaries = [...pools.values()].map((pool) => pool.summary());
+    for (const link of links) {
+      link.send({
+        kind: MessageKind.Beat,
+        stamp: clock.now(),
+        pools: summaries,
+        revision: view.revision(),
+        listRevision: view.listRevision(),
+      });
+    }
+  });
+  timeline.record(EventKind.ProcessStarted, "");
+  log.info(`Listening on ${address}:${port}.`);
+
+  return {
+    address: `${address}:${port}`,
+    async stop() {
+      stopping = true;
+      timeline.record(EventKind.ProcessStopping, "");
+      cancelBeat();
+      polling.stop();
+      watch.stop();
+      for (const peer of peers.values()) peer.close();
+      accepting.close();
+      metrics.close();
+      server.closeAllConnections();
+      server.close();
+      await once(server, "close");
+      log.info("Stopped.");
+    },
+  };
+}
+
+const REVISION_EVENTS: Record<FleetChangeKind, EventKind> = {
+  [FleetChangeKind.Document]: EventKind.RevisionAccepted,
+  [FleetChangeKind.DocumentRefused]: EventKind.RevisionRefused,
+  [FleetChangeKind.VmList]: EventKind.MembershipChanged,
+};
--- a/packages/broker/src/index.ts
+++ b/packages/broker/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./create_broker.ts";
+export * from "./create_pool.ts";
+export * from "./poll_load.ts";
--- /dev/null
+++ b/packages/document/src/document_schema.ts
@@ -0,0 +1,109 @@
+import { ServiceState, UpstreamKind } from "@rosemarytiller/shared";
+import { z } from "zod";
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/);
+const serviceState = z.enum(ServiceState).default(ServiceState.InService);
+
+const dataCentreSchema = z.strictObject({
+  region: name.meta({ description: "Region that holds the data centre." }),
+  state: serviceState.meta({
+    description: "Out of service: no new call starts there.",
+  }),
+});
+
+const clientSchema = z.strictObject({
+  keys: z.array(z.string().regex(/^[0-9a-f]{64}$/)).min(1).meta({
+    description: "SHA-256 of each API key, in hexadecimal.",
+  }),
+  weight: z.number().min(0.1).max(100).default(1).meta({
+    description: "Share of a tier's grants relative to other clients.",
+  }),
+});
+
+const upstreamSchema = z.strictObject({
+  kind: z.enum(UpstreamKind).meta({ description: "Kind of upstream." }),
+  serves: z.array(name).min(1).meta({
+    description: "Models of a model runner, or the one plain service.",
+  }),
+  dataCentre: name.meta({ description: "Data centre that holds it." }),
+  vm: name.meta({ description: "VM that runs it, as the VM list names it." }),
+  address: z.url().meta({ description: "Base URL, by IP number." }),
+  state: serviceState.meta({
+    description: "Out of service: no new call starts there.",
+  }),
+  maxConcurrent: z.int().min(1).max(4096).meta({
+    unit: "calls",
+    description: "Most calls at once when warm.",
+  }),
+  coldConcurrent: z.int().min(1).max(4096).default(1).meta({
+    unit: "calls",
+    description: "Most calls at once in cold start.",
+  }),
+});
+
+const classSchema = z.strictObject({
+  name: name.meta({ description: "Name of the class." }),
+  tier: z.int().min(1).max(4).meta({
+    description: "Priority; 1 is the highest.",
+  }),
+  match: z.strictObject({
+    clients: z.array(name).default([]),
+    models: z.array(name).default([]),
+    services: z.array(name).default([]),
+    header: z.strictObject({
+      name: z.string().regex(/^[a-z0-9-]+$/),
+      value: z.string(),
+    }).optional(),
+  }).prefault({}).meta({
+    description: "The first class whose conditions all hold is taken.",
+  }),
+  firstTokenMs: z.int().min(1).max(600_000).meta({
+    unit: "ms",
+    description: "Target for the first token or byte.",
+  }),
+  betweenTokensMs: z.int().min(1).max(60_000).default(30).meta({
+    unit: "ms",
+    description: "Target between tokens.",
+  }),
+  queueMs: z.int().min(1).max(600_000).meta({
+    unit: "ms",
+    description: "Longest wait for an upstream before the refusal.",
+  }),
+  totalMs: z.int().min(1).max(3_600_000).default(300_000).meta({
+    unit: "ms",
+    description: "Longest time for the whole answer.",
+  }),
+  floorShare: z.number().min(0).max(0.25).default(0.02).meta({
+    description: "Share of a pool's grants kept for the class.",
+  }),
+  idempotent: z.boolean().default(true).meta({
+    description: "False: a request runs at most once.",
+  }),
+  dataCentres: z.array(name).default([]).meta({
+    description: "Data centres that may serve it; empty means all.",
+  }),
+  upstreams: z.array(name).default([]).meta({
+    description: "Upstreams that may serve it; empty means all.",
+  }),
+});
+
+/** Schema of a service document. */
+export const documentSchema = z.strictObject({
+  service: name.meta({ description: "Name of the service." }),
+  dataCentres: z.record(name, dataCentreSchema),
+  clients: z.record(name, clientSchema),
+  upstreams: z.record(name, upstreamSchema),
+  classes: z.array(classSchema).min(1),
+  vmsOutOfService: z.array(name).default([]).meta({
+    description: "VMs taken out of service by operators.",
+  }),
+});
+
+/** A checked service document. */
+export type ServiceDocument = z.infer<typeof documentSchema>;
+/** A class of requests. */
+export type RequestClass = ServiceDocument["classes"][number];
+/** An upstream as the document describes it. */
+export type UpstreamEntry = ServiceDocument["upstreams"][string];
+/** A client account as the document describes it. */
+export type ClientEntry = ServiceDocument["clients"][string];
--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from "./document_schema.ts";
+export * from "./parse_document.ts";
+export * from "./classify_request.ts";
+export * from "./pools.ts";
--- /dev/null
+++ b/packages/entry/src/create_entry.ts
@@ -0,0 +1,217 @@
+import { handleAdminRequest } from "@rosemarytiller/admin";
+import type { LinkIdentity } from "@rosemarytiller/link";
+import { createMetrics, MetricName } from "@rosemarytiller/metrics";
+import { createFleetView } from "@rosemarytiller/platform";
+import type { Settings } from "@rosemarytiller/settings";
+import {
+  type Clock,
+  createId,
+  ErrorKind,
+  EventKind,
+  LogPart,
+  Role,
+  TillerError,
+  toTillerError,
+  UpstreamKind,
+  useLog,
+} from "@rosemarytiller/shared";
+import { createTimeline } from "@rosemarytiller/timeline";
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { Agent } from "undici";
+import { createPermitClient } from "./create_permit_client.ts";
+import { authenticateCaller, MODELS_PATH, readCall } from "./read_call.ts";
+import { createModelAttempt } from "./run_model_attempt.ts";
+import { createServiceAttempt } from "./run_service_attempt.ts";
+import { serveCall } from "./serve_call.ts";
+import { writeProblem } from "./write_problem.ts";
+
+/** Longest time to connect to an upstream. */
+export const UPSTREAM_CONNECT_TIMEOUT_MS = 1000;
+/** Most bytes of a request's headers. */
+export const MAX_HEADER_BYTES = 16 * 1024;
+
+/** A running entry. */
+export interface Entry {
+  /** `host:port` for callers. */
+  readonly address: string;
+  /** `host:port` of the admin server. */
+  readonly adminAddress: string;
+  /** Resolves when the entry serves callers. */
+  readonly ready: Promise<void>;
+  /** Refuses new requests, lets those in progress end, then stops. */
+  stop(): Promise<void>;
+}
+
+/** Ports and settings of an entry. */
+export interface EntryOptions {
+  settings: Settings;
+  clock: Clock;
+}
+
+/** Starts an entry. */
+export async function createEntry(options: EntryOptions): Promise<Entry> {
+  const { settings, clock } = options;
+  const log = useLog(LogPart.Entry);
+  const identity: LinkIdentity = {
+    vm: settings.vm,
+    role: Role.Entry,
+    incarnation: String(clock.wall()),
+    key: settings.linkKey,
+  };
+  const timeline = createTimeline({ process: `${settings.vm}/entry`, clock });
+  const metrics = createMetrics(settings.statsd);
+  const view = createFleetView({ clock });
+  const permits = createPermitClient({
+    identity,
+    view,
+    clock,
+    timeline,
+    ownBroker: `${settings.broker.host}:${settings.broker.port}`,
+  });
+  const dispatcher = new Agent({
+    pipelining: 1,
+    connect: { timeout: UPSTREAM_CONNECT_TIMEOUT_MS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  const attemptOptions = { dispatcher, now: clock.now };
+  const serveOptions = {
+    view,
+    settings,
+    clock,
+    timeline,
+    metrics,
+    permits,
+    runners: {
+      [UpstreamKind.ModelRunner]: createModelAttempt(attemptOptions),
+      [UpstreamKind.PlainService]: createServiceAttempt(attemptOptions),
+    },
+  };
+  let stopping = false;
+  let active = 0;
+  let onIdle = () => {};
+
+  function checkOpen(): void {
+    if (stopping) {
+      throw new TillerError(ErrorKind.Stopping, "this process is stopping");
+    }
+    if (!view.isReady()) {
+      throw new TillerError(ErrorKind.NotReady, "no document is in force yet");
+    }
+  }
+
+  async function serveRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    let id = createId("request");
+    metrics.count(MetricName.RequestsReceived, 1);
+    active++;
+    try {
+      checkOpen();
+      if (request.url?.split("?")[0] === MODELS_PATH) {
+        writeModels(request, response);
+        return;
+      }
+      const call = await readCall(request, serveOptions);
+      id = call.request;
+      const className = call.requestClass.name;
+      timeline.record(EventKind.RequestReceived, id, { class: className });
+      await serveCall(call, response, serveOptions);
+      timeline.record(EventKind.RequestAnswered, id, { class: className });
+      metrics.count(MetricName.RequestsAnswered, 1, { class: className });
+    } catch (cause) {
+      const error = toTillerError(cause);
+      if (error.kind === ErrorKind.Internal) log.error(error.message, cause);
+      timeline.record(EventKind.RequestRefused, id, {
+        error: error.kind,
+        run: error.run,
+      });
+      metrics.count(MetricName.RequestsRefused, 1, { error: error.kind });
+      writeProblem(response, error, id);
+    } finally {
+      active--;
+      if (active === 0) onIdle();
+    }
+  }
+
+  function writeModels(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const { document } = authenticateCaller(request, view);
+    const models = new Set<string>();
+    for (const upstream of Object.values(document.upstreams)) {
+      if (upstream.kind !== UpstreamKind.ModelRunner) continue;
+      for (const model of upstream.serves) models.add(model);
+    }
+    const data = [...models].sort().map((id) => ({ id, object: "model" }));
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(JSON.stringify({ object: "list", data }));
+  }
+
+  const server = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    requestTimeout: settings.bodyTimeoutMs,
+    headersTimeout: settings.bodyTimeoutMs,
+  }, (request, response) => void serveRequest(request, response));
+  const admin = createServer((request, response) =>
+    handleAdminRequest(request, response, {
+      isReady: () => view.isReady() && !stopping,
+      status: () => ({
+        process: `${settings.vm}/entry`,
+        revision: view.revision(),
+        listRevision: view.listRevision(),
+        active,
+        permits: permits.liveCount(),
+      }),
+      timeline,
+    })
+  );
+  const address = await listen(server, settings.entry);
+  const adminAddress = await listen(admin, settings.entryAdmin);
+  timeline.record(EventKind.ProcessStarted, "");
+  log.info(`Listening on ${address}.`);
+
+  return {
+    address,
+    adminAddress,
+    ready: view.ready,
+    async stop() {
+      stopping = true;
+      timeline.record(EventKind.ProcessStopping, "");
+      const idle = active === 0
+        ? Promise.resolve()
+        : new Promise<void>((resolve) => onIdle = resolve);
+      const grace = new Promise<void>((resolve) =>
+        clock.after(settings.stopGraceMs, resolve)
+      );
+      await Promise.race([idle, grace]);
+      permits.close();
+      metrics.close();
+      server.closeAllConnections();
+      server.close();
+      admin.closeAllConnections();
+      admin.close();
+      await dispatcher.destroy();
+      log.info("Stopped.");
+    },
+  };
+}
+
+async function listen(
+  server: Server,
+  address: { host: string; port: number },
+): Promise<string> {
+  server.listen(address.port, address.host);
+  await once(server, "listening");
+  const bound = server.address() as AddressInfo;
+  return `${bound.address}:${bound.port}`;
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./create_entry.ts";
--- /dev/null
+++ b/packages/entry/src/read_call.ts
@@ -0,0 +1,240 @@
+import {
+  classifyRequest,
+  type RequestClass,
+  type ServiceDocument,
+} from "@rosemarytiller/document";
+import type { FleetView } from "@rosemarytiller/platform";
+import type { Settings } from "@rosemarytiller/settings";
+import {
+  type Clock,
+  createId,
+  ErrorKind,
+  hashText,
+  TillerError,
+  UpstreamKind,
+} from "@rosemarytiller/shared";
+import { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import { z } from "zod";
+import type { Call } from "./call.ts";
+
+/** Path of chat completions. */
+export const CHAT_PATH = "/v1/chat/completions";
+/** Path of the list of models. */
+export const MODELS_PATH = "/v1/models";
+/** Path under which plain services stand. */
+export const SERVICES_PATH = "/v1/services/";
+
+/** Bytes of a prompt that decide its prefix hash. */
+const PREFIX_BYTES = 256;
+/** Rough number of bytes in a token. */
+const BYTES_PER_TOKEN = 4;
+/** Longest Idempotency-Key, in characters. */
+const MAX_KEY_LENGTH = 255;
+
+const chatBodySchema = z.looseObject({
+  model: z.string(),
+  messages: z.array(z.looseObject({ role: z.string() })).min(1),
+  stream: z.boolean().optional(),
+});
+
+/** Who calls: the client account and the document that names it. */
+export interface Caller {
+  client: string;
+  document: ServiceDocument;
+}
+
+/** Finds the client account of a request's API key. */
+export function authenticateCaller(
+  request: IncomingMessage,
+  view: FleetView,
+): Caller {
+  const header = request.headers.authorization ?? "";
+  const [scheme, key] = header.split(" ");
+  if (scheme?.toLowerCase() !== "bearer" || !key) {
+    throw new TillerError(
+      ErrorKind.Unauthenticated,
+      "send the API key as a bearer token",
+    );
+  }
+  const hash = createHash("sha256").update(key).digest("hex");
+  for (const { document } of view.documents().values()) {
+    for (const [client, entry] of Object.entries(document.clients)) {
+      if (entry.keys.includes(hash)) return { client, document };
+    }
+  }
+  throw new TillerError(ErrorKind.Unauthenticated, "the API key is not known");
+}
+
+/** Reads a body within the limits of size and time. */
+export async function readBody(
+  request: IncomingMessage,
+  settings: Settings,
+  options: { clock: Clock },
+): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  const cancel = options.clock.after(settings.bodyTimeoutMs, () => {
+    request.destroy(
+      new TillerError(ErrorKind.RequestTimeout, "the body came too slowly"),
+    );
+  });
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > settings.maxBodyBytes) {
+        throw new TillerError(
+          ErrorKind.BodyTooLarge,
+          `the body may have ${settings.maxBodyBytes} bytes at most`,
+        );
+      }
+      chunks.push(chunk);
+    }
+  } finally {
+    cancel();
+  }
+  return Buffer.concat(chunks);
+}
+
+/** What is needed to read a call. */
+export interface ReadOptions {
+  view: FleetView;
+  settings: Settings;
+  clock: Clock;
+}
+
+/** Reads, checks and classes a request; throws `TillerError`. */
+export async function readCall(
+  request: IncomingMessage,
+  options: ReadOptions,
+): Promise<Call> {
+  const { view, settings, clock } = options;
+  const arrivedMs = clock.now();
+  const caller = authenticateCaller(request, view);
+  const target = readTarget(request);
+  const body = await readBody(request, settings, { clock });
+  const chat = target.service === undefined
+    ? readChatBody(request, body)
+    : undefined;
+  const model = chat?.model;
+  const requestClass = classOf(caller, request, {
+    model,
+    service: target.service,
+  });
+  const name = model ?? target.service!;
+  return {
+    request: createId("request"),
+    document: caller.document,
+    requestClass,
+    client: caller.client,
+    kind: chat ? UpstreamKind.ModelRunner : UpstreamKind.PlainService,
+    target: name,
+    stream: chat?.stream ?? false,
+    method: request.method ?? "GET",
+    path: target.path,
+    headers: passedHeaders(request),
+    body,
+    arrivedMs,
+    idempotencyKey: readIdempotencyKey(request),
+    fingerprint: hashText(`${caller.client}\n${name}\n${body.toString()}`),
+    prefix: hashText(
+      JSON.stringify(chat?.messages ?? []).slice(0, PREFIX_BYTES),
+    ),
+    promptTokens: Math.ceil(body.length / BYTES_PER_TOKEN),
+  };
+}
+
+function readTarget(
+  request: IncomingMessage,
+): { service?: string; path: string } {
+  const url = request.url ?? "/";
+  const path = url.split("?")[0];
+  if (path === CHAT_PATH && request.method === "POST") return { path };
+  if (path.startsWith(SERVICES_PATH)) {
+    const rest = url.slice(SERVICES_PATH.length);
+    const [service] = rest.split(/[/?]/);
+    return { service, path: rest.slice(service.length) || "/" };
+  }
+  throw new TillerError(
+    ErrorKind.UnknownRoute,
+    `${request.method} ${path} is not served here`,
+  );
+}
+
+function readChatBody(
+  request: IncomingMessage,
+  body: Buffer,
+): z.infer<typeof chatBodySchema> {
+  const type = (request.headers["content-type"] ?? "").split(";")[0].trim();
+  if (type !== "application/json") {
+    throw new TillerError(
+      ErrorKind.UnsupportedMediaType,
+      `the content type must be application/json, not "${type}"`,
+    );
+  }
+  let value: unknown;
+  try {
+    value = JSON.parse(body.toString());
+  } catch (error) {
+    throw new TillerError(ErrorKind.MalformedJson, (error as Error).message);
+  }
+  const result = chatBodySchema.safeParse(value);
+  if (result.success) return result.data;
+  const issue = result.error.issues[0];
+  throw new TillerError(
+    ErrorKind.InvalidRequest,
+    `${issue.path.join(".") || "body"}: ${issue.message}`,
+  );
+}
+
+function classOf(
+  caller: Caller,
+  request: IncomingMessage,
+  target: { model?: string; service?: string },
+): RequestClass {
+  const { document, client } = caller;
+  const name = target.model ?? target.service!;
+  const kind = target.model === undefined
+    ? UpstreamKind.PlainService
+    : UpstreamKind.ModelRunner;
+  const served = Object.values(document.upstreams).some((upstream) =>
+    upstream.kind === kind && upstream.serves.includes(name)
+  );
+  if (!served) {
+    throw new TillerError(
+      kind === UpstreamKind.ModelRunner
+        ? ErrorKind.UnknownModel
+        : ErrorKind.UnknownService,
+      `"${name}" is not served for this client`,
+    );
+  }
+  const { headers } = request;
+  const found = classifyRequest(document, { client, headers, ...target });
+  if (found) return found;
+  throw new TillerError(
+    ErrorKind.NoClass,
+    `no class of "${document.service}" matches client "${client}" and "${name}"`,
+  );
+}
+
+function readIdempotencyKey(request: IncomingMessage): string | undefined {
+  const key = request.headers["idempotency-key"];
+  if (key === undefined) return undefined;
+  if (typeof key === "string" && key.length <= MAX_KEY_LENGTH) return key;
+  throw new TillerError(
+    ErrorKind.InvalidRequest,
+    `Idempotency-Key may have ${MAX_KEY_LENGTH} characters at most`,
+  );
+}
+
+const PASSED_HEADERS = ["content-type", "accept", "idempotency-key"];
+
+function passedHeaders(request: IncomingMessage): Record<string, string> {
+  const passed: Record<string, string> = {};
+  for (const name of PASSED_HEADERS) {
+    const value = request.headers[name];
+    if (typeof value === "string") passed[name] = value;
+  }
+  return passed;
+}
--- /dev/null
+++ b/packages/metrics/src/create_metrics.ts
@@ -0,0 +1,50 @@
+import { LogPart, warn } from "@rosemarytiller/shared";
+import { StatsD } from "hot-shots";
+
+/** Names of all metrics; docs/METRICS.md explains each. */
+export enum MetricName {
+  RequestsReceived = "requests.received",
+  RequestsAnswered = "requests.answered",
+  RequestsRefused = "requests.refused",
+  FirstTokenMs = "requests.first_token_ms",
+  TotalMs = "requests.total_ms",
+  Attempts = "attempts.ended",
+  TokensDelivered = "tokens.delivered",
+  TokensWasted = "tokens.wasted",
+  PermitsGranted = "permits.granted",
+  PermitsRefused = "permits.refused",
+  QueueLength = "queue.length",
+  UpstreamLimit = "upstream.limit",
+  DocumentRevision = "document.revision",
+}
+
+/** Labels of a measurement. */
+export type MetricTags = Record<string, string>;
+
+/** Where measurements go. */
+export interface Metrics {
+  count(name: MetricName, value: number, tags?: MetricTags): void;
+  gauge(name: MetricName, value: number, tags?: MetricTags): void;
+  timing(name: MetricName, valueMs: number, tags?: MetricTags): void;
+  close(): void;
+}
+
+/** Creates the statsd client; without an address it drops everything. */
+export function createMetrics(
+  address: { host: string; port: number } | undefined,
+): Metrics {
+  if (!address) {
+    return { count() {}, gauge() {}, timing() {}, close() {} };
+  }
+  const client = new StatsD({
+    ...address,
+    prefix: "rosemarytiller.",
+    errorHandler: (error) => warn(LogPart.Admin, `statsd: ${error.message}`),
+  });
+  return {
+    count: (name, value, tags) => client.increment(name, value, tags),
+    gauge: (name, value, tags) => client.gauge(name, value, tags),
+    timing: (name, valueMs, tags) => client.timing(name, valueMs, tags),
+    close: () => client.close(),
+  };
+}
--- /dev/null
+++ b/packages/metrics/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./create_metrics.ts";
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./choose_upstream.ts";
+export * from "./create_request_queue.ts";
+export * from "./create_upstream_limit.ts";
--- a/packages/rosemarytiller/src/index.ts
+++ b/packages/rosemarytiller/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./run_process.ts";
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./settings_schema.ts";
+export * from "./read_settings.ts";
--- /dev/null
+++ b/packages/settings/src/settings_schema.ts
@@ -0,0 +1,55 @@
+import { z } from "zod";
+
+const listenAddress = z.strictObject({
+  host: z.string().default("127.0.0.1"),
+  port: z.int().min(0).max(65535),
+});
+
+/** Schema of a process's settings; one file serves both roles of a VM. */
+export const settingsSchema = z.strictObject({
+  vm: z.string().meta({ description: "Name of this VM in the VM list." }),
+  dataCentre: z.string().meta({ description: "Data centre of this VM." }),
+  region: z.string().default("").meta({ description: "Region of this VM." }),
+  platform: z.array(z.url()).min(1).meta({
+    description: "Base URLs of the platform's replicas, tried in turn.",
+  }),
+  linkKey: z.string().min(16).meta({
+    description: "Shared key by which the processes know each other.",
+  }),
+  entry: listenAddress.prefault({ port: 8080 }).meta({
+    description: "Address for callers.",
+  }),
+  entryAdmin: listenAddress.prefault({ port: 8081 }).meta({
+    description: "Admin address of the entry: /live, /ready, /status.",
+  }),
+  broker: listenAddress.prefault({ port: 8082 }).meta({
+    description: "Address of the broker for links and admin.",
+  }),
+  statsd: z.strictObject({
+    host: z.string(),
+    port: z.int().min(1).max(65535),
+  }).optional().meta({ description: "Address of the statsd server." }),
+  maxBodyBytes: z.int().min(1024).max(67_108_864).default(8_388_608).meta({
+    unit: "bytes",
+    description: "Largest body of a request.",
+  }),
+  bodyTimeoutMs: z.int().min(100).max(600_000).default(15_000).meta({
+    unit: "ms",
+    description: "Longest time for a request's headers and body to arrive.",
+  }),
+  stopGraceMs: z.int().min(0).max(3_600_000).default(120_000).meta({
+    unit: "ms",
+    description: "Longest time for streams to finish at a planned stop.",
+  }),
+  retryHorizonMs: z.int().min(1000).max(86_400_000).default(600_000).meta({
+    unit: "ms",
+    description: "How long an idempotency key is kept.",
+  }),
+  listLagMs: z.int().min(100).max(600_000).default(10_000).meta({
+    unit: "ms",
+    description: "Longest lag of the platform's VM list.",
+  }),
+});
+
+/** Checked settings of a process. */
+export type Settings = z.infer<typeof settingsSchema>;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -4,3 +4,4 @@
 export * from "./log.ts";
 export * from "./ids.ts";
 export * from "./rendezvous.ts";
+export * from "./create_subject.ts";
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./create_stand_in_engine.ts";
+export * from "./create_stand_in_platform.ts";
+export * from "./create_stand_in_service.ts";
