Name asks, permits and upstreams in the events of a request

The time line could not tell which grant answered which ask, nor which call used which permit. Events now carry the identifiers that both sides of a message know: ask, permit, attempt. A further ask of the same request is an event of its own, with the leader it went to. Pairing by request and order alone was ruled out: a request may ask several leaders.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -154,7 +154,10 @@
     const retryAfterMs = RETRY_AFTER_MS;
     const kind = MessageKind.Refuse;
     link.send({ kind, id: ask.id, error, detail, retryAfterMs });
-    timeline.record(EventKind.PermitRefused, ask.request, { error });
+    timeline.record(EventKind.PermitRefused, ask.request, {
+      ask: ask.id,
+      error,
+    });
     metrics.count(MetricName.PermitsRefused, 1, { class: ask.className });
   }
 
@@ -182,6 +185,7 @@
       stamp: options.stampOf(link),
     });
     timeline.record(EventKind.PermitGranted, ask.request, {
+      ask: ask.id,
       permit,
       upstream: upstreamName,
     });
@@ -235,6 +239,8 @@
   function finish(message: DoneMessage): void {
     const upstream = known.get(message.upstream);
     if (!upstream?.live.delete(message.permit)) return;
+    const { permit, outcome } = message;
+    timeline.record(EventKind.PermitReturned, "", { permit, outcome });
     upstream.limit.onFinished(message, clock.now());
     pump();
   }
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -123,9 +123,16 @@
       const call = await readCall(request, serveOptions);
       id = call.request;
       const className = call.requestClass.name;
-      timeline.record(EventKind.RequestReceived, id, { class: className });
+      timeline.record(EventKind.RequestReceived, id, {
+        class: className,
+        client: call.client,
+        target: call.target,
+      });
       await serveCall(call, response, serveOptions);
-      timeline.record(EventKind.RequestAnswered, id, { class: className });
+      timeline.record(EventKind.RequestAnswered, id, {
+        class: className,
+        totalMs: Math.round(clock.now() - call.arrivedMs),
+      });
       metrics.count(MetricName.RequestsAnswered, 1, { class: className });
     } catch (cause) {
       const error = toTillerError(cause);
--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -175,6 +175,11 @@
       }
       signal.addEventListener("abort", onAbort, { once: true });
       pending.set(id, { settle: finishAsk, link });
+      timeline.record(EventKind.PermitAsked, call.request, {
+        ask: id,
+        pool: rest.pool,
+        leader: link.vm,
+      });
       link.send({
         kind: MessageKind.Ask,
         id,
@@ -195,7 +200,6 @@
     async ask(call, poolName, { avoid, retry, signal }) {
       const pool = formatPool(poolName);
       const deadlineMs = call.arrivedMs + call.requestClass.queueMs;
-      timeline.record(EventKind.PermitAsked, call.request, { pool });
       while (!signal.aborted) {
         const queueMs = deadlineMs - clock.now();
         if (queueMs <= 0) break;
--- a/packages/entry/src/serve_call.ts
+++ b/packages/entry/src/serve_call.ts
@@ -115,7 +115,10 @@
     call.document.upstreams[upstream].address;
   timeline.record(EventKind.AttemptStarted, call.request, {
     attempt,
+    permit: permit.permit,
     upstream,
+    class: call.requestClass.name,
+    tier: call.requestClass.tier,
   });
   const result = await options.runners[call.kind]({
     attempt,
@@ -125,8 +128,15 @@
     signal,
   });
   const { outcome, firstTokenMs, totalMs, tokens } = result;
+  timeline.record(EventKind.AttemptEnded, call.request, {
+    attempt,
+    permit: permit.permit,
+    outcome,
+    firstTokenMs: Math.round(firstTokenMs),
+    totalMs: Math.round(totalMs),
+    tokens,
+  });
   permits.finish(permit, { outcome, firstTokenMs, totalMs, tokens });
-  timeline.record(EventKind.AttemptEnded, call.request, { attempt, outcome });
   metrics.count(MetricName.Attempts, 1, { outcome });
   return result;
 }
