--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -118,7 +118,8 @@
   function linkPeers(): void {
     for (const vm of listEntryVms(view.vms())) {
       if (vm.name <= settings.vm || peers.has(vm.name)) continue;
-      peers.set(vm.name, keepLink(vm.broker, identity, { clock, serve }));
+      const address = settings.linkAddresses[vm.name] ?? vm.broker;
+      peers.set(vm.name, keepLink(address, identity, { clock, serve }));
     }
   }
 
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -74,6 +74,7 @@
     clock,
     timeline,
     ownBroker: `${settings.broker.host}:${settings.broker.port}`,
+    linkAddresses: settings.linkAddresses,
   });
   const dispatcher = new Agent({
     pipelining: 1,
--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -76,11 +76,13 @@
   timeline: Timeline;
   /** `host:port` of the broker on the same VM. */
   ownBroker: string;
+  /** Addresses by VM name that replace those of the VM list. */
+  linkAddresses: Record<string, string>;
 }
 
 /** Creates the permit client of an entry. */
 export function createPermitClient(options: PermitClientOptions): PermitClient {
-  const { identity, view, clock, timeline, ownBroker } = options;
+  const { identity, view, clock, timeline, ownBroker, linkAddresses } = options;
   const kept = new Map<string, KeptLink>();
   const pending = new Map<string, PendingAsk>();
   const live = new Map<string, LivePermit>();
@@ -132,11 +134,11 @@
     }
   }
 
-  function linkTo(address: string): Link | undefined {
-    let link = kept.get(address);
+  function linkTo(vm: string, address: string): Link | undefined {
+    let link = kept.get(vm);
     if (!link) {
       link = keepLink(address, identity, { clock, serve });
-      kept.set(address, link);
+      kept.set(vm, link);
     }
     return link.current();
   }
@@ -148,7 +150,7 @@
       vms: view.vms(),
     });
     for (const vm of candidates) {
-      const link = linkTo(vm.broker);
+      const link = linkTo(vm.name, linkAddresses[vm.name] ?? vm.broker);
       if (link) return link;
     }
     return undefined;
@@ -195,7 +197,7 @@
     });
   }
 
-  linkTo(ownBroker);
+  linkTo(identity.vm, ownBroker);
   return {
     async ask(call, poolName, { avoid, retry, signal }) {
       const pool = formatPool(poolName);
@@ -235,7 +237,7 @@
       const name = permit.pool;
       const dataCentre = name.slice(name.lastIndexOf("@") + 1);
       for (const vm of rankLeaders(name, { dataCentre, vms: view.vms() })) {
-        const link = kept.get(vm.broker)?.current();
+        const link = kept.get(vm.name)?.current();
         if (!link) continue;
         link.send({ kind: MessageKind.Done, ...permit, ...report });
         return;
--- a/packages/sessions/src/start_fleet.ts
+++ b/packages/sessions/src/start_fleet.ts
@@ -1,6 +1,8 @@
 import type { PublishedVm } from "@rosemarytiller/link";
 import {
+  createRelay,
   createStandInPlatform,
+  type Relay,
   type StandInPlatform,
 } from "@rosemarytiller/standins";
 import { type ChildProcess, spawn } from "node:child_process";
@@ -33,6 +35,14 @@
   vms: FleetVm[];
   /** Publishes the list of all VMs, with changes. */
   publishVms(change?: (vm: PublishedVm) => PublishedVm | undefined): void;
+  /** The relay by which one VM's processes reach another VM's broker. */
+  relay(from: string, to: string): Relay;
+  /** Cuts, freezes or heals all relays between two groups of VMs. */
+  betweenGroups(
+    left: readonly string[],
+    right: readonly string[],
+    action: "cut" | "freeze" | "heal",
+  ): void;
   /** Resolves when every entry is ready. */
   ready(): Promise<void>;
   stop(): Promise<void>;
@@ -48,6 +58,8 @@
   upstreamVms?: Record<string, string>;
   /** Settings beside the addresses. */
   settings?: Record<string, unknown>;
+  /** Whether links between VMs go through relays. */
+  relayed?: boolean;
 }
 
 const MAIN = fileURLToPath(import.meta.resolve("rosemarytiller"))
@@ -78,12 +90,25 @@
     return child;
   }
 
+  const relays = new Map<string, Relay>();
+  const brokerPorts = new Map<string, number>();
+
+  /** Starts the relays from one VM to all others. */
+  async function startRelays(from: string): Promise<Record<string, string>> {
+    const addresses: Record<string, string> = {};
+    if (!options.relayed) return addresses;
+    for (const [to, port] of brokerPorts) {
+      if (to === from) continue;
+      const relay = await createRelay(`127.0.0.1:${port}`);
+      relays.set(`${from} ${to}`, relay);
+      addresses[to] = relay.address;
+    }
+    return addresses;
+  }
+
   async function startVm(name: string, dataCentre: string): Promise<FleetVm> {
-    const [entry, entryAdmin, broker] = [
-      await freePort(),
-      await freePort(),
-      await freePort(),
-    ];
+    const [entry, entryAdmin] = [await freePort(), await freePort()];
+    const broker = brokerPorts.get(name)!;
     const file = join(folder, `${name}.jsonc`);
     const settings = {
       vm: name,
@@ -93,6 +118,7 @@
       entry: { port: entry },
       entryAdmin: { port: entryAdmin },
       broker: { port: broker },
+      linkAddresses: await startRelays(name),
       ...options.settings,
     };
     await writeFile(file, JSON.stringify(settings, null, 2));
@@ -111,6 +137,9 @@
     return vm;
   }
 
+  for (const index of options.dataCentres.keys()) {
+    brokerPorts.set(`vm-${index + 1}`, await freePort());
+  }
   const vms: FleetVm[] = [];
   for (const [index, dataCentre] of options.dataCentres.entries()) {
     vms.push(await startVm(`vm-${index + 1}`, dataCentre));
@@ -153,6 +182,15 @@
     platform,
     vms,
     publishVms,
+    relay: (from, to) => relays.get(`${from} ${to}`)!,
+    betweenGroups(left, right, action) {
+      for (const one of left) {
+        for (const other of right) {
+          relays.get(`${one} ${other}`)![action]();
+          relays.get(`${other} ${one}`)![action]();
+        }
+      }
+    },
     async ready() {
       for (const vm of vms) await waitReady(vm.entryAdmin);
     },
@@ -163,6 +201,7 @@
         child.kill("SIGKILL");
       }
       await Promise.all(ends);
+      for (const relay of relays.values()) await relay.close();
       await platform.close();
       await rm(folder, { recursive: true });
     },
--- a/packages/settings/src/settings_schema.ts
+++ b/packages/settings/src/settings_schema.ts
@@ -25,6 +25,10 @@
   broker: listenAddress.prefault({ port: 8082 }).meta({
     description: "Address of the broker for links and admin.",
   }),
+  linkAddresses: z.record(z.string(), z.string()).default({}).meta({
+    description:
+      "Address by VM name to use for links in place of the VM list's.",
+  }),
   statsd: z.strictObject({
     host: z.string(),
     port: z.int().min(1).max(65535),
