Check documents across fields and list every fault at once

Cause: a document with a class that never matches, floor shares above the whole, a cold limit above the warm one, a host name for an address or one key for two clients was accepted; a key written twice silently took its last value; only the first syntax fault was shown; unknown fields had no hint.

Now all faults are listed in the order of the text, with line, field and mend.

--- a/packages/document/src/document_schema.ts
+++ b/packages/document/src/document_schema.ts
@@ -47,13 +47,21 @@
     description: "Priority; 1 is the highest.",
   }),
   match: z.strictObject({
-    clients: z.array(name).default([]),
-    models: z.array(name).default([]),
-    services: z.array(name).default([]),
+    clients: z.array(name).default([]).meta({
+      description: "Client accounts; empty means all.",
+    }),
+    models: z.array(name).default([]).meta({
+      description: "Models; with no service either, empty means all.",
+    }),
+    services: z.array(name).default([]).meta({
+      description: "Plain services; with no model either, empty means all.",
+    }),
     header: z.strictObject({
-      name: z.string().regex(/^[a-z0-9-]+$/),
-      value: z.string(),
-    }).optional(),
+      name: z.string().regex(/^[a-z0-9-]+$/).meta({
+        description: "Name of the header, in lower case.",
+      }),
+      value: z.string().meta({ description: "Value that it must have." }),
+    }).optional().meta({ description: "Header that a request must have." }),
   }).prefault({}).meta({
     description: "The first class whose conditions all hold is taken.",
   }),
@@ -90,10 +98,18 @@
 /** Schema of a service document. */
 export const documentSchema = z.strictObject({
   service: name.meta({ description: "Name of the service." }),
-  dataCentres: z.record(name, dataCentreSchema),
-  clients: z.record(name, clientSchema),
-  upstreams: z.record(name, upstreamSchema),
-  classes: z.array(classSchema).min(1),
+  dataCentres: z.record(name, dataCentreSchema).meta({
+    description: "Data centres by name.",
+  }),
+  clients: z.record(name, clientSchema).meta({
+    description: "Client accounts by name.",
+  }),
+  upstreams: z.record(name, upstreamSchema).meta({
+    description: "Upstreams by name.",
+  }),
+  classes: z.array(classSchema).min(1).meta({
+    description: "Classes of requests; the first that matches is taken.",
+  }),
   vmsOutOfService: z.array(name).default([]).meta({
     description: "VMs taken out of service by operators.",
   }),
--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./check_document.ts";
 export * from "./document_schema.ts";
 export * from "./parse_document.ts";
 export * from "./classify_request.ts";
--- a/packages/document/src/parse_document.ts
+++ b/packages/document/src/parse_document.ts
@@ -5,14 +5,20 @@
   locateField,
   parseChecked,
   type Problem,
+  sortProblems,
 } from "@rosemarytiller/jsonc";
+import { checkDocument } from "./check_document.ts";
 import { documentSchema, type ServiceDocument } from "./document_schema.ts";
 
 /** Parses and checks a service document; throws `CheckError`. */
 export function parseDocument(text: string, file: string): ServiceDocument {
   const document = parseChecked(text, { file, schema: documentSchema });
   const problems = referenceProblems(document, { text, file });
-  if (problems.length > 0) throw new CheckError(problems);
+  for (const { path, message, mend } of checkDocument(document)) {
+    const place = locateField(text, path);
+    problems.push({ file, ...place, field: formatPath(path), message, mend });
+  }
+  if (problems.length > 0) throw new CheckError(sortProblems(problems));
   return document;
 }
 
--- /dev/null
+++ b/packages/jsonc/src/describe_fields.ts
@@ -0,0 +1,126 @@
+import { z } from "zod";
+
+/** A field of a schema, as a row of the table for operators. */
+export interface FieldDescription {
+  /** Path, with `NAME` for a chosen key and `[]` for an element. */
+  field: string;
+  /** Type in a word or two. */
+  type: string;
+  /** Unit, or an empty text. */
+  unit: string;
+  /** Default as JSON, `required`, or an empty text for an optional field. */
+  preset: string;
+  /** Smallest and largest value, the values of an enum, or a pattern. */
+  range: string;
+  /** What the field is for. */
+  description: string;
+}
+
+/** The part of a JSON schema that the zod schemas here can give. */
+interface SchemaNode {
+  type?: string;
+  description?: string;
+  unit?: string;
+  default?: unknown;
+  minimum?: number;
+  maximum?: number;
+  minLength?: number;
+  minItems?: number;
+  pattern?: string;
+  format?: string;
+  enum?: string[];
+  required?: string[];
+  properties?: Record<string, SchemaNode>;
+  additionalProperties?: SchemaNode | boolean;
+  items?: SchemaNode;
+}
+
+/** Lists every field of a schema in its order. */
+export function describeFields(schema: z.ZodType): FieldDescription[] {
+  const rows: FieldDescription[] = [];
+  addFields(rows, toSchemaNode(schema), "");
+  return rows;
+}
+
+/** Names that a schema knows at the given path. */
+export function listKnownNames(
+  schema: z.ZodType,
+  path: readonly PropertyKey[],
+): string[] {
+  let node: SchemaNode | undefined = toSchemaNode(schema);
+  for (const part of path) node = node && childOf(node, part);
+  return Object.keys(node?.properties ?? {});
+}
+
+function toSchemaNode(schema: z.ZodType): SchemaNode {
+  return z.toJSONSchema(schema, {
+    io: "input",
+    reused: "inline",
+    unrepresentable: "any",
+  }) as SchemaNode;
+}
+
+function childOf(node: SchemaNode, part: PropertyKey): SchemaNode | undefined {
+  if (typeof part === "number") return node.items;
+  return node.properties?.[String(part)] ?? valuesOf(node);
+}
+
+/** Schema of the values of a record. */
+function valuesOf(node: SchemaNode): SchemaNode | undefined {
+  const values = node.additionalProperties;
+  return typeof values === "object" ? values : undefined;
+}
+
+function addFields(
+  rows: FieldDescription[],
+  node: SchemaNode,
+  path: string,
+): void {
+  for (const [name, child] of Object.entries(node.properties ?? {})) {
+    const field = path ? `${path}.${name}` : name;
+    const required = node.required?.includes(name) ?? false;
+    rows.push(describe(child, field, required));
+    addFields(rows, child, field);
+  }
+  const values = valuesOf(node);
+  if (values) addFields(rows, values, `${path}.NAME`);
+  if (node.items) addFields(rows, node.items, `${path}[]`);
+}
+
+function describe(
+  node: SchemaNode,
+  field: string,
+  required: boolean,
+): FieldDescription {
+  return {
+    field,
+    type: typeOf(node),
+    unit: node.unit ?? "",
+    preset: presetOf(node, required),
+    range: rangeOf(node),
+    description: node.description ?? "",
+  };
+}
+
+function presetOf(node: SchemaNode, required: boolean): string {
+  if (node.default !== undefined) return JSON.stringify(node.default);
+  return required ? "required" : "";
+}
+
+function typeOf(node: SchemaNode): string {
+  if (node.items) return `list of ${typeOf(node.items)}`;
+  if (valuesOf(node)) return "object by name";
+  if (node.format === "uri") return "URL";
+  return node.type ?? "any";
+}
+
+function rangeOf(node: SchemaNode): string {
+  if (node.enum) return node.enum.join(", ");
+  if (node.minimum !== undefined || node.maximum !== undefined) {
+    return `${node.minimum ?? ""} to ${node.maximum ?? ""}`;
+  }
+  if (node.pattern && node.format !== "uri") return node.pattern;
+  if (node.minLength) return `at least ${node.minLength} characters`;
+  if (node.minItems) return `at least ${node.minItems}`;
+  return "";
+}
--- a/packages/jsonc/src/index.ts
+++ b/packages/jsonc/src/index.ts
@@ -1,2 +1,3 @@
+export * from "./describe_fields.ts";
 export * from "./find_nearest_name.ts";
 export * from "./parse_checked.ts";
--- a/packages/jsonc/src/parse_checked.ts
+++ b/packages/jsonc/src/parse_checked.ts
@@ -7,6 +7,9 @@
   printParseErrorCode,
 } from "jsonc-parser";
 import type { z } from "zod";
+import { listKnownNames } from "./describe_fields.ts";
+import { findDuplicateKeys } from "./find_duplicate_keys.ts";
+import { findNearestName } from "./find_nearest_name.ts";
 
 /** A fault in a JSON-with-comments text, with its place and mend. */
 export interface Problem {
@@ -52,14 +55,23 @@
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, { allowTrailingComma: true });
   if (errors.length > 0 || !root) {
-    throw new CheckError([syntaxProblem(text, file, errors[0])]);
+    throw new CheckError(syntaxProblems(text, file, errors));
   }
-  const result = schema.safeParse(getNodeValue(root));
-  if (result.success) return result.data;
-  const problems = result.error.issues.flatMap((issue) =>
-    issueProblems(issue, { text, file, root })
+  const context = { text, file, root, schema };
+  const problems = duplicateProblems(context);
+  const result = schema.safeParse(getNodeValue(root), { reportInput: true });
+  for (const issue of result.error?.issues ?? []) {
+    problems.push(...issueProblems(issue, context));
+  }
+  if (result.success && problems.length === 0) return result.data;
+  throw new CheckError(sortProblems(problems));
+}
+
+/** Orders faults as they stand in the text. */
+export function sortProblems(problems: readonly Problem[]): Problem[] {
+  return [...problems].sort((left, right) =>
+    left.line - right.line || left.column - right.column
   );
-  throw new CheckError(problems);
 }
 
 /** Place of a field in a text, for faults found after the schema. */
@@ -81,21 +93,39 @@
   return written;
 }
 
-function syntaxProblem(
+function syntaxProblems(
   text: string,
   file: string,
-  error: ParseError | undefined,
-): Problem {
-  const place = positionOf(text, error?.offset ?? 0);
-  const message = error ? printParseErrorCode(error.error) : "EmptyText";
+  errors: readonly ParseError[],
+): Problem[] {
   const mend = "write JSON with comments at this place";
-  return { file, ...place, field: "", message, mend };
+  const found = errors.map((error) => ({
+    file,
+    ...positionOf(text, error.offset),
+    field: "",
+    message: printParseErrorCode(error.error),
+    mend,
+  }));
+  if (found.length > 0) return found;
+  return [{ file, line: 1, column: 1, field: "", message: "EmptyText", mend }];
 }
 
 interface IssueContext {
   text: string;
   file: string;
   root: Node;
+  schema: z.ZodType;
+}
+
+function duplicateProblems(context: IssueContext): Problem[] {
+  const { text, file, root } = context;
+  return findDuplicateKeys(root).map(({ path, offset }) => ({
+    file,
+    ...positionOf(text, offset),
+    field: formatPath(path),
+    message: `"${path.at(-1)}" stands twice in one object`,
+    mend: "keep one of the two",
+  }));
 }
 
 function issueProblems(
@@ -111,7 +141,7 @@
     file: context.file,
     ...positionOf(context.text, node?.offset ?? 0),
     field: formatPath(path),
-    message: issue.message,
+    message: messageOf(issue),
     mend: mendOf(issue),
   }];
 }
@@ -121,24 +151,56 @@
   context: IssueContext,
 ): Problem {
   const name = String(path.at(-1));
-  const node = nearestNode(context.root, path);
+  const node = keyNode(context.root, path);
+  const known = listKnownNames(context.schema, path.slice(0, -1));
+  const nearest = findNearestName(name, known);
   return {
     file: context.file,
     ...positionOf(context.text, node?.offset ?? 0),
     field: formatPath(path),
     message: `unknown field "${name}"`,
-    mend: "remove it or use a field of the table in docs/FIELDS.md",
+    mend: nearest
+      ? `did you mean "${nearest}"?`
+      : "remove it or use a field of the table in docs/FIELDS.md",
   };
 }
 
+function messageOf(issue: z.core.$ZodIssue): string {
+  const missing = issue.code === "invalid_type" && issue.input === undefined;
+  return missing ? "the field is missing" : issue.message;
+}
+
 function mendOf(issue: z.core.$ZodIssue): string {
   if (issue.code === "invalid_value") {
     return `use one of ${issue.values.map(String).join(", ")}`;
   }
-  if (issue.code === "invalid_type") return `write a ${issue.expected}`;
+  if (issue.code === "invalid_type") return `write a value (${issue.expected})`;
   if (issue.code === "too_small") return `use at least ${issue.minimum}`;
   if (issue.code === "too_big") return `use at most ${issue.maximum}`;
-  return "see docs/FIELDS.md";
+  if (issue.code === "invalid_key") return `use a name like "north-1"`;
+  if (issue.code === "custom" && issue.params?.mend) {
+    return String(issue.params.mend);
+  }
+  return MENDS_BY_FORMAT[formatOf(issue)] ?? "see docs/FIELDS.md";
+}
+
+function formatOf(issue: z.core.$ZodIssue): string {
+  return issue.code === "invalid_format" ? issue.format : "";
+}
+
+const MENDS_BY_FORMAT: Record<string, string> = {
+  regex: "write it in the form that docs/FIELDS.md gives",
+  url: "write a URL such as http://10.0.0.1:8000",
+};
+
+/** Node of the key itself, where a field has one. */
+function keyNode(
+  root: Node,
+  path: readonly (string | number)[],
+): Node | undefined {
+  const value = nearestNode(root, path);
+  const property = value?.parent;
+  return property?.type === "property" ? property.children?.[0] : value;
 }
 
 function nearestNode(
--- /dev/null
+++ b/packages/sessions/src/format_fields_page.ts
@@ -0,0 +1,50 @@
+import { documentSchema } from "@rosemarytiller/document";
+import { describeFields, type FieldDescription } from "@rosemarytiller/jsonc";
+import { settingsSchema } from "@rosemarytiller/settings";
+
+const HEADINGS = ["Field", "Type", "Unit", "Default", "Range", "Meaning"];
+
+/** Writes the page of all fields from the schemas. */
+export function formatFieldsPage(): string {
+  return `# Fields
+
+Written from the schemas by \`npm run fields\`. \`NAME\` stands for a name of your
+choice and \`[]\` for each element of a list. Both files are JSON with comments.
+
+## Service document
+
+${formatTable(describeFields(documentSchema))}
+
+## Settings of a VM
+
+${formatTable(describeFields(settingsSchema))}
+`;
+}
+
+function formatTable(fields: readonly FieldDescription[]): string {
+  const rows = [HEADINGS, ...fields.map(cellsOf)];
+  const widths = HEADINGS.map((_, column) =>
+    Math.max(...rows.map((row) => row[column].length))
+  );
+  const lines = rows.map((row) =>
+    `| ${row.map((cell, at) => cell.padEnd(widths[at])).join(" | ")} |`
+  );
+  const rule = `| ${widths.map((width) => "-".repeat(width)).join(" | ")} |`;
+  return [lines[0], rule, ...lines.slice(1)].join("\n");
+}
+
+function cellsOf(field: FieldDescription): string[] {
+  const { preset, range } = field;
+  return [
+    `\`${field.field}\``,
+    field.type,
+    field.unit,
+    quote(preset),
+    range.startsWith("^") ? quote(range) : range,
+    field.description,
+  ].map((cell) => cell.replaceAll("|", "\\|"));
+}
+
+function quote(text: string): string {
+  return text && text !== "required" ? `\`${text}\`` : text;
+}
--- a/packages/settings/src/settings_schema.ts
+++ b/packages/settings/src/settings_schema.ts
@@ -1,8 +1,16 @@
+import { isIP } from "node:net";
 import { z } from "zod";
 
+const ipNumber = z.string().refine((host) => isIP(host) !== 0, {
+  message: "the host is not an IP number",
+  params: { mend: "write an IP number such as 10.0.0.1" },
+});
+
 const listenAddress = z.strictObject({
-  host: z.string().default("127.0.0.1"),
-  port: z.int().min(0).max(65535),
+  host: ipNumber.default("127.0.0.1").meta({
+    description: "IP number to listen on.",
+  }),
+  port: z.int().min(0).max(65535).meta({ description: "Port to listen on." }),
 });
 
 /** Schema of a process's settings; one file serves both roles of a VM. */
@@ -30,8 +38,8 @@
       "Address by VM name to use for links in place of the VM list's.",
   }),
   statsd: z.strictObject({
-    host: z.string(),
-    port: z.int().min(1).max(65535),
+    host: ipNumber.meta({ description: "IP number of the server." }),
+    port: z.int().min(1).max(65535).meta({ description: "UDP port." }),
   }).optional().meta({ description: "Address of the statsd server." }),
   maxBodyBytes: z.int().min(1024).max(67_108_864).default(8_388_608).meta({
     unit: "bytes",
