--- /dev/null
+++ b/packages/demo/src/demo_test.ts
@@ -0,0 +1,54 @@
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtemp, readFile, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { test } from "node:test";
+import { fileURLToPath } from "node:url";
+
+const MAIN = fileURLToPath(new URL("./main.js", import.meta.url));
+const DOCUMENT = fileURLToPath(
+  new URL("../../../examples/hive-ledger.jsonc", import.meta.url),
+);
+
+function startDemo(page: string, ...flags: string[]): ChildProcess {
+  return spawn(
+    process.execPath,
+    [MAIN, "--document", DOCUMENT, "--page", page, ...flags],
+    { stdio: ["ignore", "pipe", "inherit"] },
+  );
+}
+
+test("the demo answers every class and ends by itself", async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), "demo-"));
+  t.after(() => rm(folder, { recursive: true }));
+  const page = join(folder, "timeline.html");
+  const demo = startDemo(page, "--exit");
+  let output = "";
+  demo.stdout!.on("data", (chunk) => output += chunk);
+  const [code] = await once(demo, "close");
+  assert.equal(code, 0, output);
+  for (const name of ["labels", "season-summaries", "payment-entries"]) {
+    assert.match(output, new RegExp(`^${name} .* yes$`, "m"));
+  }
+  assert.match(await readFile(page, "utf8"), /attempt-started/);
+});
+
+test("an interrupt ends the demo and its processes", async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), "demo-"));
+  t.after(() => rm(folder, { recursive: true }));
+  const demo = startDemo(join(folder, "timeline.html"));
+  let output = "";
+  for await (const chunk of demo.stdout!) {
+    output += chunk;
+    if (output.includes("curl ")) break;
+  }
+  const url = /http:\/\/127\.0\.0\.1:\d+/.exec(output)![0];
+  assert.equal((await fetch(`${url}/v1/models`)).status, 401);
+  demo.kill("SIGINT");
+  const [code] = await once(demo, "exit");
+  assert.equal(code, 0);
+  await assert.rejects(fetch(`${url}/v1/models`));
+});
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./prepare_document.ts";
+export * from "./run_demo.ts";
+export * from "./sample_requests.ts";
