Tell the whole state of a process and measure targets and queues

Status had no type that its reader could share, and no queue by class; of the metrics' names only five were used. ProcessStatus in the admin package now types what both roles tell. Brokers measure queues by class, limits and calls of their pools with each beat, entries the first token against its target and the tokens that reached nobody. A queue that has emptied is told as 0, since a gauge that is left out keeps its old value at the statsd server.

--- a/packages/admin/src/handle_admin_request.ts
+++ b/packages/admin/src/handle_admin_request.ts
@@ -1,12 +1,13 @@
 import type { Timeline } from "@rosemarytiller/timeline";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ProcessStatus } from "./process_status.ts";
 
 /** What the admin endpoints show of a process. */
 export interface AdminSource {
   /** Whether the balancer may send callers here. */
   isReady(): boolean;
   /** State for `tillerctl status`. */
-  status(): unknown;
+  status(): ProcessStatus;
   timeline: Timeline;
 }
 
--- a/packages/admin/src/index.ts
+++ b/packages/admin/src/index.ts
@@ -1,1 +1,2 @@
 export * from "./handle_admin_request.ts";
+export * from "./process_status.ts";
--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -9,7 +9,7 @@
   MessageKind,
   serveLinks,
 } from "@rosemarytiller/link";
-import { createMetrics } from "@rosemarytiller/metrics";
+import { createMetrics, MetricName } from "@rosemarytiller/metrics";
 import {
   createFleetView,
   exchangeFleetView,
@@ -32,6 +32,7 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createPool, type Pool } from "./create_pool.ts";
+import { gaugePools } from "./gauge_pools.ts";
 import { pollLoad } from "./poll_load.ts";
 
 /** Time between two beats to each link. */
@@ -126,6 +127,9 @@
   void view.changes.observe((change) => {
     const { kind, key, revision } = change;
     timeline.record(REVISION_EVENTS[kind], "", { key, revision });
+    if (kind === FleetChangeKind.Document) {
+      metrics.gauge(MetricName.DocumentRevision, revision, { key });
+    }
     for (const link of links) link.send(view.digest());
     if (kind === FleetChangeKind.VmList) linkPeers();
     for (const pool of pools.values()) pool.pump();
@@ -136,13 +140,14 @@
       isReady: () => view.isReady() && !stopping,
       status: () => ({
         process: `${settings.vm}/broker`,
-        revision: view.revision(),
+        role: Role.Broker,
+        dataCentre: settings.dataCentre,
+        ready: view.isReady() && !stopping,
+        stopping,
+        revisions: view.revisions(),
         listRevision: view.listRevision(),
-        pools: [...pools].map(([name, pool]) => ({
-          pool: name,
-          queue: pool.queueLength(),
-          upstreams: pool.upstreams(),
-        })),
+        members: view.vms().map(({ name, state }) => ({ name, state })),
+        broker: { pools: [...pools.values()].map((pool) => pool.status()) },
       }),
       timeline,
     })
@@ -155,6 +160,7 @@
   const polling = pollLoad(() => pools.values(), { clock });
   const cancelBeat = repeat(clock, BEAT_MS, () => {
     for (const pool of pools.values()) pool.pump();
+    gaugePools(metrics, pools.values());
     const summaries = [...pools.values()].map((pool) => pool.summary());
     for (const link of links) {
       link.send({
--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -1,3 +1,4 @@
+import type { PoolStatus, UpstreamStatus } from "@rosemarytiller/admin";
 import {
   isUpstreamInService,
   listPoolUpstreams,
@@ -76,8 +77,8 @@
   /** Refuses what has waited too long and grants what can start. */
   pump(): void;
   summary(): PoolSummary;
-  upstreams(): { name: string; address: string; limit: number; live: number }[];
-  queueLength(): number;
+  upstreams(): UpstreamStatus[];
+  status(): PoolStatus;
 }
 
 /** Creates the decisions of one pool. */
@@ -87,6 +88,7 @@
   const queue = createRequestQueue();
   const waiting = new Map<string, WaitingAsk>();
   const known = new Map<string, PoolUpstream>();
+  const classesSeen = new Set<string>();
 
   /** Brings the upstreams in line with the document in force. */
   function currentUpstreams(): PoolUpstream[] {
@@ -227,6 +229,7 @@
       promptTokens: message.promptTokens,
       fingerprint: message.fingerprint,
     };
+    classesSeen.add(message.className);
     waiting.set(message.id, { ask: message, link });
     if (candidatesFor(request, currentUpstreams()).length === 0) {
       refuse(request, ErrorKind.NoUpstream, "no upstream can serve it");
@@ -253,6 +256,25 @@
     return room;
   }
 
+  function upstreams(): UpstreamStatus[] {
+    return currentUpstreams().map((upstream) => ({
+      name: upstream.name,
+      address: upstream.entry.address,
+      limit: upstream.limit.current(),
+      live: upstream.live.size,
+    }));
+  }
+
+  function queueByClass(): Record<string, number> {
+    const lengths: Record<string, number> = {};
+    // A class whose queue is empty again is told with 0, not left out.
+    for (const className of classesSeen) lengths[className] = 0;
+    for (const { ask: { className } } of waiting.values()) {
+      lengths[className]++;
+    }
+    return lengths;
+  }
+
   return {
     name,
     ask,
@@ -278,13 +300,11 @@
     },
     pump,
     summary: () => ({ pool: text, free: free(), waitMs: [] }),
-    upstreams: () =>
-      currentUpstreams().map((upstream) => ({
-        name: upstream.name,
-        address: upstream.entry.address,
-        limit: upstream.limit.current(),
-        live: upstream.live.size,
-      })),
-    queueLength: () => queue.size(),
+    upstreams,
+    status: () => ({
+      pool: text,
+      queue: queueByClass(),
+      upstreams: upstreams(),
+    }),
   };
 }
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -135,6 +135,9 @@
         totalMs: Math.round(clock.now() - call.arrivedMs),
       });
       metrics.count(MetricName.RequestsAnswered, 1, { class: className });
+      metrics.timing(MetricName.TotalMs, clock.now() - call.arrivedMs, {
+        class: className,
+      });
     } catch (cause) {
       const error = toTillerError(cause);
       if (error.kind === ErrorKind.Internal) log.error(error.message, cause);
@@ -175,10 +178,14 @@
       isReady: () => view.isReady() && !stopping,
       status: () => ({
         process: `${settings.vm}/entry`,
-        revision: view.revision(),
+        role: Role.Entry,
+        dataCentre: settings.dataCentre,
+        ready: view.isReady() && !stopping,
+        stopping,
+        revisions: view.revisions(),
         listRevision: view.listRevision(),
-        active,
-        permits: permits.liveCount(),
+        members: view.vms().map(({ name, state }) => ({ name, state })),
+        entry: { requests: active, permits: permits.liveCount() },
       }),
       timeline,
     })
--- a/packages/entry/src/serve_call.ts
+++ b/packages/entry/src/serve_call.ts
@@ -1,5 +1,5 @@
 import { resolvePools } from "@rosemarytiller/document";
-import { MetricName, type Metrics } from "@rosemarytiller/metrics";
+import type { Metrics } from "@rosemarytiller/metrics";
 import type { FleetView } from "@rosemarytiller/platform";
 import type { Settings } from "@rosemarytiller/settings";
 import {
@@ -15,6 +15,7 @@
 import type { ServerResponse } from "node:http";
 import type { AttemptResult, AttemptRunner } from "./attempt.ts";
 import type { Call } from "./call.ts";
+import { countAttempt } from "./count_attempt.ts";
 import type { Permit, PermitClient } from "./create_permit_client.ts";
 
 /** Most calls to upstreams for one request. */
@@ -120,6 +121,7 @@
     class: call.requestClass.name,
     tier: call.requestClass.tier,
   });
+  const startedMs = options.clock.now();
   const result = await options.runners[call.kind]({
     attempt,
     call,
@@ -137,7 +139,7 @@
     tokens,
   });
   permits.finish(permit, { outcome, firstTokenMs, totalMs, tokens });
-  metrics.count(MetricName.Attempts, 1, { outcome });
+  countAttempt(metrics, call, { result, startedMs });
   return result;
 }
 
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -7,6 +7,7 @@
   RequestsAnswered = "requests.answered",
   RequestsRefused = "requests.refused",
   FirstTokenMs = "requests.first_token_ms",
+  FirstTokenTarget = "requests.first_token_target",
   TotalMs = "requests.total_ms",
   Attempts = "attempts.ended",
   TokensDelivered = "tokens.delivered",
@@ -15,6 +16,7 @@
   PermitsRefused = "permits.refused",
   QueueLength = "queue.length",
   UpstreamLimit = "upstream.limit",
+  UpstreamLive = "upstream.live",
   DocumentRevision = "document.revision",
 }
 
--- a/packages/platform/src/create_fleet_view.ts
+++ b/packages/platform/src/create_fleet_view.ts
@@ -51,6 +51,8 @@
   listRevision(): number;
   /** Highest revision of a document in force; 0 before the first. */
   revision(): number;
+  /** Revision in force by document key. */
+  revisions(): Record<string, number>;
   /** Takes a document if it is newer and valid; tells whether it did. */
   offerDocument(published: PublishedDocument, source: string): boolean;
   /** Takes a VM list if it is newer; tells whether it did. */
@@ -119,6 +121,13 @@
       }
       return highest;
     },
+    revisions() {
+      const revisions: Record<string, number> = {};
+      for (const { key, revision } of accepted.values()) {
+        revisions[key] = revision;
+      }
+      return revisions;
+    },
     offerDocument(published, source) {
       const { key, revision, text } = published;
       const digest = hashText(text);
