Hand configuration on over few links and watch every replica

Cause: a watch asked one replica and went on only after a failure, so a stale replica that answered was believed for ever; after a restore the watch kept its high cursor and missed what was published below it; a refused revision was parsed and fetched again at each digest; each broker linked to all others and each process read the platform, which does not stay flat at 410; a starting process served whatever its first answer held.

Now each watch follows every replica with a cursor of its own that goes back with the replica's counter, and never spins on early answers. Two VMs for each data centre hold watches; the rest live on digests and watch for themselves after 15 to 30 s without news of the platform. Brokers link to log-many VMs of their data centre and one in each other one, push digests on a change and compare two links a second. A fetch goes to one link at a time. A starting process waits, at most 1 s, until it has what a settled peer, or all its chosen peers, have. settings.seeds names brokers to ask while no VM list is known.

Ruled out: links to all (168,000 at 410); a random graph without a ring (it may fall apart when a data centre leaves). The stand-in platform has replicas over one state, each down, stale, slow or older by itself, and restores.

Seen failing, by taking the line out again: without the cursor going back, 'a counter that went back is not spun on and hides no change'; with no pause after an early answer, the same; without the memory of refused texts, 'a refused document is not asked for again'; without the tie-break, 'views that saw the same offers' and 'all processes converge'.

--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -1,8 +1,6 @@
 import { handleAdminRequest } from "@rosemarytiller/admin";
 import {
   handleMessage,
-  keepLink,
-  type KeptLink,
   type Link,
   type LinkIdentity,
   type MessageHandlers,
@@ -11,10 +9,10 @@
 } from "@rosemarytiller/link";
 import { createMetrics, MetricName } from "@rosemarytiller/metrics";
 import {
+  createFleetExchange,
   createFleetView,
-  exchangeFleetView,
+  createPeerLinks,
   FleetChangeKind,
-  listEntryVms,
   type PlatformPort,
   watchPlatform,
 } from "@rosemarytiller/platform";
@@ -69,7 +67,15 @@
   const pools = new Map<string, Pool>();
   const links = new Set<Link>();
   const stamps = new Map<Link, number>();
-  const peers = new Map<string, KeptLink>();
+  const exchange = createFleetExchange(view, { clock, role: Role.Broker });
+  const peers = createPeerLinks(view, {
+    identity,
+    dataCentre: settings.dataCentre,
+    seeds: settings.seeds,
+    linkAddresses: settings.linkAddresses,
+    clock,
+    serve,
+  });
   let stopping = false;
 
   function poolOf(name: string): Pool {
@@ -89,7 +95,7 @@
   }
 
   const handlers: MessageHandlers<Link> = {
-    ...exchangeFleetView(view),
+    ...exchange.handlers,
     [MessageKind.Ask](ask, link) {
       stamps.set(link, ask.stamp);
       poolOf(ask.pool).ask(ask, link);
@@ -106,32 +112,27 @@
 
   async function serve(link: Link): Promise<void> {
     links.add(link);
-    link.send(view.digest());
+    exchange.open(link);
     await link.messages.observe((message) => {
       handleMessage(handlers, message, link);
     });
     links.delete(link);
+    exchange.close(link);
     stamps.delete(link);
     for (const pool of pools.values()) pool.dropLink(link);
   }
 
-  /** Keeps one link to each other broker; the smaller name opens it. */
-  function linkPeers(): void {
-    for (const vm of listEntryVms(view.vms())) {
-      if (vm.name <= settings.vm || peers.has(vm.name)) continue;
-      const address = settings.linkAddresses[vm.name] ?? vm.broker;
-      peers.set(vm.name, keepLink(address, identity, { clock, serve }));
-    }
-  }
-
   void view.changes.observe((change) => {
     const { kind, key, revision } = change;
-    timeline.record(REVISION_EVENTS[kind], "", { key, revision });
+    const event = REVISION_EVENTS[kind];
+    if (event) timeline.record(event, "", { key, revision });
     if (kind === FleetChangeKind.Document) {
       metrics.gauge(MetricName.DocumentRevision, revision, { key });
     }
-    for (const link of links) link.send(view.digest());
-    if (kind === FleetChangeKind.VmList) linkPeers();
+    if (kind === FleetChangeKind.VmList) {
+      peers.update();
+      exchange.expectPeers(peers.vms());
+    }
     for (const pool of pools.values()) pool.pump();
   });
 
@@ -147,7 +148,11 @@
         revisions: view.revisions(),
         listRevision: view.listRevision(),
         members: view.vms().map(({ name, state }) => ({ name, state })),
-        broker: { pools: [...pools.values()].map((pool) => pool.status()) },
+        broker: {
+          watching: watch.isWatching(),
+          peers: peers.vms(),
+          pools: [...pools.values()].map((pool) => pool.status()),
+        },
       }),
       timeline,
     })
@@ -156,7 +161,12 @@
   server.listen(settings.broker.port, settings.broker.host);
   await once(server, "listening");
   const { address, port } = server.address() as AddressInfo;
-  const watch = watchPlatform(view, { platform, clock });
+  const watch = watchPlatform(view, {
+    platform,
+    clock,
+    vm: settings.vm,
+    dataCentre: settings.dataCentre,
+  });
   const polling = pollLoad(() => pools.values(), { clock });
   const cancelBeat = repeat(clock, BEAT_MS, () => {
     for (const pool of pools.values()) pool.pump();
@@ -183,7 +193,8 @@
       cancelBeat();
       polling.stop();
       watch.stop();
-      for (const peer of peers.values()) peer.close();
+      exchange.stop();
+      peers.close();
       accepting.close();
       metrics.close();
       server.closeAllConnections();
@@ -194,7 +205,7 @@
   };
 }
 
-const REVISION_EVENTS: Record<FleetChangeKind, EventKind> = {
+const REVISION_EVENTS: Partial<Record<FleetChangeKind, EventKind>> = {
   [FleetChangeKind.Document]: EventKind.RevisionAccepted,
   [FleetChangeKind.DocumentRefused]: EventKind.RevisionRefused,
   [FleetChangeKind.VmList]: EventKind.MembershipChanged,
--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -12,7 +12,7 @@
   type RefuseMessage,
 } from "@rosemarytiller/link";
 import {
-  exchangeFleetView,
+  createFleetExchange,
   type FleetView,
   rankLeaders,
 } from "@rosemarytiller/platform";
@@ -87,8 +87,9 @@
   const pending = new Map<string, PendingAsk>();
   const live = new Map<string, LivePermit>();
 
+  const exchange = createFleetExchange(view, { clock, role: identity.role });
   const handlers: MessageHandlers<Link> = {
-    ...exchangeFleetView(view),
+    ...exchange.handlers,
     [MessageKind.Grant]: settle,
     [MessageKind.Refuse]: settle,
     [MessageKind.Beat](beat, link) {
@@ -125,10 +126,11 @@
   }
 
   async function serve(link: Link): Promise<void> {
-    link.send(view.digest());
+    exchange.open(link);
     await link.messages.observe((message) => {
       handleMessage(handlers, message, link);
     });
+    exchange.close(link);
     for (const ask of [...pending.values()]) {
       if (ask.link === link) ask.settle(undefined);
     }
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -248,6 +248,10 @@
   /** Revision and content hash by document key. */
   documents: Record<string, [revision: number, digest: string]>;
   listRevision: number;
+  /** Whether the sender has compared this with its own peers. */
+  settled: boolean;
+  /** Time since the sender, or a peer of it, heard the platform. */
+  platformAgeMs: number;
 }
 
 /** Asks for documents by key, and for the VM list. */
--- a/packages/platform/src/create_fleet_view.ts
+++ b/packages/platform/src/create_fleet_view.ts
@@ -1,7 +1,6 @@
 import { parseDocument, type ServiceDocument } from "@rosemarytiller/document";
 import type {
   DigestMessage,
-  FetchMessage,
   PublishedDocument,
   PublishedVm,
 } from "@rosemarytiller/link";
@@ -29,6 +28,7 @@
   Document = "document",
   DocumentRefused = "document-refused",
   VmList = "vm-list",
+  Settled = "settled",
 }
 
 /** A change of what a process knows of the fleet. */
@@ -63,32 +63,62 @@
   vmsConfirmedAtMs(): number;
   /** Digest of what is in force, for peers. */
   digest(): DigestMessage;
-  /** What to fetch from a peer with the given digest, if anything. */
-  missing(digest: DigestMessage): FetchMessage | undefined;
+  /** What a peer with the given digest has and this process lacks. */
+  missing(digest: DigestMessage): { keys: string[]; list: boolean };
+  /** Whether this process has something newer than a peer's digest. */
+  isAhead(digest: DigestMessage): boolean;
+  /** Notes that the platform was heard, here or by a peer, so long ago. */
+  notePlatform(ageMs: number): void;
+  /** Time since the platform was last heard, by anyone that told of it. */
+  platformAgeMs(): number;
   /** Changes as they come in force. */
   readonly changes: Stream<FleetChange>;
-  /** Resolves when a document and a VM list are in force. */
+  /** Whether a document and a VM list are in force. */
+  hasData(): boolean;
+  /** Notes that what is in force was compared with peers. */
+  settle(): void;
+  /** Resolves when this process may serve. */
   readonly ready: Promise<void>;
+  /** Whether data is in force and was compared, or the wait is over. */
   isReady(): boolean;
 }
 
+/** Longest wait of a starting process for its peers, after its first data. */
+export const START_WAIT_MS = 1000;
+/** Refused texts that are remembered, so as not to ask for them again. */
+export const REFUSED_KEPT = 100;
+
 /** Creates an empty fleet view. */
 export function createFleetView(options: { clock: Clock }): FleetView {
   const { clock } = options;
   const accepted = new Map<string, AcceptedDocument>();
-  const refused = new Map<string, number>();
+  const refused = new Set<string>();
   const changes = createSubject<FleetChange>();
   let vms: readonly PublishedVm[] = [];
   let listRevision = 0;
   let confirmedAtMs = -Infinity;
+  let platformAtMs = clock.now();
+  let settled = false;
+  let waiting = false;
   let resolveReady = () => {};
   const ready = new Promise<void>((resolve) => resolveReady = resolve);
 
-  const isReady = () => accepted.size > 0 && listRevision > 0;
+  const hasData = () => accepted.size > 0 && listRevision > 0;
+  const isReady = () => settled && hasData();
   function announce(change: FleetChange): void {
+    if (hasData() && !waiting) {
+      waiting = true;
+      clock.after(START_WAIT_MS, settle);
+    }
     if (isReady()) resolveReady();
     changes.next(change);
   }
+  function settle(): void {
+    if (settled || !hasData()) return;
+    settled = true;
+    const kind = FleetChangeKind.Settled;
+    announce({ kind, key: "", revision: listRevision, detail: "" });
+  }
   function isNewer(key: string, revision: number, digest: string): boolean {
     const current = accepted.get(key);
     if (!current) return true;
@@ -96,10 +126,21 @@
     // Two operators raced on two replicas: every process picks the same one.
     return digest > current.digest;
   }
-  function refuse(published: PublishedDocument, reason: string): void {
+  function isWanted(key: string, revision: number, digest: string): boolean {
+    if (refused.has(`${key} ${revision} ${digest}`)) return false;
+    return isNewer(key, revision, digest);
+  }
+  function refuse(
+    published: PublishedDocument,
+    digest: string,
+    reason: string,
+  ): void {
     const { key, revision } = published;
-    if ((refused.get(key) ?? 0) >= revision) return;
-    refused.set(key, revision);
+    refused.add(`${key} ${revision} ${digest}`);
+    for (const oldest of refused) {
+      if (refused.size <= REFUSED_KEPT) break;
+      refused.delete(oldest);
+    }
     warn(LogPart.Document, `Revision ${revision} was refused. ${reason}`);
     const kind = FleetChangeKind.DocumentRefused;
     announce({ kind, key, revision, detail: reason });
@@ -107,10 +148,13 @@
   return {
     documents: () => accepted,
     documentOf(service) {
-      for (const { document } of accepted.values()) {
-        if (document.service === service) return document;
+      // Every process takes the same one where two keys claim a service.
+      let found: AcceptedDocument | undefined;
+      for (const candidate of accepted.values()) {
+        if (candidate.document.service !== service) continue;
+        if (!found || candidate.key < found.key) found = candidate;
       }
-      return undefined;
+      return found?.document;
     },
     vms: () => vms,
     listRevision: () => listRevision,
@@ -131,12 +175,12 @@
     offerDocument(published, source) {
       const { key, revision, text } = published;
       const digest = hashText(text);
-      if (!isNewer(key, revision, digest)) return false;
+      if (!isWanted(key, revision, digest)) return false;
       try {
         const document = parseDocument(text, `${key}@${revision}`);
         accepted.set(key, { key, revision, digest, text, document });
       } catch (error) {
-        refuse(published, (error as Error).message);
+        refuse(published, digest, (error as Error).message);
         return false;
       }
       const kind = FleetChangeKind.Document;
@@ -160,18 +204,37 @@
       for (const { key, revision, digest } of accepted.values()) {
         documents[key] = [revision, digest];
       }
-      return { kind: MessageKind.Digest, documents, listRevision };
+      return {
+        kind: MessageKind.Digest,
+        documents,
+        listRevision,
+        settled: isReady(),
+        platformAgeMs: clock.now() - platformAtMs,
+      };
     },
     missing(digest) {
       const keys: string[] = [];
       for (const [key, [revision, hash]] of Object.entries(digest.documents)) {
-        if (isNewer(key, revision, hash)) keys.push(key);
+        if (isWanted(key, revision, hash)) keys.push(key);
       }
-      const list = digest.listRevision > listRevision;
-      if (keys.length === 0 && !list) return undefined;
-      return { kind: MessageKind.Fetch, keys, list };
+      return { keys, list: digest.listRevision > listRevision };
+    },
+    isAhead(digest) {
+      if (listRevision > digest.listRevision) return true;
+      for (const { key, revision, digest: own } of accepted.values()) {
+        const [theirs, hash] = digest.documents[key] ?? [-1, ""];
+        if (revision > theirs) return true;
+        if (revision === theirs && own > hash) return true;
+      }
+      return false;
+    },
+    notePlatform(ageMs) {
+      platformAtMs = Math.max(platformAtMs, clock.now() - ageMs);
     },
+    platformAgeMs: () => clock.now() - platformAtMs,
     changes: changes.stream.multicast(),
+    hasData,
+    settle,
     ready,
     isReady,
   };
--- a/packages/platform/src/create_http_platform.ts
+++ b/packages/platform/src/create_http_platform.ts
@@ -2,38 +2,36 @@
 import type {
   DocumentsAnswer,
   PlatformPort,
+  PlatformReplica,
   VmsAnswer,
 } from "./platform_port.ts";
 
 /** Time that an answer may take beyond the wait that was asked for. */
 export const PLATFORM_MARGIN_MS = 2000;
 
-/** Creates the HTTP adapter; after a failure the next replica is asked. */
+/** Creates the HTTP adapter for the given base URLs. */
 export function createHttpPlatform(urls: readonly string[]): PlatformPort {
-  const agent = new Agent({ connections: 4, pipelining: 1 });
-  let replica = 0;
+  return { replicas: urls.map(createHttpReplica) };
+}
+
+function createHttpReplica(base: string): PlatformReplica {
+  const agent = new Agent({ connections: 2, pipelining: 1 });
   async function read(
     path: string,
     after: number,
     waitMs: number,
   ): Promise<unknown> {
-    const base = urls[replica % urls.length];
-    try {
-      const url = new URL(`${path}?after=${after}&waitMs=${waitMs}`, base);
-      const timeoutMs = waitMs + PLATFORM_MARGIN_MS;
-      const { statusCode, body } = await request(url, {
-        dispatcher: agent,
-        signal: AbortSignal.timeout(timeoutMs),
-      });
-      if (statusCode === 200) return await body.json();
-      await body.dump();
-      throw new Error(`the platform answered ${statusCode}`);
-    } catch (error) {
-      replica++;
-      throw error;
-    }
+    const url = new URL(`${path}?after=${after}&waitMs=${waitMs}`, base);
+    const { statusCode, body } = await request(url, {
+      dispatcher: agent,
+      signal: AbortSignal.timeout(waitMs + PLATFORM_MARGIN_MS),
+    });
+    if (statusCode === 200) return await body.json();
+    await body.dump();
+    throw new Error(`the platform answered ${statusCode}`);
   }
   return {
+    name: base,
     readDocuments: (after, waitMs) =>
       read("/v1/documents", after, waitMs) as Promise<DocumentsAnswer>,
     readVms: (after, waitMs) =>
--- a/packages/platform/src/watch_platform.ts
+++ b/packages/platform/src/watch_platform.ts
@@ -1,40 +1,62 @@
-import { type Clock, LogPart, sleep, useLog } from "@rosemarytiller/shared";
+import { type Clock, rankByRendezvous } from "@rosemarytiller/shared";
 import type { FleetView } from "./create_fleet_view.ts";
 import type { PlatformPort } from "./platform_port.ts";
+import { listEntryVms } from "./resolve_leader.ts";
+import { watchReplica } from "./watch_replica.ts";
 
-/** Longest wait of one watch call. */
-export const WATCH_WAIT_MS = 5000;
-/** Delay before a failed watch is tried again. */
-export const WATCH_RETRY_MS = 500;
+/** VMs of each data centre that hold watches. */
+export const WATCHERS_PER_DATA_CENTRE = 2;
+/** Age of the fleet's news after which any process watches for itself. */
+export const PLATFORM_SILENCE_MS = 15_000;
 
-/** Watches documents and VM list until stopped. */
+/** What a watch of the platform needs. */
+export interface WatchPlatformOptions {
+  platform: PlatformPort;
+  clock: Clock;
+  /** Name and data centre of the own VM. */
+  vm: string;
+  dataCentre: string;
+  /** Random number from 0 to 1, for jitter. */
+  random?: () => number;
+}
+
+/**
+ * Watches every replica until stopped. A few VMs of each data centre hold
+ * watches; the others live on what peers hand on, and watch for themselves
+ * when no news has come for a time.
+ */
 export function watchPlatform(
   view: FleetView,
-  options: { platform: PlatformPort; clock: Clock },
-): { stop(): void } {
-  const { platform, clock } = options;
+  options: WatchPlatformOptions,
+): { stop(): void; isWatching(): boolean } {
+  const { platform, clock, random = Math.random } = options;
+  const silenceMs = PLATFORM_SILENCE_MS * (1 + random());
   let stopped = false;
-  async function watch(step: () => Promise<void>): Promise<void> {
-    while (!stopped) {
-      try {
-        await step();
-      } catch (error) {
-        const reason = (error as Error).message;
-        useLog(LogPart.Platform).debug(`A watch failed: ${reason}`);
-        await sleep(clock, WATCH_RETRY_MS);
-      }
-    }
+  function isWanted(): boolean {
+    if (!view.hasData() || isWatcher(view, options)) return true;
+    return view.platformAgeMs() > silenceMs;
+  }
+  for (const replica of platform.replicas) {
+    watchReplica(view, replica, {
+      clock,
+      isWanted,
+      isStopped: () => stopped,
+      random,
+    });
+  }
+  return { stop: () => void (stopped = true), isWatching: isWanted };
+}
+
+/** Whether a VM is one of the watchers of its data centre. */
+export function isWatcher(
+  view: FleetView,
+  options: { vm: string; dataCentre: string },
+): boolean {
+  const names: string[] = [];
+  for (const vm of listEntryVms(view.vms())) {
+    if (vm.dataCentre === options.dataCentre) names.push(vm.name);
   }
-  let seenRevision = 0;
-  void watch(async () => {
-    const answer = await platform.readDocuments(seenRevision, WATCH_WAIT_MS);
-    for (const published of answer.documents) {
-      view.offerDocument(published, "platform");
-    }
-    seenRevision = Math.max(seenRevision, answer.revision);
-  });
-  void watch(async () => {
-    view.offerVms(await platform.readVms(view.listRevision(), WATCH_WAIT_MS));
-  });
-  return { stop: () => void (stopped = true) };
+  return rankByRendezvous("watchers", names)
+    .slice(0, WATCHERS_PER_DATA_CENTRE)
+    .includes(options.vm);
 }
--- a/packages/settings/src/settings_schema.ts
+++ b/packages/settings/src/settings_schema.ts
@@ -21,6 +21,9 @@
   platform: z.array(z.url()).min(1).meta({
     description: "Base URLs of the platform's replicas, tried in turn.",
   }),
+  seeds: z.array(z.string().regex(/^.+:[0-9]+$/)).default([]).meta({
+    description: "Addresses of a few brokers, asked while no VM list is known.",
+  }),
   linkKey: z.string().min(16).meta({
     description: "Shared key by which the processes know each other.",
   }),
@@ -49,6 +52,11 @@
     unit: "ms",
     description: "Longest time for a request's headers and body to arrive.",
   }),
+  balancerLagMs: z.int().min(0).max(600_000).default(5000).meta({
+    unit: "ms",
+    description:
+      "Time for which a stopping entry, no longer ready, takes new requests.",
+  }),
   stopGraceMs: z.int().min(0).max(3_600_000).default(120_000).meta({
     unit: "ms",
     description: "Longest time for streams to finish at a planned stop.",
--- a/packages/standins/src/create_stand_in_platform.ts
+++ b/packages/standins/src/create_stand_in_platform.ts
@@ -1,52 +1,128 @@
 import type { PublishedDocument, PublishedVm } from "@rosemarytiller/link";
 import { once } from "node:events";
-import { createServer, type ServerResponse } from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 
-/** Ways in which the stand-in platform can fail. */
+/** Ways in which a replica of the stand-in platform can fail. */
 export interface PlatformFaults {
   /** Every call is answered 503. */
   down: boolean;
-  /** Answers show the state of the moment this was set. */
+  /** Keeps what it has and takes no change until this ends. */
   stale: boolean;
   /** Delay of each answer in milliseconds. */
   delayMs: number;
 }
 
-/** A small configuration service with a VM list. */
+/** What a backup of the platform holds. */
+export interface PlatformState {
+  documents: Map<string, PublishedDocument>;
+  documentRevision: number;
+  vms: PublishedVm[];
+  listRevision: number;
+}
+
+/** A small configuration service with a VM list and several replicas. */
 export interface StandInPlatform {
+  /** Base URL of the first replica. */
   readonly url: string;
+  /** Base URLs of all replicas. */
+  readonly urls: readonly string[];
   /** Publishes a document under the next revision, or a given one. */
   publish(key: string, text: string, revision?: number): number;
+  /** Shows a document at one replica only, as after a race or a restore. */
+  publishAt(replica: number, published: PublishedDocument): void;
   /** Publishes the VM list under the next revision. */
   setVms(vms: PublishedVm[]): number;
-  setFaults(faults: Partial<PlatformFaults>): void;
-  /** Calls answered so far, each waiting watch counted once. */
+  /** Sets faults of one replica, or of all. */
+  setFaults(faults: Partial<PlatformFaults>, replica?: number): void;
+  /** A backup of the present state. */
+  backup(): PlatformState;
+  /** Brings all replicas back to a backup, with its lower revisions. */
+  restore(state: PlatformState): void;
+  /** Calls taken so far at all replicas, each waiting watch counted once. */
   reads(): number;
   close(): Promise<void>;
 }
 
-interface State {
-  documents: Map<string, PublishedDocument>;
-  documentRevision: number;
-  vms: PublishedVm[];
-  listRevision: number;
-}
-
 /** Starts a stand-in platform. */
-export async function createStandInPlatform(): Promise<StandInPlatform> {
-  const state: State = {
+export async function createStandInPlatform(
+  options: { replicas?: number } = {},
+): Promise<StandInPlatform> {
+  const state: PlatformState = {
     documents: new Map(),
     documentRevision: 0,
     vms: [],
     listRevision: 0,
   };
-  let shown = state;
+  const replicas: Replica[] = [];
+  for (let index = 0; index < (options.replicas ?? 1); index++) {
+    replicas.push(await startReplica(copyState(state)));
+  }
+
+  function spread(): void {
+    for (const replica of replicas) {
+      if (!replica.faults.stale) replica.show(copyState(state));
+    }
+  }
+
+  return {
+    url: replicas[0].url,
+    urls: replicas.map((replica) => replica.url),
+    publish(key, text, revision = state.documentRevision + 1) {
+      putDocument(state, { key, revision, text });
+      spread();
+      return revision;
+    },
+    publishAt(index, published) {
+      const shown = copyState(replicas[index].state());
+      putDocument(shown, published);
+      replicas[index].show(shown);
+    },
+    setVms(vms) {
+      state.vms = vms;
+      state.listRevision++;
+      spread();
+      return state.listRevision;
+    },
+    setFaults(next, index) {
+      for (const [place, replica] of replicas.entries()) {
+        if (index !== undefined && place !== index) continue;
+        const wasStale = replica.faults.stale;
+        Object.assign(replica.faults, next);
+        const caughtUp = wasStale && !replica.faults.stale;
+        replica.show(caughtUp ? copyState(state) : replica.state());
+      }
+    },
+    backup: () => copyState(state),
+    restore(backup) {
+      Object.assign(state, copyState(backup));
+      for (const replica of replicas) replica.show(copyState(state));
+    },
+    reads: () => replicas.reduce((sum, replica) => sum + replica.reads(), 0),
+    async close() {
+      for (const replica of replicas) await replica.close();
+    },
+  };
+}
+
+interface Replica {
+  readonly url: string;
+  readonly faults: PlatformFaults;
+  state(): PlatformState;
+  /** Replaces what is shown and wakes the waiting watches. */
+  show(state: PlatformState): void;
+  reads(): number;
+  close(): Promise<void>;
+}
+
+async function startReplica(initial: PlatformState): Promise<Replica> {
   const faults: PlatformFaults = { down: false, stale: false, delayMs: 0 };
   const wakers = new Set<() => void>();
+  let shown = initial;
   let reads = 0;
 
-  function wakeAll(): void {
+  function show(state: PlatformState): void {
+    shown = state;
     for (const wake of [...wakers]) wake();
   }
 
@@ -62,78 +138,38 @@
     });
   }
 
-  const routes: Record<string, (after: number) => object | undefined> = {
-    "/v1/documents": (after) => {
-      if (shown.documentRevision <= after) return undefined;
-      const documents = [...shown.documents.values()]
-        .filter((document) => document.revision > after);
-      return { revision: shown.documentRevision, documents };
-    },
-    "/v1/vms": (after) => {
-      if (shown.listRevision <= after) return undefined;
-      return { revision: shown.listRevision, vms: shown.vms };
-    },
-  };
-  const unchanged: Record<string, () => object> = {
-    "/v1/documents": () => ({
-      revision: shown.documentRevision,
-      documents: [],
-    }),
-    "/v1/vms": () => ({ revision: shown.listRevision, vms: shown.vms }),
-  };
-
   async function answer(url: URL, response: ServerResponse): Promise<void> {
     reads++;
-    const route = routes[url.pathname];
+    const route = ROUTES[url.pathname];
     if (!route) return void response.writeHead(404).end();
     const after = Number(url.searchParams.get("after") ?? 0);
     const waitMs = Number(url.searchParams.get("waitMs") ?? 0);
-    const untilMs = Date.now() + waitMs;
+    const untilMs = performance.now() + waitMs;
     if (faults.delayMs > 0) await waitForTime(faults.delayMs);
-    let found = faults.down ? undefined : route(after);
-    while (!found && !faults.down && Date.now() < untilMs) {
-      await waitForChange(untilMs - Date.now());
-      found = route(after);
+    while (!faults.down && !route.isNewer(shown, after)) {
+      const leftMs = untilMs - performance.now();
+      if (leftMs <= 0) break;
+      await waitForChange(leftMs);
     }
     if (faults.down) return void response.writeHead(503).end();
     response.writeHead(200, { "content-type": "application/json" });
-    response.end(JSON.stringify(found ?? unchanged[url.pathname]()));
+    response.end(JSON.stringify(route.read(shown, after)));
   }
 
   const server = createServer((request, response) => {
     const url = new URL(request.url ?? "/", "http://platform");
     void answer(url, response);
   });
-  server.listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-
+  const url = await listen(server);
   return {
-    url: `http://127.0.0.1:${port}`,
-    publish(key, text, revision = state.documentRevision + 1) {
-      state.documents.set(key, { key, revision, text });
-      state.documentRevision = Math.max(state.documentRevision, revision);
-      wakeAll();
-      return revision;
-    },
-    setVms(vms) {
-      state.vms = vms;
-      state.listRevision++;
-      wakeAll();
-      return state.listRevision;
-    },
-    setFaults(next) {
-      Object.assign(faults, next);
-      const { documents } = state;
-      shown = faults.stale
-        ? { ...state, documents: new Map(documents) }
-        : state;
-      wakeAll();
-    },
+    url,
+    faults,
+    state: () => shown,
+    show,
     reads: () => reads,
     async close() {
       faults.down = true;
-      wakeAll();
+      show(shown);
       server.closeAllConnections();
       server.close();
       await once(server, "close");
@@ -141,6 +177,48 @@
   };
 }
 
+interface Route {
+  isNewer(state: PlatformState, after: number): boolean;
+  read(state: PlatformState, after: number): object;
+}
+
+const ROUTES: Record<string, Route> = {
+  "/v1/documents": {
+    isNewer: (state, after) => state.documentRevision > after,
+    read: (state, after) => ({
+      revision: state.documentRevision,
+      documents: [...state.documents.values()]
+        .filter((document) => document.revision > after),
+    }),
+  },
+  "/v1/vms": {
+    isNewer: (state, after) => state.listRevision > after,
+    read: (state, after) => ({
+      revision: state.listRevision,
+      vms: state.listRevision > after ? state.vms : undefined,
+    }),
+  },
+};
+
+function putDocument(
+  state: PlatformState,
+  published: PublishedDocument,
+): void {
+  state.documents.set(published.key, published);
+  state.documentRevision = Math.max(state.documentRevision, published.revision);
+}
+
+function copyState(state: PlatformState): PlatformState {
+  return { ...state, documents: new Map(state.documents) };
+}
+
+async function listen(server: Server): Promise<string> {
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return `http://127.0.0.1:${port}`;
+}
+
 function waitForTime(delayMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, delayMs));
 }
