Order grants by tier, floor, fair share and deadline

Cause: the queue was one sorted list. It knew tiers and deadlines only, so a class could starve and one client could take a whole tier; each pump scanned all of it while every upstream was full.

Change: lanes of requests that the same upstreams may serve, floors counted in grants, clients by weighted grants, then the earliest deadline. The contract stands in docs/design/0003.

--- a/packages/policy/src/create_request_queue.ts
+++ b/packages/policy/src/create_request_queue.ts
@@ -1,71 +1,230 @@
-/** A request that waits for a permit. */
-export interface QueuedRequest {
-  id: string;
-  className: string;
-  /** 1 is the highest. */
-  tier: number;
-  client: string;
-  /** Share of the client relative to others of the tier. */
-  clientWeight: number;
-  /** Share of grants kept for the class. */
-  floorShare: number;
-  /** Monotonic time by which it must be granted. */
-  deadlineMs: number;
-  /** Monotonic time at which it came. */
-  arrivedMs: number;
-  /** Upstreams that may not serve it. */
-  avoid: readonly string[];
-  prefix: string;
-  promptTokens: number;
-  fingerprint: string;
-}
+import { createFloors } from "./create_floors.ts";
+import { createHeap, type Heap } from "./create_heap.ts";
+import {
+  type Account,
+  createAccount,
+  createLane,
+  type Entry,
+  isDueBefore,
+  type Lane,
+} from "./create_lane.ts";
+import {
+  FAIR_LEAD,
+  type QueuedRequest,
+  RESERVED_PLACES,
+} from "./queued_request.ts";
 
 /** Waiting requests of a pool in the order of grants. */
 export interface RequestQueue {
   add(request: QueuedRequest): void;
   /** Removes a request that is no longer wanted. */
   remove(id: string): QueuedRequest | undefined;
-  /** Removes and returns the next request that `canServe` accepts. */
+  /**
+   * Removes and returns the next request that `canServe` accepts. It is asked
+   * once for all requests that share class, tier, avoid-list and `alone`.
+   */
   takeNext(
     canServe: (request: QueuedRequest) => boolean,
   ): QueuedRequest | undefined;
   /** Removes and returns the requests whose deadline has passed. */
   takeExpired(nowMs: number): QueuedRequest[];
+  /** Removes and returns the request that must give way in a full queue. */
+  takeVictim(): QueuedRequest | undefined;
+  /** Earliest deadline of all that wait. */
+  nextDeadlineMs(): number | undefined;
   size(): number;
+  /** Requests that count against a bound on the length. */
+  boundedSize(): number;
+  /** Requests of the tier and of higher ones. */
+  sizeThrough(tier: number): number;
+  sizeOfClass(className: string): number;
+}
+
+interface Tier {
+  size: number;
+  accounts: Map<string, Account>;
+  /** Weighted grants that a newly waiting client starts from. */
+  floor: number;
+  newest: Heap<Entry>;
 }
 
-/** Creates an empty queue. */
+/** Creates an empty queue; `docs/design/0003` holds its contract. */
 export function createRequestQueue(): RequestQueue {
-  const waiting: QueuedRequest[] = [];
+  const entries = new Map<string, Entry>();
+  const tiers = new Map<number, Tier>();
+  const lanes = new Map<string, Lane>();
+  const classSizes = new Map<string, number>();
+  const byDeadline = createHeap<Entry>(isDueBefore);
+  const floors = createFloors();
+  let sequence = 0;
+
+  function tierOf(number: number): Tier {
+    let tier = tiers.get(number);
+    if (tier) return tier;
+    tier = {
+      size: 0,
+      accounts: new Map(),
+      floor: 0,
+      newest: createHeap((left, right) => left.sequence > right.sequence),
+    };
+    tiers.set(number, tier);
+    return tier;
+  }
+
+  function laneOf(request: QueuedRequest): Lane {
+    const key = laneKey(request);
+    let lane = lanes.get(key);
+    if (lane) return lane;
+    lane = createLane(request.tier);
+    lanes.set(key, lane);
+    return lane;
+  }
+
+  function add(request: QueuedRequest): void {
+    const entry = { request, sequence: sequence++ };
+    const { className } = request;
+    const tier = tierOf(request.tier);
+    const account = accountOf(tier, request.client);
+    if (account.served < tier.floor) account.set(tier.floor);
+    laneOf(request).add(entry, account);
+    entries.set(request.id, entry);
+    byDeadline.add(entry);
+    tier.newest.add(entry);
+    tier.size++;
+    classSizes.set(className, sizeOfClass(className) + 1);
+  }
+
+  function drop(entry: Entry): QueuedRequest {
+    const { request } = entry;
+    const tier = tierOf(request.tier);
+    const key = laneKey(request);
+    const lane = lanes.get(key)!;
+    lane.remove(entry);
+    if (lane.isEmpty()) lanes.delete(key);
+    entries.delete(request.id);
+    byDeadline.remove(entry);
+    tier.newest.remove(entry);
+    tier.size--;
+    classSizes.set(request.className, sizeOfClass(request.className) - 1);
+    return request;
+  }
+
+  function sizeOfClass(className: string): number {
+    return classSizes.get(className) ?? 0;
+  }
+
+  function takeNext(
+    canServe: (request: QueuedRequest) => boolean,
+  ): QueuedRequest | undefined {
+    const open: Lane[] = [];
+    const heads: QueuedRequest[] = [];
+    for (const lane of lanes.values()) {
+      const head = lane.head();
+      if (!canServe(head)) continue;
+      open.push(lane);
+      heads.push(head);
+    }
+    if (heads.length === 0) return undefined;
+    const due = floors.dueClass(heads);
+    const chosen = open.filter((_, index) =>
+      due === undefined || heads[index].className === due
+    );
+    const first = Math.min(...chosen.map((lane) => lane.tier));
+    const tier = tierOf(first);
+    const entry = pickFair(
+      chosen.filter((lane) => lane.tier === first),
+      tier,
+    );
+    const account = accountOf(tier, entry.request.client);
+    account.set(account.served + 1 / entry.request.clientWeight);
+    floors.onGrant(entry.request, { heads, byFloor: due !== undefined });
+    return drop(entry);
+  }
+
   return {
-    add(request) {
-      const place = waiting.findIndex((other) => isBefore(request, other));
-      if (place < 0) waiting.push(request);
-      else waiting.splice(place, 0, request);
-    },
+    add,
     remove(id) {
-      const place = waiting.findIndex((request) => request.id === id);
-      if (place < 0) return undefined;
-      return waiting.splice(place, 1)[0];
-    },
-    takeNext(canServe) {
-      const place = waiting.findIndex(canServe);
-      if (place < 0) return undefined;
-      return waiting.splice(place, 1)[0];
+      const entry = entries.get(id);
+      return entry && drop(entry);
     },
+    takeNext,
     takeExpired(nowMs) {
       const expired: QueuedRequest[] = [];
-      for (let place = waiting.length - 1; place >= 0; place--) {
-        if (waiting[place].deadlineMs > nowMs) continue;
-        expired.push(...waiting.splice(place, 1));
+      while (true) {
+        const entry = byDeadline.peek();
+        if (!entry || entry.request.deadlineMs > nowMs) return expired;
+        expired.push(drop(entry));
       }
-      return expired.reverse();
     },
-    size: () => waiting.length,
+    takeVictim() {
+      const order = [...tiers.keys()].sort((left, right) => right - left);
+      for (const number of order) {
+        const entry = newestUnreserved(tierOf(number), sizeOfClass);
+        if (entry) return drop(entry);
+      }
+      return undefined;
+    },
+    nextDeadlineMs: () => byDeadline.peek()?.request.deadlineMs,
+    size: () => entries.size,
+    boundedSize() {
+      let size = 0;
+      for (const count of classSizes.values()) {
+        size += Math.max(0, count - RESERVED_PLACES);
+      }
+      return size;
+    },
+    sizeThrough(number) {
+      let size = 0;
+      for (const [key, tier] of tiers) {
+        if (key <= number) size += tier.size;
+      }
+      return size;
+    },
+    sizeOfClass,
   };
 }
 
-function isBefore(left: QueuedRequest, right: QueuedRequest): boolean {
-  if (left.tier !== right.tier) return left.tier < right.tier;
-  return left.deadlineMs < right.deadlineMs;
+function laneKey(request: QueuedRequest): string {
+  const { tier, className, avoid, alone } = request;
+  return [tier, className, alone ?? false, ...avoid].join(" ");
+}
+
+function accountOf(tier: Tier, client: string): Account {
+  let account = tier.accounts.get(client);
+  if (!account) {
+    account = createAccount();
+    tier.accounts.set(client, account);
+  }
+  return account;
+}
+
+/** Earliest deadline of the clients that are not far ahead of the others. */
+function pickFair(lanes: readonly Lane[], tier: Tier): Entry {
+  const least = Math.min(...lanes.map((lane) => lane.leastServed()));
+  let best: Entry | undefined;
+  for (const lane of lanes) {
+    const entry = lane.firstDue(least + FAIR_LEAD);
+    if (entry && (!best || isDueBefore(entry, best))) best = entry;
+  }
+  tier.floor = Math.max(tier.floor, least);
+  return best!;
+}
+
+/** The tier's newest request beyond the reserved places of its class. */
+function newestUnreserved(
+  tier: Tier,
+  sizeOfClass: (className: string) => number,
+): Entry | undefined {
+  const passed: Entry[] = [];
+  let found: Entry | undefined;
+  for (let entry = tier.newest.peek(); entry; entry = tier.newest.peek()) {
+    if (sizeOfClass(entry.request.className) > RESERVED_PLACES) {
+      found = entry;
+      break;
+    }
+    tier.newest.remove(entry);
+    passed.push(entry);
+  }
+  for (const entry of passed) tier.newest.add(entry);
+  return found;
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,3 +1,4 @@
 export * from "./choose_upstream.ts";
 export * from "./create_request_queue.ts";
 export * from "./create_upstream_limit.ts";
+export * from "./queued_request.ts";
