Choose test ports outside the range of outgoing connections

Cause: two landings failed in the demo's tests because a broker could not listen (EADDRINUSE). A port from listen(0) lies in the kernel's range for outgoing connections, and one of the many test connections took it between the check and the process's own listen.

Ruled out: a slow start (the process had ended with the error).

Change: ports come at random from below that range and are checked.

Conclusion: seen failing twice in full runs; alone the tests passed before.

--- a/packages/sessions/src/start_fleet.ts
+++ b/packages/sessions/src/start_fleet.ts
@@ -6,10 +6,10 @@
   type StandInPlatform,
 } from "@rosemarytiller/standins";
 import { type ChildProcess, spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { once } from "node:events";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -65,14 +65,24 @@
 const MAIN = fileURLToPath(import.meta.resolve("rosemarytiller"))
   .replace(/index\.js$/, "main.js");
 
-/** Reserves a free port. */
+/** Ports that the kernel hands to no outgoing connection. */
+const FIRST_PORT = 10_000;
+const LAST_PORT = 32_000;
+
+/** Finds a port on which a process started next can listen. */
 export async function freePort(): Promise<number> {
-  const server = createServer().listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, "close");
-  return port;
+  while (true) {
+    const port = randomInt(FIRST_PORT, LAST_PORT);
+    const server = createServer().listen(port, "127.0.0.1");
+    try {
+      await once(server, "listening");
+    } catch {
+      continue;
+    }
+    server.close();
+    await once(server, "close");
+    return port;
+  }
 }
 
 /** Starts a fleet; its processes end with `stop`. */
