Add tillerctl with check, explain, status and timeline

Operators had no way to ask the system anything but curl. Subcommands stand in a table, one file each. explain names the first condition that kept each class from a request; classifyRequest now uses the same function, so that the two cannot disagree. A process that does not answer is named and ends the command with 1, while the rest is still shown.

--- a/packages/document/src/classify_request.ts
+++ b/packages/document/src/classify_request.ts
@@ -18,17 +18,32 @@
   traits: RequestTraits,
 ): RequestClass | undefined {
   for (const requestClass of document.classes) {
-    if (matches(requestClass, traits)) return requestClass;
+    if (!findMismatch(requestClass, traits)) return requestClass;
   }
   return undefined;
 }
 
-function matches(requestClass: RequestClass, traits: RequestTraits): boolean {
+/** Conditions by which a class can leave a request to the next class. */
+export enum Mismatch {
+  Client = "client",
+  Target = "target",
+  Header = "header",
+}
+
+/** Returns the first condition of a class that does not hold, if any. */
+export function findMismatch(
+  requestClass: RequestClass,
+  traits: RequestTraits,
+): Mismatch | undefined {
   const { clients, models, services, header } = requestClass.match;
-  if (clients.length > 0 && !clients.includes(traits.client)) return false;
-  if (!matchesTarget(models, services, traits)) return false;
-  if (!header) return true;
-  return traits.headers[header.name] === header.value;
+  if (clients.length > 0 && !clients.includes(traits.client)) {
+    return Mismatch.Client;
+  }
+  if (!matchesTarget(models, services, traits)) return Mismatch.Target;
+  if (header && traits.headers[header.name] !== header.value) {
+    return Mismatch.Header;
+  }
+  return undefined;
 }
 
 function matchesTarget(
--- a/packages/rosemarytiller/src/main.ts
+++ b/packages/rosemarytiller/src/main.ts
@@ -25,6 +25,7 @@
 `,
   {
     importMeta: import.meta,
+    allowUnknownFlags: false,
     flags: {
       settings: { type: "string", shortFlag: "s" },
       check: { type: "boolean", default: false },
--- /dev/null
+++ b/packages/tillerctl/src/check_files.ts
@@ -0,0 +1,47 @@
+import { parseDocument } from "@rosemarytiller/document";
+import { CheckError, formatProblem, type Problem } from "@rosemarytiller/jsonc";
+import { parseSettings } from "@rosemarytiller/settings";
+import { type CommandCall, ExitCode, UsageError } from "./command.ts";
+import { readText } from "./read_text.ts";
+
+type Parser = (text: string, file: string) => unknown;
+
+/** `tillerctl check`: checks documents and settings files. */
+export async function checkFiles(call: CommandCall): Promise<ExitCode> {
+  const { input, flags, print } = call;
+  const checks: [string, Parser][] = [
+    ...input.map((file): [string, Parser] => [file, parseDocument]),
+    ...(flags.settings ?? [])
+      .map((file): [string, Parser] => [file, parseSettings]),
+  ];
+  if (checks.length === 0) {
+    throw new UsageError("Name a document, or a settings file by --settings.");
+  }
+  const results: { file: string; valid: boolean; problems: Problem[] }[] = [];
+  for (const [file, parse] of checks) {
+    const problems = findProblems(await readText(file), file, parse);
+    results.push({ file, valid: problems.length === 0, problems });
+  }
+  if (flags.json) print(`${JSON.stringify(results)}\n`);
+  else print(results.map(formatResult).join(""));
+  const valid = results.every((result) => result.valid);
+  return valid ? ExitCode.Ok : ExitCode.Invalid;
+}
+
+function findProblems(text: string, file: string, parse: Parser): Problem[] {
+  try {
+    parse(text, file);
+    return [];
+  } catch (error) {
+    if (error instanceof CheckError) return [...error.problems];
+    throw error;
+  }
+}
+
+function formatResult(
+  result: { file: string; problems: Problem[] },
+): string {
+  if (result.problems.length === 0) return `${result.file}: valid\n`;
+  return result.problems
+    .map((problem) => `${formatProblem(problem)}\n`).join("");
+}
--- a/packages/tillerctl/src/index.ts
+++ b/packages/tillerctl/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from "./command.ts";
+export * from "./run_command.ts";
