Deliver whole answers only, and say not-run from the bytes sent

Cause: a broken stream ended in an error although the engine could resume it; the run field was guessed from the error's code; a plain service's answer was held in memory and lost its headers; an error after a stream's head closed the connection, since headers given to writeHead cannot be read back.

Ruled out: an HTTP retry handler of the client library (it repeats calls that may have run); reading the run state from error codes (a reused connection that closes gives the same code for both states).

Change: the client library's request start marks the moment before the first byte; one record per request turns that into run. Streams are checked event by event (index, JSON, owner, error inside), resumed on the same upstream, run again only if nothing reached the caller and the call is repeatable, else ended with an error event. Plain services pass end-to-end headers, any status and streamed bodies; POST and PATCH are never repeated. Silent upstreams are given up after a bound from the class's targets.

--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -1,4 +1,4 @@
-import type { CallOutcome, TillerError } from "@rosemarytiller/shared";
+import type { CallOutcome, Clock, TillerError } from "@rosemarytiller/shared";
 import type { ServerResponse } from "node:http";
 import type { Dispatcher } from "undici";
 import type { Call } from "./call.ts";
@@ -13,6 +13,11 @@
   response: ServerResponse;
   /** Aborted when the caller has gone or the time is over. */
   signal: AbortSignal;
+  /**
+   * Called once, right before the first byte leaves. Throws a `TillerError`
+   * when the call may no longer start; then nothing is sent.
+   */
+  beforeSend(): void;
 }
 
 /** How an attempt ended. */
@@ -32,5 +37,7 @@
 /** What an attempt runner needs. */
 export interface AttemptOptions {
   dispatcher: Dispatcher;
-  now(): number;
+  clock: Clock;
+  /** Counts an event of an answer that belonged to another call. */
+  countCrossed(): void;
 }
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -19,7 +19,7 @@
   /** Path at the upstream, with its query. */
   path: string;
   /** Headers that go on to the upstream. */
-  headers: Record<string, string>;
+  headers: Record<string, string | string[]>;
   body: Buffer;
   /** Monotonic time at which the request came. */
   arrivedMs: number;
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -82,7 +82,11 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
-  const attemptOptions = { dispatcher, now: clock.now };
+  const attemptOptions = {
+    dispatcher,
+    clock,
+    countCrossed: () => metrics.count(MetricName.EventsDropped, 1),
+  };
   const serveOptions = {
     view,
     settings,
--- a/packages/entry/src/read_call.ts
+++ b/packages/entry/src/read_call.ts
@@ -18,6 +18,7 @@
 import type { IncomingMessage } from "node:http";
 import { z } from "zod";
 import type { Call } from "./call.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
 
 /** Path of chat completions. */
 export const CHAT_PATH = "/v1/chat/completions";
@@ -123,17 +124,18 @@
     service: target.service,
   });
   const name = model ?? target.service!;
+  const kind = chat ? UpstreamKind.ModelRunner : UpstreamKind.PlainService;
   return {
     request: createId("request"),
     document: caller.document,
     requestClass,
     client: caller.client,
-    kind: chat ? UpstreamKind.ModelRunner : UpstreamKind.PlainService,
+    kind,
     target: name,
     stream: chat?.stream ?? false,
     method: request.method ?? "GET",
     path: target.path,
-    headers: passedHeaders(request),
+    headers: passedHeaders(request, kind),
     body,
     arrivedMs,
     idempotencyKey: readIdempotencyKey(request),
@@ -154,7 +156,7 @@
   if (path.startsWith(SERVICES_PATH)) {
     const rest = url.slice(SERVICES_PATH.length);
     const [service] = rest.split(/[/?]/);
-    return { service, path: rest.slice(service.length) || "/" };
+    return { service, path: checkPath(rest.slice(service.length) || "/") };
   }
   throw new TillerError(
     ErrorKind.UnknownRoute,
@@ -162,6 +164,19 @@
   );
 }
 
+/** Refuses a path that could lead out of the upstream's base path. */
+function checkPath(path: string): string {
+  const plain = path.split("?")[0].replaceAll(/%2e/gi, ".");
+  for (const segment of plain.split(/[/\\]|%2f|%5c/i)) {
+    if (segment !== "." && segment !== "..") continue;
+    throw new TillerError(
+      ErrorKind.InvalidRequest,
+      'the path may not contain "." or ".." as a segment',
+    );
+  }
+  return path.startsWith("?") ? `/${path}` : path;
+}
+
 function readChatBody(
   request: IncomingMessage,
   body: Buffer,
@@ -228,13 +243,26 @@
   );
 }
 
-const PASSED_HEADERS = ["content-type", "accept", "idempotency-key"];
+/** Headers that end at the entry: they are its own or set anew. */
+const OWN_HEADERS = [
+  "authorization",
+  "content-length",
+  "expect",
+  "host",
+  "x-attempt-id",
+  "x-priority",
+  "x-request-id",
+];
 
-function passedHeaders(request: IncomingMessage): Record<string, string> {
-  const passed: Record<string, string> = {};
-  for (const name of PASSED_HEADERS) {
-    const value = request.headers[name];
-    if (typeof value === "string") passed[name] = value;
+function passedHeaders(
+  request: IncomingMessage,
+  kind: UpstreamKind,
+): Record<string, string | string[]> {
+  // An engine's answer is read here, so it must not be encoded.
+  if (kind === UpstreamKind.ModelRunner) {
+    return { "content-type": "application/json" };
   }
+  const passed = endToEndHeaders(request.headers);
+  for (const name of OWN_HEADERS) delete passed[name];
   return passed;
 }
--- a/packages/entry/src/run_model_attempt.ts
+++ b/packages/entry/src/run_model_attempt.ts
@@ -1,64 +1,99 @@
-import {
-  CallOutcome,
-  ErrorKind,
-  RunState,
-  TillerError,
-} from "@rosemarytiller/shared";
-import { createParser } from "eventsource-parser";
-import type { Buffer } from "node:buffer";
-import { once } from "node:events";
-import type { ServerResponse } from "node:http";
-import { type Dispatcher, request } from "undici";
+import { CallOutcome, ErrorKind, TillerError } from "@rosemarytiller/shared";
 import type {
   AttemptOptions,
   AttemptRequest,
+  AttemptResult,
   AttemptRunner,
 } from "./attempt.ts";
+import { checkWholeAnswer } from "./check_stream_event.ts";
+import {
+  createSilenceGuard,
+  type SilenceGuard,
+} from "./create_silence_guard.ts";
+import { deliverStream } from "./deliver_stream.ts";
+import {
+  guardBody,
+  sendUpstream,
+  splitAddress,
+  UnsentError,
+  type UpstreamAnswer,
+} from "./send_upstream.ts";
 
-/** Data of the event that ends a whole stream. */
-export const END_MARK = "[DONE]";
+/** Shortest silence of an upstream that ends a call. */
+export const MIN_SILENCE_MS = 3000;
+/** Silence before the first token, in times of its target. */
+const FIRST_TOKEN_SILENCE = 10;
+/** Silence between tokens, in times of the target. */
+const BETWEEN_TOKENS_SILENCE = 100;
+/** Longest time for an engine to take a cancellation. */
+const CANCEL_TIMEOUT_MS = 1000;
+/** Longest part of an upstream's error text that is passed on. */
+const MAX_ERROR_TEXT = 200;
 
 /** Creates the runner of calls to model runners. */
 export function createModelAttempt(options: AttemptOptions): AttemptRunner {
   return async function runModelAttempt(attempt) {
-    const startedMs = options.now();
-    const progress: Progress = { sent: false, firstTokenMs: -1, tokens: 0 };
+    const { clock } = options;
+    const startedMs = clock.now();
+    const guard = createSilenceGuard(attempt.signal, { clock });
+    const progress = { firstTokenMs: -1, tokens: 0 };
     const noteToken = () => {
       if (progress.tokens++ > 0) return;
-      progress.firstTokenMs = options.now() - startedMs;
+      progress.firstTokenMs = clock.now() - startedMs;
     };
-    let error: TillerError | undefined;
-    let outcome = CallOutcome.Complete;
-    try {
-      const answer = await send(attempt, options, progress);
-      const deliver = attempt.call.stream ? deliverStream : deliverWhole;
-      await deliver(attempt, answer, noteToken);
-    } catch (cause) {
-      ({ outcome, error } = failureOf(cause, attempt, progress));
+    const io = { options, guard, noteToken };
+    const failure = await deliver(attempt, io).catch((cause) =>
+      failureOf(cause, attempt, guard)
+    );
+    guard.disarm();
+    if (failure && CANCELLED_OUTCOMES.has(failure.outcome)) {
+      void cancel(attempt, options);
     }
-    const { firstTokenMs, tokens } = progress;
-    const totalMs = options.now() - startedMs;
-    if (outcome === CallOutcome.Cancelled) void cancel(attempt, options);
-    return { outcome, firstTokenMs, totalMs, tokens, error };
+    const totalMs = clock.now() - startedMs;
+    const outcome = failure?.outcome ?? CallOutcome.Complete;
+    return { ...progress, totalMs, outcome, error: failure?.error };
   };
 }
 
-interface Progress {
-  /** Whether the upstream may have seen the call. */
-  sent: boolean;
-  firstTokenMs: number;
-  tokens: number;
+interface AttemptIo {
+  options: AttemptOptions;
+  guard: SilenceGuard;
+  noteToken(): void;
+}
+
+async function deliver(attempt: AttemptRequest, io: AttemptIo): Promise<void> {
+  const { stream, requestClass } = attempt.call;
+  const { firstTokenMs, betweenTokensMs } = requestClass;
+  const silenceLimitMs = (next: number) =>
+    Math.max(
+      MIN_SILENCE_MS,
+      next === 0
+        ? firstTokenMs * FIRST_TOKEN_SILENCE
+        : betweenTokensMs * BETWEEN_TOKENS_SILENCE,
+    );
+  // An unstreamed answer is silent until it is whole: only totalMs bounds it.
+  if (stream) io.guard.arm(silenceLimitMs(0));
+  const first = await open(attempt, io);
+  if (!stream) return await deliverWhole(attempt, first, io);
+  await deliverStream(attempt, {
+    first,
+    resume: (next) => resume(attempt, next, io),
+    guard: io.guard,
+    silenceLimitMs,
+    noteToken: io.noteToken,
+    countCrossed: io.options.countCrossed,
+  });
 }
 
-async function send(
+async function open(
   attempt: AttemptRequest,
-  options: AttemptOptions,
-  progress: Progress,
-): Promise<Dispatcher.ResponseData> {
-  const { call, address, signal } = attempt;
-  const answer = await request(new URL(call.path, address), {
-    dispatcher: options.dispatcher,
+  io: AttemptIo,
+): Promise<UpstreamAnswer> {
+  const { call } = attempt;
+  const answer = await sendUpstream(attempt, {
+    dispatcher: io.options.dispatcher,
     method: "POST",
+    path: call.path,
     headers: {
       ...call.headers,
       "x-request-id": call.request,
@@ -66,12 +101,32 @@
       "x-priority": String(call.requestClass.tier),
     },
     body: call.body,
-    signal,
+    signal: io.guard.signal,
   });
-  progress.sent = true;
   if (answer.statusCode === 200) return answer;
   const text = await answer.body.text();
-  throw new StatusError(answer.statusCode, text.slice(0, 200));
+  throw new StatusError(answer.statusCode, text.slice(0, MAX_ERROR_TEXT));
+}
+
+/** Asks for the rest of a stream; a resume starts no new run. */
+async function resume(
+  attempt: AttemptRequest,
+  next: number,
+  io: AttemptIo,
+): Promise<UpstreamAnswer> {
+  const answer = await io.options.dispatcher.request({
+    ...splitAddress(attempt.address, `${streamPath(attempt)}?from=${next}`),
+    method: "GET",
+    headers: { "x-request-id": attempt.call.request },
+    signal: io.guard.signal,
+  });
+  if (answer.statusCode === 200) return guardBody(answer);
+  await answer.body.dump();
+  throw new Error("the stream cannot be resumed");
+}
+
+function streamPath(attempt: AttemptRequest): string {
+  return `/v1/streams/${encodeURIComponent(attempt.attempt)}`;
 }
 
 /** The upstream answered a status other than 200. */
@@ -85,68 +140,14 @@
   }
 }
 
-async function deliverStream(
-  attempt: AttemptRequest,
-  answer: Dispatcher.ResponseData,
-  noteToken: () => void,
-): Promise<void> {
-  const type = String(answer.headers["content-type"] ?? "");
-  if (!type.startsWith("text/event-stream")) {
-    throw new Error(`the upstream answered "${type}" in place of a stream`);
-  }
-  const { response } = attempt;
-  let ended = false;
-  let pending = "";
-  const parser = createParser({
-    onEvent(event) {
-      if (event.data === END_MARK) ended = true;
-      else noteToken();
-      pending += `data: ${event.data}\n\n`;
-    },
-  });
-  const decoder = new TextDecoder();
-  for await (const chunk of answer.body as AsyncIterable<Buffer>) {
-    parser.feed(decoder.decode(chunk, { stream: true }));
-    if (!pending) continue;
-    if (ended) break;
-    await writeChunk(response, attempt, pending);
-    pending = "";
-  }
-  if (!ended) throw new Error("the stream ended without its end mark");
-  writeStreamHead(response, attempt);
-  response.end(pending);
-}
-
-async function writeChunk(
-  response: ServerResponse,
-  attempt: AttemptRequest,
-  text: string,
-): Promise<void> {
-  writeStreamHead(response, attempt);
-  if (response.write(text)) return;
-  await once(response, "drain", { signal: attempt.signal });
-}
-
-function writeStreamHead(
-  response: ServerResponse,
-  attempt: AttemptRequest,
-): void {
-  if (response.headersSent) return;
-  response.writeHead(200, {
-    "content-type": "text/event-stream",
-    "cache-control": "no-cache",
-    "x-request-id": attempt.call.request,
-  });
-}
-
 async function deliverWhole(
   attempt: AttemptRequest,
-  answer: Dispatcher.ResponseData,
-  noteToken: () => void,
+  answer: UpstreamAnswer,
+  io: AttemptIo,
 ): Promise<void> {
   const text = await answer.body.text();
-  JSON.parse(text);
-  noteToken();
+  checkWholeAnswer(text, attempt.attempt);
+  io.noteToken();
   attempt.response.writeHead(200, {
     "content-type": "application/json",
     "x-request-id": attempt.call.request,
@@ -157,83 +158,65 @@
 function failureOf(
   cause: unknown,
   attempt: AttemptRequest,
-  progress: Progress,
-): { outcome: CallOutcome; error: TillerError } {
-  const outcome = outcomeOf(cause, attempt, progress);
-  const { kind, run } = FAILURES[outcome]!;
-  const detail = cause instanceof Error ? cause.message : String(cause);
-  return { outcome, error: new TillerError(kind, detail, { run, cause }) };
+  guard: SilenceGuard,
+): Required<Pick<AttemptResult, "outcome" | "error">> {
+  const outcome = outcomeOf(cause, attempt, guard);
+  const reason = cause instanceof UnsentError ? cause.cause : cause;
+  if (reason instanceof TillerError) return { outcome, error: reason };
+  const detail = reason instanceof Error ? reason.message : String(reason);
+  const kind = FAILURES[outcome] ?? ErrorKind.UpstreamFailed;
+  return { outcome, error: new TillerError(kind, detail, { cause }) };
 }
 
 function outcomeOf(
   cause: unknown,
   attempt: AttemptRequest,
-  progress: Progress,
+  guard: SilenceGuard,
 ): CallOutcome {
+  if (cause instanceof UnsentError) {
+    if (attempt.signal.aborted) return CallOutcome.Unused;
+    return cause.cause instanceof TillerError
+      ? CallOutcome.Unused
+      : CallOutcome.ConnectFailed;
+  }
   if (attempt.signal.aborted) {
     return attempt.signal.reason instanceof TillerError
       ? CallOutcome.TimedOut
       : CallOutcome.Cancelled;
   }
-  if (cause instanceof StatusError) {
-    if (cause.status === 429 || cause.status === 503) {
-      return CallOutcome.Refused;
-    }
-    return cause.status >= 500 ? CallOutcome.Crashed : CallOutcome.Rejected;
-  }
-  const code = (cause as { code?: string }).code;
-  if (!progress.sent && NOTHING_SENT_CODES.has(code ?? "")) {
-    return CallOutcome.ConnectFailed;
-  }
-  return CallOutcome.Crashed;
+  if (guard.hasFired()) return CallOutcome.TimedOut;
+  if (!(cause instanceof StatusError)) return CallOutcome.Crashed;
+  if (REFUSAL_STATUSES.has(cause.status)) return CallOutcome.Refused;
+  return cause.status >= 500 ? CallOutcome.Crashed : CallOutcome.Rejected;
 }
 
-const NOTHING_SENT_CODES = new Set([
-  "ECONNREFUSED",
-  "UND_ERR_CONNECT_TIMEOUT",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-]);
+/** Statuses with which an engine refuses a call that it did not run. */
+const REFUSAL_STATUSES = new Set([429, 503]);
 
-const FAILURES: Partial<
-  Record<CallOutcome, { kind: ErrorKind; run: RunState }>
-> = {
-  [CallOutcome.ConnectFailed]: {
-    kind: ErrorKind.UpstreamFailed,
-    run: RunState.NotRun,
-  },
-  [CallOutcome.Refused]: {
-    kind: ErrorKind.UpstreamFailed,
-    run: RunState.NotRun,
-  },
-  [CallOutcome.Rejected]: {
-    kind: ErrorKind.InvalidRequest,
-    run: RunState.MayHaveRun,
-  },
-  [CallOutcome.Crashed]: {
-    kind: ErrorKind.IncompleteAnswer,
-    run: RunState.MayHaveRun,
-  },
-  [CallOutcome.TimedOut]: {
-    kind: ErrorKind.DeadlineExceeded,
-    run: RunState.MayHaveRun,
-  },
-  [CallOutcome.Cancelled]: {
-    kind: ErrorKind.IncompleteAnswer,
-    run: RunState.MayHaveRun,
-  },
+const FAILURES: Partial<Record<CallOutcome, ErrorKind>> = {
+  [CallOutcome.Rejected]: ErrorKind.InvalidRequest,
+  [CallOutcome.Crashed]: ErrorKind.IncompleteAnswer,
+  [CallOutcome.TimedOut]: ErrorKind.DeadlineExceeded,
+  [CallOutcome.Cancelled]: ErrorKind.IncompleteAnswer,
 };
 
+/** Outcomes after which the engine may still work on the call. */
+const CANCELLED_OUTCOMES = new Set([
+  CallOutcome.Cancelled,
+  CallOutcome.TimedOut,
+  CallOutcome.Crashed,
+]);
+
 /** Tells the engine to stop a stream that nobody reads any more. */
 async function cancel(
   attempt: AttemptRequest,
   options: AttemptOptions,
 ): Promise<void> {
-  const path = `/v1/streams/${encodeURIComponent(attempt.attempt)}`;
   try {
-    const { body } = await request(new URL(path, attempt.address), {
-      dispatcher: options.dispatcher,
+    const { body } = await options.dispatcher.request({
+      ...splitAddress(attempt.address, streamPath(attempt)),
       method: "DELETE",
+      signal: AbortSignal.timeout(CANCEL_TIMEOUT_MS),
     });
     await body.dump();
   } catch {
--- a/packages/entry/src/run_service_attempt.ts
+++ b/packages/entry/src/run_service_attempt.ts
@@ -1,57 +1,79 @@
-import {
-  CallOutcome,
-  ErrorKind,
-  RunState,
-  TillerError,
-} from "@rosemarytiller/shared";
-import { Buffer } from "node:buffer";
-import { type Dispatcher, request } from "undici";
+import { CallOutcome, ErrorKind, TillerError } from "@rosemarytiller/shared";
+import type { IncomingHttpHeaders } from "node:http";
+import { pipeline } from "node:stream/promises";
 import type { AttemptOptions, AttemptRunner } from "./attempt.ts";
-
-/** Methods that HTTP defines as safe to repeat. */
-export const SAFE_METHODS = new Set(["GET", "HEAD", "OPTIONS"]);
+import { endToEndHeaders } from "./end_to_end_headers.ts";
+import {
+  sendUpstream,
+  UnsentError,
+  type UpstreamAnswer,
+} from "./send_upstream.ts";
 
 /** Creates the runner of calls to plain services. */
 export function createServiceAttempt(options: AttemptOptions): AttemptRunner {
   return async function runServiceAttempt(attempt) {
-    const { call, address, response, signal } = attempt;
-    const startedMs = options.now();
-    let outcome = CallOutcome.Complete;
-    let error: TillerError | undefined;
-    try {
-      const answer = await request(new URL(call.path, address), {
+    const { call, response, signal } = attempt;
+    const { clock } = options;
+    const startedMs = clock.now();
+    let firstTokenMs = -1;
+
+    async function deliver(): Promise<void> {
+      const answer = await sendUpstream(attempt, {
         dispatcher: options.dispatcher,
-        method: call.method as Dispatcher.HttpMethod,
+        method: call.method,
+        path: call.path,
         headers: {
           ...call.headers,
           "x-request-id": call.request,
           "x-attempt-id": attempt.attempt,
         },
-        body: call.body.length > 0 ? call.body : null,
+        body: call.body,
         signal,
       });
-      const body = Buffer.from(await answer.body.arrayBuffer());
+      firstTokenMs = clock.now() - startedMs;
       response.writeHead(answer.statusCode, {
-        "content-type": String(
-          answer.headers["content-type"] ?? "application/octet-stream",
-        ),
+        ...answerHeaders(answer),
         "x-request-id": call.request,
       });
-      response.end(body);
-    } catch (cause) {
-      const code = (cause as { code?: string }).code;
-      const unsent = code === "ECONNREFUSED" ||
-        code === "UND_ERR_CONNECT_TIMEOUT";
-      outcome = unsent ? CallOutcome.ConnectFailed : CallOutcome.Crashed;
-      if (signal.aborted) outcome = CallOutcome.Cancelled;
-      error = new TillerError(
-        unsent ? ErrorKind.UpstreamFailed : ErrorKind.OutcomeUnknown,
-        (cause as Error).message,
-        { run: unsent ? RunState.NotRun : RunState.MayHaveRun, cause },
-      );
+      await pipeline(answer.body, response, { signal });
     }
-    const totalMs = options.now() - startedMs;
-    const firstTokenMs = error ? -1 : totalMs;
-    return { outcome, firstTokenMs, totalMs, tokens: 0, error };
+
+    const failure = await deliver().then(() => undefined, (cause) => ({
+      outcome: outcomeOf(cause, signal),
+      error: errorOf(cause),
+    }));
+    const totalMs = clock.now() - startedMs;
+    const outcome = failure?.outcome ?? CallOutcome.Complete;
+    return {
+      outcome,
+      firstTokenMs,
+      totalMs,
+      tokens: 0,
+      error: failure?.error,
+    };
   };
 }
+
+function answerHeaders(answer: UpstreamAnswer): IncomingHttpHeaders {
+  return endToEndHeaders(answer.headers);
+}
+
+function outcomeOf(cause: unknown, signal: AbortSignal): CallOutcome {
+  if (cause instanceof UnsentError) {
+    if (signal.aborted || cause.cause instanceof TillerError) {
+      return CallOutcome.Unused;
+    }
+    return CallOutcome.ConnectFailed;
+  }
+  if (!signal.aborted) return CallOutcome.Crashed;
+  return signal.reason instanceof TillerError
+    ? CallOutcome.TimedOut
+    : CallOutcome.Cancelled;
+}
+
+function errorOf(cause: unknown): TillerError {
+  const reason = cause instanceof UnsentError ? cause.cause : cause;
+  if (reason instanceof TillerError) return reason;
+  const detail = reason instanceof Error ? reason.message : String(reason);
+  return new TillerError(ErrorKind.UpstreamFailed, detail, { cause });
+}
--- a/packages/entry/src/serve_call.ts
+++ b/packages/entry/src/serve_call.ts
@@ -1,4 +1,3 @@
-import { resolvePools } from "@rosemarytiller/document";
 import type { Metrics } from "@rosemarytiller/metrics";
 import type { FleetView } from "@rosemarytiller/platform";
 import type { Settings } from "@rosemarytiller/settings";
@@ -13,10 +12,14 @@
 } from "@rosemarytiller/shared";
 import type { Timeline } from "@rosemarytiller/timeline";
 import type { ServerResponse } from "node:http";
+import { askAnywhere } from "./ask_anywhere.ts";
 import type { AttemptResult, AttemptRunner } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { countAttempt } from "./count_attempt.ts";
 import type { Permit, PermitClient } from "./create_permit_client.ts";
+import { createRunRecord, type RunRecord } from "./create_run_record.ts";
+import { finalError } from "./final_error.ts";
+import { isRepeatable } from "./is_repeatable.ts";
 
 /** Most calls to upstreams for one request. */
 export const MAX_ATTEMPTS = 3;
@@ -32,12 +35,18 @@
   runners: Record<UpstreamKind, AttemptRunner>;
 }
 
-/** Outcomes after which nothing of the request has run. */
+interface ServeState extends ServeOptions {
+  signal: AbortSignal;
+  run: RunRecord;
+}
+
+/** Outcomes after which nothing of the attempt has run. */
 const UNRUN_OUTCOMES = new Set([
   CallOutcome.ConnectFailed,
   CallOutcome.Refused,
-  CallOutcome.Unused,
 ]);
+/** Outcomes after which a repeatable call may run again. */
+const RERUN_OUTCOMES = new Set([CallOutcome.Crashed, CallOutcome.TimedOut]);
 
 /** Serves a call to its end; throws the error that the caller must see. */
 export async function serveCall(
@@ -45,75 +54,75 @@
   response: ServerResponse,
   options: ServeOptions,
 ): Promise<void> {
-  const { clock } = options;
-  const controller = new AbortController();
-  response.once("close", () => {
-    if (!response.writableFinished) controller.abort();
-  });
-  const cancelTimer = clock.after(call.requestClass.totalMs, () => {
-    controller.abort(
-      new TillerError(ErrorKind.DeadlineExceeded, "the call took too long"),
-    );
-  });
-  const avoid: string[] = [];
+  const run = createRunRecord();
+  const watch = watchCall(call, response, options.clock);
+  const { signal } = watch;
   try {
-    for (let count = 1;; count++) {
-      const permit = await askAnywhere(call, options, {
-        avoid,
-        retry: count > 1,
-        signal: controller.signal,
-      });
-      const result = await runAttempt(call, permit, response, {
-        ...options,
-        signal: controller.signal,
-      });
-      if (!result.error) return;
-      const final = count >= MAX_ATTEMPTS || !mayRetry(call, result, response);
-      if (final) throw result.error;
-      avoid.push(permit.upstream);
-    }
+    await runUntilAnswered(call, response, { ...options, signal, run });
+  } catch (cause) {
+    throw finalError(cause, { call, run, signal });
   } finally {
-    cancelTimer();
+    watch.close();
   }
 }
 
-/** Asks the allowed pools in turn, nearest first. */
-async function askAnywhere(
+/** Aborts when the caller has gone or the time of the class is over. */
+function watchCall(
   call: Call,
-  options: ServeOptions,
-  ask: { avoid: string[]; retry: boolean; signal: AbortSignal },
-): Promise<Permit> {
-  const pools = resolvePools(call.document, call.requestClass, {
-    target: call.target,
-    from: options.settings.dataCentre,
-  });
-  let refusal = new TillerError(
-    ErrorKind.NoUpstream,
-    `no data centre in service may serve "${call.target}"`,
+  response: ServerResponse,
+  clock: Clock,
+): { signal: AbortSignal; close(): void } {
+  const controller = new AbortController();
+  const abort = (kind: ErrorKind, detail: string) =>
+    controller.abort(new TillerError(kind, detail));
+  function onClose(): void {
+    if (response.writableFinished) return;
+    controller.abort();
+  }
+  if (response.destroyed) onClose();
+  response.once("close", onClose);
+  const cancelTimer = clock.after(
+    call.requestClass.totalMs,
+    () => abort(ErrorKind.DeadlineExceeded, "the call took too long"),
   );
-  for (const pool of pools) {
-    try {
-      return await options.permits.ask(call, pool, ask);
-    } catch (error) {
-      if (!(error instanceof TillerError)) throw error;
-      refusal = error;
-    }
+  return {
+    signal: controller.signal,
+    close() {
+      cancelTimer();
+      response.off("close", onClose);
+    },
+  };
+}
+
+async function runUntilAnswered(
+  call: Call,
+  response: ServerResponse,
+  state: ServeState,
+): Promise<void> {
+  const avoid: string[] = [];
+  for (let count = 1;; count++) {
+    const permit = await askAnywhere(call, {
+      ...state,
+      avoid,
+      retry: count > 1,
+    });
+    const result = await runAttempt(call, permit, { ...state, response });
+    if (!result.error) return;
+    const final = count >= MAX_ATTEMPTS || state.signal.aborted ||
+      !mayRetry(call, result, response);
+    if (final) throw result.error;
+    avoid.push(permit.upstream);
   }
-  throw refusal;
 }
 
 async function runAttempt(
   call: Call,
   permit: Permit,
-  response: ServerResponse,
-  options: ServeOptions & { signal: AbortSignal },
+  state: ServeState & { response: ServerResponse },
 ): Promise<AttemptResult> {
-  const { timeline, permits, metrics, view, signal } = options;
+  const { timeline, permits, metrics, run, signal, response } = state;
   const attempt = createId("attempt");
   const { upstream } = permit;
-  const document = view.documentOf(call.document.service) ?? call.document;
-  const address = document.upstreams[upstream]?.address ??
-    call.document.upstreams[upstream].address;
   timeline.record(EventKind.AttemptStarted, call.request, {
     attempt,
     permit: permit.permit,
@@ -121,26 +130,52 @@
     class: call.requestClass.name,
     tier: call.requestClass.tier,
   });
-  const startedMs = options.clock.now();
-  const result = await options.runners[call.kind]({
-    attempt,
-    call,
-    address,
-    response,
-    signal,
-  });
-  const { outcome, firstTokenMs, totalMs, tokens } = result;
-  timeline.record(EventKind.AttemptEnded, call.request, {
-    attempt,
-    permit: permit.permit,
-    outcome,
-    firstTokenMs: Math.round(firstTokenMs),
-    totalMs: Math.round(totalMs),
-    tokens,
-  });
-  permits.finish(permit, { outcome, firstTokenMs, totalMs, tokens });
-  countAttempt(metrics, call, { result, startedMs });
-  return result;
+  const startedMs = state.clock.now();
+  let result = UNUSED_RESULT;
+  try {
+    result = await state.runners[call.kind]({
+      attempt,
+      call,
+      address: addressOf(call, upstream, state.view),
+      response,
+      signal,
+      beforeSend: () => run.noteSent(),
+    });
+    if (result.outcome === CallOutcome.Refused) run.noteRefused();
+    if (result.outcome === CallOutcome.Complete) run.noteRan();
+    return result;
+  } finally {
+    const { outcome, firstTokenMs, totalMs, tokens } = result;
+    timeline.record(EventKind.AttemptEnded, call.request, {
+      attempt,
+      permit: permit.permit,
+      outcome,
+      run: run.state(),
+      firstTokenMs: Math.round(firstTokenMs),
+      totalMs: Math.round(totalMs),
+      tokens,
+    });
+    permits.finish(permit, { outcome, firstTokenMs, totalMs, tokens });
+    countAttempt(metrics, call, { result, startedMs });
+  }
+}
+
+const UNUSED_RESULT: AttemptResult = {
+  outcome: CallOutcome.Unused,
+  firstTokenMs: -1,
+  totalMs: 0,
+  tokens: 0,
+};
+
+function addressOf(call: Call, upstream: string, view: FleetView): string {
+  const document = view.documentOf(call.document.service) ?? call.document;
+  const entry = document.upstreams[upstream] ??
+    call.document.upstreams[upstream];
+  if (entry) return entry.address;
+  throw new TillerError(
+    ErrorKind.NoUpstream,
+    `upstream "${upstream}" is no longer in the document`,
+  );
 }
 
 function mayRetry(
@@ -150,6 +185,5 @@
 ): boolean {
   if (response.headersSent || response.destroyed) return false;
   if (UNRUN_OUTCOMES.has(result.outcome)) return true;
-  if (result.outcome !== CallOutcome.Crashed) return false;
-  return call.requestClass.idempotent;
+  return RERUN_OUTCOMES.has(result.outcome) && isRepeatable(call);
 }
--- a/packages/metrics/src/create_metrics.ts
+++ b/packages/metrics/src/create_metrics.ts
@@ -10,6 +10,7 @@
   FirstTokenTarget = "requests.first_token_target",
   TotalMs = "requests.total_ms",
   Attempts = "attempts.ended",
+  EventsDropped = "attempts.events_dropped",
   TokensDelivered = "tokens.delivered",
   TokensWasted = "tokens.wasted",
   PermitsGranted = "permits.granted",
--- /dev/null
+++ b/packages/sessions/src/answer_service_test.ts
@@ -0,0 +1,158 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer, type RequestListener } from "node:http";
+import type { AddressInfo } from "node:net";
+import process from "node:process";
+import { test, type TestContext } from "node:test";
+import { callFleet } from "./call_fleet.ts";
+import {
+  createScriptedUpstream,
+  UpstreamStep,
+} from "./create_scripted_upstream.ts";
+import { startCallServer } from "./start_call_server.ts";
+import { freePort } from "./start_fleet.ts";
+
+const seed = Number(process.env.SEED ?? 20261203);
+
+async function startService(t: TestContext, listener: RequestListener) {
+  const service = createServer(listener).listen(0, "127.0.0.1");
+  await once(service, "listening");
+  const { port } = service.address() as AddressInfo;
+  const server = await startCallServer({
+    engines: [],
+    service: `http://127.0.0.1:${port}/base`,
+  });
+  t.after(async () => {
+    await server.close();
+    service.closeAllConnections();
+    service.close();
+  });
+  return `${server.url}/v1/services/orders`;
+}
+
+test("a plain service's answer passes unchanged", async (t) => {
+  const seen: Record<string, unknown>[] = [];
+  const base = await startService(t, (request, response) => {
+    const { method, url, headers } = request;
+    seen.push({ method, url, headers });
+    response.writeHead(302, {
+      "location": "/elsewhere",
+      "set-cookie": ["a=1", "b=2"],
+      "x-drop": "me",
+      "connection": "x-drop",
+    });
+    response.end("moved");
+  });
+  const answer = await callFleet(`${base}/jars/1?size=2`, {
+    method: "PATCH",
+    body: "{}",
+    redirect: "manual",
+    headers: { "x-keep": "yes", "cookie": "c=3" },
+  });
+  assert.equal(answer.status, 302);
+  assert.equal(answer.text, "moved");
+  assert.equal(answer.headers.get("location"), "/elsewhere");
+  assert.deepEqual(answer.headers.getSetCookie(), ["a=1", "b=2"]);
+  assert.equal(answer.headers.get("x-drop"), null);
+  const [{ method, url, headers }] = seen;
+  assert.deepEqual([method, url], ["PATCH", "/base/jars/1?size=2"]);
+  const sent = headers as Record<string, string>;
+  assert.equal(sent["x-keep"], "yes");
+  assert.equal(sent.cookie, "c=3");
+  assert.equal(sent.authorization, undefined, "the API key stays here");
+});
+
+test("a path cannot leave the upstream's base path", async (t) => {
+  const seen: string[] = [];
+  const base = await startService(t, (request, response) => {
+    seen.push(request.url!);
+    response.end("ok");
+  });
+  await callFleet(`${base}//127.0.0.9/x`);
+  await callFleet(`${base}/http://127.0.0.9/`);
+  await callFleet(`${base}?q=1`);
+  assert.deepEqual(seen.splice(0), [
+    "/base//127.0.0.9/x",
+    "/base/http://127.0.0.9/",
+    "/base/?q=1",
+  ]);
+  for (const path of ["/a/%2e%2E/%2e./b", "/..%2fb", "/.%2e%5Cb"]) {
+    const answer = await callFleet(base + path);
+    // The caller's own URL parser resolves some of these before it sends.
+    assert.ok([400, 404].includes(answer.status), `${path} ${answer.status}`);
+  }
+  assert.deepEqual(seen, []);
+});
+
+test("an answer that breaks after its head is not passed as whole", async (t) => {
+  const base = await startService(t, (_request, response) => {
+    response.write("first half");
+    setImmediate(() => response.destroy());
+  });
+  const answer = await callFleet(base);
+  assert.ok(answer.broken);
+});
+
+const steps = fc.array(
+  fc.constantFrom(
+    UpstreamStep.Whole,
+    UpstreamStep.BusyStatus,
+    UpstreamStep.FailStatus,
+    UpstreamStep.CloseBeforeHead,
+    UpstreamStep.Truncate,
+    UpstreamStep.ShortLength,
+  ),
+  { minLength: 1, maxLength: 4 },
+);
+
+test(`a non-idempotent call is sent once, seed ${seed}`, async (t) => {
+  const upstream = await createScriptedUpstream();
+  const server = await startCallServer({ engines: [], service: upstream.url });
+  t.after(async () => {
+    await server.close();
+    await upstream.close();
+  });
+  let count = 0;
+  const cases = fc.record({ steps, once: fc.boolean() });
+  await fc.assert(
+    fc.asyncProperty(cases, async (one) => {
+      upstream.script(one.steps);
+      upstream.runs.clear();
+      const answer = await callFleet(`${server.url}/v1/services/orders/pay`, {
+        method: "POST",
+        body: JSON.stringify({ messages: [count++] }),
+        headers: one.once ? { "x-once": "yes" } : {},
+      });
+      const runs = [...upstream.runs.values()].reduce((a, b) => a + b, 0);
+      assert.ok(runs <= 1, `ran ${runs} times`);
+      const [first] = one.steps;
+      if (first === UpstreamStep.CloseBeforeHead) {
+        const { kind, run } = JSON.parse(answer.text);
+        assert.deepEqual([kind, run], ["outcome-unknown", "may-have-run"]);
+        return;
+      }
+      assert.equal(answer.status, STATUSES[first] ?? 200);
+      assert.equal(answer.broken, BROKEN_STEPS.has(first));
+    }),
+    { seed, numRuns: 200 },
+  );
+});
+
+const STATUSES: Partial<Record<UpstreamStep, number>> = {
+  [UpstreamStep.BusyStatus]: 503,
+  [UpstreamStep.FailStatus]: 500,
+};
+const BROKEN_STEPS = new Set([UpstreamStep.Truncate, UpstreamStep.ShortLength]);
+
+test("a call that reached no upstream says not-run", async (t) => {
+  const service = `http://127.0.0.1:${await freePort()}`;
+  const server = await startCallServer({ engines: [], service });
+  t.after(() => server.close());
+  const answer = await callFleet(`${server.url}/v1/services/orders/pay`, {
+    method: "POST",
+    body: "{}",
+    headers: { "x-once": "yes" },
+  });
+  assert.equal(JSON.parse(answer.text).run, "not-run", answer.text);
+});
