Refuse early what cannot start in time, and bound retries

Cause: a request waited out its whole queue time before the refusal, up to a beat longer, with a fixed Retry-After; the queue had no bound, and retries were not limited.

Ruled out: refusing when less of the queue time is left than a typical first token (a class with a short queue time would never be served); one drain rate for all tiers (lower requests are admitted and expire).

Change: admission by the drain rate that arrivals above leave, a bound on the queue that sheds the lowest tier's newest, a retry budget, Retry-After from the expected wait with jitter, a timer on the earliest deadline, and a summary of free room and wait for each tier. The pool's upstreams have their own file.

Seen failing: with the former pool all 3 tests of create_pool_test.ts fail.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -1,10 +1,8 @@
 import type { PoolStatus, UpstreamStatus } from "@rosemarytiller/admin";
 import {
-  isUpstreamInService,
-  listPoolUpstreams,
   parsePool,
   type PoolName,
-  type UpstreamEntry,
+  type RequestClass,
 } from "@rosemarytiller/document";
 import {
   type AskMessage,
@@ -18,32 +16,30 @@
 import type { FleetView } from "@rosemarytiller/platform";
 import {
   chooseUpstream,
+  createAdmission,
   createRequestQueue,
-  createUpstreamLimit,
   type LoadReport,
+  MAX_WAITING,
   type QueuedRequest,
   type UpstreamCandidate,
-  type UpstreamLimit,
 } from "@rosemarytiller/policy";
 import {
+  type CancelTimer,
   type Clock,
   createId,
   ErrorKind,
   EventKind,
-  VmState,
 } from "@rosemarytiller/shared";
 import type { Timeline } from "@rosemarytiller/timeline";
+import {
+  createPoolUpstreams,
+  type PoolUpstream,
+} from "./create_pool_upstreams.ts";
 
-/** When a refused caller should come back, in milliseconds. */
-export const RETRY_AFTER_MS = 1000;
-
-interface PoolUpstream {
-  name: string;
-  entry: UpstreamEntry;
-  limit: UpstreamLimit;
-  /** Permits in progress, by permit. */
-  live: Map<string, LivePermit>;
-}
+/** Number of tiers. */
+const TIERS = 4;
+/** Longest wait that a summary tells, in milliseconds. */
+const MAX_SUMMARY_WAIT_MS = 600_000;
 
 interface WaitingAsk {
   ask: AskMessage;
@@ -60,6 +56,8 @@
   shareOf(upstream: string, limit: number): number;
   /** Newest stamp of the process behind a link. */
   stampOf(link: Link): number;
+  /** Numbers from 0 to 1 for the jitter of refusals. */
+  random?: () => number;
 }
 
 /** A pool that this broker leads. */
@@ -86,62 +84,22 @@
   const { view, clock, timeline, metrics } = options;
   const name = parsePool(text);
   const queue = createRequestQueue();
+  const admission = createAdmission({ queue, random: options.random });
+  const upstreams = createPoolUpstreams(name, options);
   const waiting = new Map<string, WaitingAsk>();
-  const known = new Map<string, PoolUpstream>();
   const classesSeen = new Set<string>();
+  let timer: { dueMs: number; cancel: CancelTimer } | undefined;
 
-  /** Brings the upstreams in line with the document in force. */
-  function currentUpstreams(): PoolUpstream[] {
-    const document = view.documentOf(name.service);
-    if (!document) return [];
-    const current: PoolUpstream[] = [];
-    for (const [key, entry] of listPoolUpstreams(document, name)) {
-      let upstream = known.get(key);
-      if (!upstream) {
-        const limit = createUpstreamLimit(entry);
-        upstream = { name: key, entry, limit, live: new Map() };
-        known.set(key, upstream);
-      }
-      if (upstream.entry !== entry) {
-        upstream.entry = entry;
-        upstream.limit.setBounds(entry);
-      }
-      if (isUpstreamInService(document, key) && !isLeaving(entry.vm)) {
-        current.push(upstream);
-      }
-    }
-    return current;
-  }
-
-  function isLeaving(vm: string): boolean {
-    for (const published of view.vms()) {
-      if (published.name === vm) return published.state === VmState.Leaving;
-    }
-    return false;
-  }
-
-  function usableLimit(upstream: PoolUpstream): number {
-    return options.shareOf(upstream.name, upstream.limit.current());
+  function findClass(className: string): RequestClass | undefined {
+    return view.documentOf(name.service)?.classes
+      .find((entry) => entry.name === className);
   }
 
-  function candidatesFor(
+  function choose(
     request: QueuedRequest,
-    upstreams: readonly PoolUpstream[],
-  ): UpstreamCandidate[] {
-    const document = view.documentOf(name.service);
-    const allowed = document?.classes
-      .find((entry) => entry.name === request.className)?.upstreams ?? [];
-    const candidates: UpstreamCandidate[] = [];
-    for (const upstream of upstreams) {
-      if (request.avoid.includes(upstream.name)) continue;
-      if (allowed.length > 0 && !allowed.includes(upstream.name)) continue;
-      candidates.push({
-        name: upstream.name,
-        outstanding: upstream.live.size,
-        limit: usableLimit(upstream),
-      });
-    }
-    return candidates;
+    among: readonly PoolUpstream[],
+  ): UpstreamCandidate | undefined {
+    return chooseUpstream(upstreams.candidatesFor(request, among));
   }
 
   function refuse(
@@ -153,7 +111,7 @@
     waiting.delete(request.id);
     if (!asked) return;
     const { ask, link } = asked;
-    const retryAfterMs = RETRY_AFTER_MS;
+    const retryAfterMs = admission.retryAfterMs(request, clock.now());
     const kind = MessageKind.Refuse;
     link.send({ kind, id: ask.id, error, detail, retryAfterMs });
     timeline.record(EventKind.PermitRefused, ask.request, {
@@ -170,7 +128,7 @@
     const { ask, link } = asked;
     const pool = ask.pool;
     const permit = createId("permit");
-    known.get(upstreamName)!.live.set(permit, {
+    upstreams.find(upstreamName)!.live.set(permit, {
       permit,
       pool,
       upstream: upstreamName,
@@ -198,66 +156,105 @@
     for (const request of queue.takeExpired(clock.now())) {
       refuse(request, ErrorKind.Overloaded, "the wait was too long");
     }
-    const upstreams = currentUpstreams();
+    const among = upstreams.current();
+    const hasRoom = (request: QueuedRequest) => !!choose(request, among);
     while (true) {
-      let chosen: UpstreamCandidate | undefined;
-      const request = queue.takeNext((next) => {
-        chosen = chooseUpstream(candidatesFor(next, upstreams));
-        return chosen !== undefined;
-      });
-      if (!request || !chosen) return;
-      grant(request, chosen.name);
+      const request = queue.takeNext(hasRoom);
+      if (!request) break;
+      admission.onGranted(clock.now());
+      grant(request, choose(request, among)!.name);
     }
+    admission.onQueueChanged(clock.now());
+    wakeAtDeadline();
   }
 
-  function ask(message: AskMessage, link: Link): void {
+  /** Sets the timer that refuses the next request whose wait ends. */
+  function wakeAtDeadline(): void {
+    const dueMs = queue.nextDeadlineMs();
+    if (dueMs === timer?.dueMs) return;
+    timer?.cancel();
+    timer = undefined;
+    if (dueMs === undefined) return;
+    const cancel = clock.after(Math.ceil(dueMs - clock.now()), () => {
+      timer = undefined;
+      pump();
+    });
+    timer = { dueMs, cancel };
+  }
+
+  function queuedRequest(message: AskMessage): QueuedRequest {
+    const { id, className, client, queueMs } = message;
+    const requestClass = findClass(className);
     const document = view.documentOf(name.service);
-    const requestClass = document?.classes
-      .find((entry) => entry.name === message.className);
+    const targetMs = requestClass?.firstTokenMs ?? Infinity;
+    const usefulMs = admission.usefulWaitMs(className, { queueMs, targetMs });
     const nowMs = clock.now();
-    const request: QueuedRequest = {
-      id: message.id,
-      className: message.className,
-      tier: requestClass?.tier ?? 4,
-      client: message.client,
-      clientWeight: document?.clients[message.client]?.weight ?? 1,
+    return {
+      id,
+      className,
+      tier: requestClass?.tier ?? TIERS,
+      client,
+      clientWeight: document?.clients[client]?.weight ?? 1,
       floorShare: requestClass?.floorShare ?? 0,
-      deadlineMs: nowMs + message.queueMs,
+      deadlineMs: nowMs + usefulMs,
       arrivedMs: nowMs,
       avoid: message.avoid,
       prefix: message.prefix,
       promptTokens: message.promptTokens,
       fingerprint: message.fingerprint,
     };
+  }
+
+  function ask(message: AskMessage, link: Link): void {
+    const request = queuedRequest(message);
     classesSeen.add(message.className);
     waiting.set(message.id, { ask: message, link });
-    if (candidatesFor(request, currentUpstreams()).length === 0) {
+    const among = upstreams.current();
+    if (upstreams.candidatesFor(request, among).length === 0) {
       refuse(request, ErrorKind.NoUpstream, "no upstream can serve it");
       return;
     }
+    const reason = admission.refuseOnArrival(request, {
+      retry: message.retry,
+      hasRoom: choose(request, among) !== undefined,
+      nowMs: clock.now(),
+    });
+    if (reason) {
+      refuse(request, ErrorKind.Overloaded, reason);
+      return;
+    }
     queue.add(request);
+    boundQueue();
     pump();
   }
 
+  function boundQueue(): void {
+    while (queue.boundedSize() > MAX_WAITING) {
+      const victim = queue.takeVictim();
+      if (!victim) return;
+      refuse(victim, ErrorKind.Overloaded, "the queue is full");
+    }
+  }
+
+  function remove(id: string): void {
+    queue.remove(id);
+    waiting.delete(id);
+  }
+
   function finish(message: DoneMessage): void {
-    const upstream = known.get(message.upstream);
-    if (!upstream?.live.delete(message.permit)) return;
-    const { permit, outcome } = message;
+    const { permit, outcome, firstTokenMs } = message;
+    const upstream = upstreams.find(message.upstream);
+    const live = upstream?.live.get(permit);
+    if (!upstream || !live) return;
+    upstream.live.delete(permit);
     timeline.record(EventKind.PermitReturned, "", { permit, outcome });
     upstream.limit.onFinished(message, clock.now());
+    admission.onFirstToken(live.className, firstTokenMs);
     pump();
   }
 
-  function free(): number {
-    let room = 0;
-    for (const upstream of currentUpstreams()) {
-      room += Math.max(0, usableLimit(upstream) - upstream.live.size);
-    }
-    return room;
-  }
-
-  function upstreams(): UpstreamStatus[] {
-    return currentUpstreams().map((upstream) => ({
+  function upstreamStatus(): UpstreamStatus[] {
+    return upstreams.current().map((upstream) => ({
       name: upstream.name,
       address: upstream.entry.address,
       limit: upstream.limit.current(),
@@ -265,6 +262,16 @@
     }));
   }
 
+  function summary(): PoolSummary {
+    const nowMs = clock.now();
+    const waitMs: number[] = [];
+    for (let tier = 1; tier <= TIERS; tier++) {
+      const expectedMs = admission.waitMs({ tier }, nowMs);
+      waitMs.push(Math.min(MAX_SUMMARY_WAIT_MS, Math.round(expectedMs)));
+    }
+    return { pool: text, free: upstreams.free(), waitMs };
+  }
+
   function queueByClass(): Record<string, number> {
     const lengths: Record<string, number> = {};
     // A class whose queue is empty again is told with 0, not left out.
@@ -278,33 +285,28 @@
   return {
     name,
     ask,
-    cancel(id) {
-      queue.remove(id);
-      waiting.delete(id);
-    },
+    cancel: remove,
     done: finish,
     adopt(permit) {
-      currentUpstreams();
-      known.get(permit.upstream)?.live.set(permit.permit, permit);
+      upstreams.current();
+      upstreams.find(permit.upstream)?.live.set(permit.permit, permit);
     },
     report(upstream, report) {
-      known.get(upstream)?.limit.onReport(report, clock.now());
+      upstreams.find(upstream)?.limit.onReport(report, clock.now());
       pump();
     },
     dropLink(link) {
       for (const [id, asked] of waiting) {
-        if (asked.link !== link) continue;
-        waiting.delete(id);
-        queue.remove(id);
+        if (asked.link === link) remove(id);
       }
     },
     pump,
-    summary: () => ({ pool: text, free: free(), waitMs: [] }),
-    upstreams,
+    summary,
+    upstreams: upstreamStatus,
     status: () => ({
       pool: text,
       queue: queueByClass(),
-      upstreams: upstreams(),
+      upstreams: upstreamStatus(),
     }),
   };
 }
--- /dev/null
+++ b/packages/broker/src/create_pool_test.ts
@@ -0,0 +1,164 @@
+import {
+  type AskMessage,
+  type GrantMessage,
+  type Link,
+  type Message,
+  MessageKind,
+  type RefuseMessage,
+} from "@rosemarytiller/link";
+import { createMetrics } from "@rosemarytiller/metrics";
+import { createFleetView } from "@rosemarytiller/platform";
+import { MAX_WAITING } from "@rosemarytiller/policy";
+import {
+  CallOutcome,
+  createFakeClock,
+  ErrorKind,
+} from "@rosemarytiller/shared";
+import { createTimeline } from "@rosemarytiller/timeline";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createPool } from "./create_pool.ts";
+
+const POOL = "test/small@north";
+
+const DOCUMENT = {
+  service: "test",
+  dataCentres: { north: { region: "r" } },
+  clients: { counter: { keys: ["0".repeat(64)] } },
+  upstreams: Object.fromEntries(["runner-1", "runner-2"].map((name) => [name, {
+    kind: "model-runner",
+    serves: ["small"],
+    dataCentre: "north",
+    vm: "runner-vm",
+    address: "http://127.0.0.1:9",
+    maxConcurrent: 2,
+    coldConcurrent: 2,
+  }])),
+  classes: [
+    {
+      name: "high",
+      tier: 1,
+      match: { header: { name: "x-class", value: "high" } },
+      firstTokenMs: 400,
+      queueMs: 1000,
+      floorShare: 0,
+    },
+    { name: "low", tier: 4, firstTokenMs: 400, queueMs: 60_000 },
+  ],
+};
+
+function createModel() {
+  const clock = createFakeClock(1000);
+  const view = createFleetView({ clock });
+  const text = JSON.stringify(DOCUMENT);
+  const key = "services/test";
+  assert.ok(view.offerDocument({ key, revision: 1, text }, "test"));
+  const sent: Message[] = [];
+  const link = { send: (message: Message) => sent.push(message) };
+  const pool = createPool(POOL, {
+    view,
+    clock,
+    timeline: createTimeline({ process: "test", clock }),
+    metrics: createMetrics(undefined),
+    shareOf: (_upstream, limit) => limit,
+    stampOf: () => 0,
+    random: () => 0.5,
+  });
+  let nextId = 0;
+  function ask(fields: Partial<AskMessage> = {}): string {
+    const id = `ask-${nextId++}`;
+    const message: AskMessage = {
+      kind: MessageKind.Ask,
+      id,
+      request: id,
+      pool: POOL,
+      className: "high",
+      client: "counter",
+      queueMs: fields.className === "low" ? 60_000 : 1000,
+      promptTokens: 10,
+      prefix: "",
+      fingerprint: id,
+      avoid: [],
+      retry: false,
+      stamp: 0,
+      ...fields,
+    };
+    pool.ask(message, link as unknown as Link);
+    return id;
+  }
+  function answerTo(id: string): GrantMessage | RefuseMessage | undefined {
+    for (const message of sent) {
+      if (message.kind === MessageKind.Grant && message.id === id) {
+        return message;
+      }
+      if (message.kind === MessageKind.Refuse && message.id === id) {
+        return message;
+      }
+    }
+    return undefined;
+  }
+  function grantOf(id: string): GrantMessage {
+    const answer = answerTo(id);
+    assert.equal(answer?.kind, MessageKind.Grant, `${id} is not granted`);
+    return answer as GrantMessage;
+  }
+  function finish(id: string, outcome: CallOutcome, firstTokenMs = 100): void {
+    const { permit, upstream } = grantOf(id);
+    pool.done({
+      kind: MessageKind.Done,
+      permit,
+      pool: POOL,
+      upstream,
+      outcome,
+      firstTokenMs,
+      totalMs: 500,
+      tokens: 1,
+    });
+  }
+  return { pool, clock, ask, answerTo, grantOf, finish };
+}
+
+test("a wait that ends is refused at once, not at the next beat", () => {
+  const model = createModel();
+  for (let index = 0; index < 4; index++) model.grantOf(model.ask());
+  const late = model.ask();
+  model.clock.advance(999);
+  assert.equal(model.answerTo(late), undefined);
+  model.clock.advance(1);
+  const answer = model.answerTo(late) as RefuseMessage;
+  assert.equal(answer.error, ErrorKind.Overloaded);
+  assert.ok(answer.retryAfterMs > 0);
+});
+
+test("a full queue sheds the lowest tier's newest first", () => {
+  const model = createModel();
+  const low = Array.from(
+    { length: MAX_WAITING + 40 },
+    () => model.ask({ className: "low" }),
+  );
+  const refused = (id: string) =>
+    model.answerTo(id)?.kind === MessageKind.Refuse;
+  const before = low.filter(refused);
+  assert.ok(before.length > 0, "the bound is in force");
+  assert.ok(before.every((id) => low.indexOf(id) >= MAX_WAITING));
+  const high = Array.from({ length: 30 }, () => model.ask());
+  assert.equal(high.filter(refused).length, 0);
+  assert.ok(low.filter(refused).length > before.length);
+});
+
+test("the summary tells free room and the wait of each tier", () => {
+  const model = createModel();
+  assert.deepEqual(model.pool.summary(), {
+    pool: POOL,
+    free: 4,
+    waitMs: [0, 0, 0, 0],
+  });
+  model.ask();
+  assert.equal(model.pool.summary().free, 3);
+  for (let index = 0; index < 13; index++) model.ask({ className: "low" });
+  model.clock.advance(2000);
+  const { free, waitMs } = model.pool.summary();
+  assert.equal(free, 0);
+  assert.equal(waitMs[0], 0);
+  assert.ok(waitMs[3] >= 10_000, `${waitMs}`);
+});
--- /dev/null
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -0,0 +1,131 @@
+import {
+  isUpstreamInService,
+  listPoolUpstreams,
+  type PoolName,
+  type ServiceDocument,
+  type UpstreamEntry,
+} from "@rosemarytiller/document";
+import type { LivePermit } from "@rosemarytiller/link";
+import type { FleetView } from "@rosemarytiller/platform";
+import {
+  createUpstreamLimit,
+  type QueuedRequest,
+  type UpstreamCandidate,
+  type UpstreamLimit,
+} from "@rosemarytiller/policy";
+import { VmState } from "@rosemarytiller/shared";
+
+/** An upstream as the leader of its pool sees it. */
+export interface PoolUpstream {
+  readonly name: string;
+  entry: UpstreamEntry;
+  readonly limit: UpstreamLimit;
+  /** Permits in progress, by permit. */
+  readonly live: Map<string, LivePermit>;
+}
+
+/** The upstreams of a pool. */
+export interface PoolUpstreams {
+  /** Upstreams that may get new calls by the document in force. */
+  current(): PoolUpstream[];
+  /** An upstream that has ever been seen. */
+  find(name: string): PoolUpstream | undefined;
+  /** Those of `upstreams` that may serve a request, with room or without. */
+  candidatesFor(
+    request: QueuedRequest,
+    upstreams: readonly PoolUpstream[],
+  ): UpstreamCandidate[];
+  /** Calls that could start now. */
+  free(): number;
+}
+
+/** What the upstreams of a pool need. */
+export interface PoolUpstreamsOptions {
+  view: FleetView;
+  /** Part of an upstream's limit that this leader may use now. */
+  shareOf(upstream: string, limit: number): number;
+}
+
+/** Creates the list of a pool's upstreams. */
+export function createPoolUpstreams(
+  pool: PoolName,
+  { view, shareOf }: PoolUpstreamsOptions,
+): PoolUpstreams {
+  const known = new Map<string, PoolUpstream>();
+
+  /** Brings an upstream in line with its entry in the document. */
+  function update(name: string, entry: UpstreamEntry): PoolUpstream {
+    let upstream = known.get(name);
+    if (!upstream) {
+      const limit = createUpstreamLimit(entry);
+      upstream = { name, entry, limit, live: new Map() };
+      known.set(name, upstream);
+    }
+    if (upstream.entry !== entry) {
+      upstream.entry = entry;
+      upstream.limit.setBounds(entry);
+    }
+    return upstream;
+  }
+
+  function current(): PoolUpstream[] {
+    const document = view.documentOf(pool.service);
+    if (!document) return [];
+    const leaving = listLeavingVms(view);
+    const upstreams: PoolUpstream[] = [];
+    for (const [name, entry] of listPoolUpstreams(document, pool)) {
+      const upstream = update(name, entry);
+      if (!isUpstreamInService(document, name)) continue;
+      if (leaving.has(entry.vm)) continue;
+      upstreams.push(upstream);
+    }
+    return upstreams;
+  }
+
+  function usableLimit(upstream: PoolUpstream): number {
+    return shareOf(upstream.name, upstream.limit.current());
+  }
+
+  return {
+    current,
+    find: (name) => known.get(name),
+    candidatesFor(request, upstreams) {
+      const allowed = listAllowed(view.documentOf(pool.service), request);
+      const candidates: UpstreamCandidate[] = [];
+      for (const upstream of upstreams) {
+        const { name, live } = upstream;
+        if (request.avoid.includes(name)) continue;
+        if (allowed.length > 0 && !allowed.includes(name)) continue;
+        const limit = usableLimit(upstream);
+        candidates.push({ name, outstanding: live.size, limit });
+      }
+      return candidates;
+    },
+    free() {
+      let room = 0;
+      for (const upstream of current()) {
+        room += Math.max(0, usableLimit(upstream) - upstream.live.size);
+      }
+      return room;
+    },
+  };
+}
+
+function listLeavingVms(view: FleetView): Set<string> {
+  const leaving = new Set<string>();
+  for (const { name, state } of view.vms()) {
+    if (state === VmState.Leaving) leaving.add(name);
+  }
+  return leaving;
+}
+
+/** Upstreams that a request's class names; empty means all. */
+function listAllowed(
+  document: ServiceDocument | undefined,
+  { className }: QueuedRequest,
+): readonly string[] {
+  for (const entry of document?.classes ?? []) {
+    if (entry.name === className) return entry.upstreams;
+  }
+  return [];
+}
--- /dev/null
+++ b/packages/policy/src/create_drain_rate.ts
@@ -0,0 +1,77 @@
+/** How long measurements of the drain rate count, in milliseconds. */
+export const DRAIN_MEMORY_MS = 3000;
+
+/** What waits before a request. */
+export interface WaitAhead {
+  tier: number;
+  /** Waiting requests of its tier and of higher ones. */
+  ahead: number;
+  /** Waiting requests of its class. */
+  aheadInClass: number;
+  floorShare: number;
+}
+
+/** Rate at which a queue empties, measured while requests wait. */
+export interface DrainRate {
+  /** Notes a request that came, in whatever way it will be granted. */
+  onArrived(tier: number, nowMs: number): void;
+  onGranted(nowMs: number): void;
+  /** Notes whether requests wait from now on. */
+  setWaiting(waiting: boolean, nowMs: number): void;
+  /** Expected wait in milliseconds; 0 with nothing ahead. */
+  predictMs(request: WaitAhead, nowMs: number): number;
+}
+
+/** Creates the drain rate of a pool that has granted nothing yet. */
+export function createDrainRate(): DrainRate {
+  const arrived = new Map<number, number>();
+  let waiting = false;
+  let lastMs: number | undefined;
+  let observedMs = 0;
+  let waitingMs = 0;
+  let grants = 0;
+
+  function advance(nowMs: number): void {
+    const elapsedMs = nowMs - (lastMs ?? nowMs);
+    lastMs = nowMs;
+    if (elapsedMs <= 0) return;
+    const keep = Math.exp(-elapsedMs / DRAIN_MEMORY_MS);
+    observedMs = observedMs * keep + elapsedMs;
+    waitingMs = waitingMs * keep + (waiting ? elapsedMs : 0);
+    grants *= keep;
+    for (const [tier, count] of arrived) arrived.set(tier, count * keep);
+  }
+
+  function arrivalRate(aboveTier: number): number {
+    let count = 0;
+    for (const [tier, tierCount] of arrived) {
+      if (tier < aboveTier) count += tierCount;
+    }
+    return observedMs > 0 ? count / observedMs : 0;
+  }
+
+  return {
+    onArrived(tier, nowMs) {
+      advance(nowMs);
+      arrived.set(tier, (arrived.get(tier) ?? 0) + 1);
+    },
+    onGranted(nowMs) {
+      advance(nowMs);
+      if (waiting) grants++;
+    },
+    setWaiting(next, nowMs) {
+      advance(nowMs);
+      waiting = next;
+    },
+    predictMs({ tier, ahead, aheadInClass, floorShare }, nowMs) {
+      advance(nowMs);
+      if (ahead === 0 || aheadInClass === 0) return 0;
+      // One grant more than seen: nothing is refused before a measurement.
+      const rate = (grants + 1) / waitingMs;
+      const left = rate - arrivalRate(tier);
+      const byTier = left > 0 ? ahead / left : Infinity;
+      const byFloor = aheadInClass / (rate * floorShare);
+      return Math.min(byTier, byFloor);
+    },
+  };
+}
--- a/packages/policy/src/queued_request.ts
+++ b/packages/policy/src/queued_request.ts
@@ -23,7 +23,7 @@
 }
 
 /** Most grants in all that may go to floors. */
-export const MAX_FLOOR_SUM = 0.25;
+export const MAX_FLOOR_SUM = 0.5;
 /** Grants from one floor grant to the next, at least. */
 export const FLOOR_SPACING = 1 / MAX_FLOOR_SUM;
 /** How far a client may run ahead of the least served one, in grants. */
