Add the policy and data-path measurements

Cause: decisions inside a pool and the cost of a token have no figures yet. The entry takes its permit client as an option, so that a baseline can stand in its place.

--- /dev/null
+++ b/packages/bench/src/main.ts
@@ -0,0 +1,40 @@
+import meow from "meow";
+import process from "node:process";
+import { measureDataPath } from "./measure_data_path.ts";
+import { measurePolicy } from "./measure_policy.ts";
+
+/** Options that every measurement takes. */
+export interface BenchFlags {
+  seed: number;
+  seconds: number;
+  only: string;
+}
+
+const MEASUREMENTS: Record<string, (flags: BenchFlags) => Promise<void>> = {
+  "data-path": measureDataPath,
+  policy: measurePolicy,
+};
+
+const command = meow(
+  `
+  Usage
+    $ npm run bench -- NAME [--seed N] [--seconds N] [--only WORD]
+
+  Names
+    ${Object.keys(MEASUREMENTS).join(", ")}
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      seed: { type: "number", default: 1 },
+      seconds: { type: "number", default: 20 },
+      only: { type: "string", default: "" },
+    },
+  },
+);
+
+const measure = MEASUREMENTS[command.input[0] ?? ""];
+if (!measure) command.showHelp(2);
+console.log(`seed ${command.flags.seed}; repeat with the same command`);
+await measure(command.flags);
+process.exit(0);
--- /dev/null
+++ b/packages/bench/src/measure_data_path.ts
@@ -0,0 +1,187 @@
+import { hashKey, startFleet } from "@rosemarytiller/sessions";
+import { build } from "hdr-histogram-js";
+import type { Buffer } from "node:buffer";
+import { type ChildProcess, fork } from "node:child_process";
+import { once } from "node:events";
+import { fileURLToPath } from "node:url";
+import { Agent, request } from "undici";
+import type { BenchFlags } from "./main.ts";
+import { readCpuMs, readMemoryBytes } from "./read_process.ts";
+
+const STREAM_COUNTS = [1, 100, 1000];
+const KEY = "bench-key-of-data-path";
+const TOKEN_MS = 30;
+const MAX_ENGINE_CALLS = 1200;
+const SEQUENTIAL_CALLS = 300;
+const WARM_UP_CALLS = 100;
+
+interface StreamFigures {
+  firstTokenP50Ms: number;
+  firstTokenP95Ms: number;
+  gapP50Ms: number;
+  gapP95Ms: number;
+  tokensPerSecond: number;
+  whole: number;
+}
+
+/** Compares streams through one entry with streams from the engine itself. */
+export async function measureDataPath(flags: BenchFlags): Promise<void> {
+  const engine = await startEngineProcess();
+  const fleet = await startFleet({
+    dataCentres: ["north"],
+    upstreamVms: { "engine-vm": "north" },
+    document: formatDocument(engine.url),
+  });
+  await fleet.ready();
+  const [vm] = fleet.vms;
+  await measureFirstToken(engine.url, vm.url);
+  for (const streams of STREAM_COUNTS) {
+    const tokens = Math.ceil(flags.seconds * 1000 / TOKEN_MS);
+    await runStreams(vm.url, { streams, tokens: 3, seconds: 1 });
+    const direct = await runStreams(engine.url, {
+      streams,
+      tokens,
+      seconds: flags.seconds,
+    });
+    const before = readCpuMs(vm.entry);
+    const memoryBefore = readMemoryBytes(vm.entry);
+    const routed = await runStreams(vm.url, {
+      streams,
+      tokens,
+      seconds: flags.seconds,
+    });
+    const cpuMs = readCpuMs(vm.entry) - before;
+    const frames = streams * tokens;
+    console.log(JSON.stringify({
+      streams,
+      direct,
+      routed,
+      addedFirstTokenP50Ms: round(
+        routed.firstTokenP50Ms - direct.firstTokenP50Ms,
+      ),
+      addedGapP95Ms: round(routed.gapP95Ms - direct.gapP95Ms),
+      entryCpuMs: round(cpuMs),
+      entryCpuMicrosPerToken: round(cpuMs * 1000 / frames),
+      entryMemoryBytes: readMemoryBytes(vm.entry),
+      entryMemoryBefore: memoryBefore,
+    }));
+  }
+  await fleet.stop();
+  engine.child.kill();
+}
+
+/** Calls one after the other, direct and routed in turn. */
+async function measureFirstToken(
+  direct: string,
+  routed: string,
+): Promise<void> {
+  const figures: Record<string, number[]> = { direct: [], routed: [] };
+  for (let round = 0; round < SEQUENTIAL_CALLS; round++) {
+    for (const [way, url] of Object.entries({ direct, routed })) {
+      const options = { streams: 1, tokens: 3, seconds: 1 };
+      const { firstTokenP50Ms } = await runStreams(url, options);
+      if (round >= WARM_UP_CALLS) figures[way].push(firstTokenP50Ms);
+    }
+  }
+  const directMs = median(figures.direct);
+  const routedMs = median(figures.routed);
+  console.log(JSON.stringify({
+    sequentialCalls: SEQUENTIAL_CALLS - WARM_UP_CALLS,
+    directP50Ms: directMs,
+    routedP50Ms: routedMs,
+    addedP50Ms: round(routedMs - directMs),
+  }));
+}
+
+function median(values: readonly number[]): number {
+  return [...values].sort((left, right) => left - right)[values.length >> 1];
+}
+
+async function startEngineProcess(): Promise<
+  { url: string; child: ChildProcess }
+> {
+  const file = fileURLToPath(new URL("./engine_process.js", import.meta.url));
+  const child = fork(file, [String(MAX_ENGINE_CALLS), String(TOKEN_MS)]);
+  const [message] = await once(child, "message");
+  return { url: (message as { url: string }).url, child };
+}
+
+async function runStreams(
+  base: string,
+  options: { streams: number; tokens: number; seconds: number },
+): Promise<StreamFigures> {
+  const dispatcher = new Agent({ pipelining: 1, connections: null });
+  const firsts = build({ numberOfSignificantValueDigits: 3 });
+  const gaps = build({ numberOfSignificantValueDigits: 3 });
+  const startMs = performance.now();
+  let whole = 0;
+  let received = 0;
+  async function one(index: number): Promise<void> {
+    // Starts are spread so that the first tokens do not all come at once.
+    const spreadMs = Math.min(1000, options.streams) * index / options.streams;
+    await new Promise((resolve) => setTimeout(resolve, spreadMs));
+    const startedMs = performance.now();
+    const { body } = await request(`${base}/v1/chat/completions`, {
+      dispatcher,
+      method: "POST",
+      headers: {
+        authorization: `Bearer ${KEY}`,
+        "content-type": "application/json",
+      },
+      body: JSON.stringify({
+        model: "small",
+        stream: true,
+        max_tokens: options.tokens,
+        messages: [{ role: "user", content: `stream ${index}` }],
+      }),
+    });
+    let lastMs = 0;
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+      const nowMs = performance.now();
+      if (lastMs === 0) firsts.recordValue((nowMs - startedMs) * 1000);
+      else gaps.recordValue((nowMs - lastMs) * 1000);
+      lastMs = nowMs;
+      const text = chunk.toString("latin1");
+      received += text.split("data: {").length - 1;
+      if (text.includes("[DONE]")) whole++;
+    }
+  }
+  const all: Promise<void>[] = [];
+  for (let index = 0; index < options.streams; index++) all.push(one(index));
+  await Promise.all(all);
+  await dispatcher.destroy();
+  const elapsedMs = performance.now() - startMs;
+  const millis = (micros: number) => round(micros / 1000);
+  return {
+    firstTokenP50Ms: millis(firsts.getValueAtPercentile(50)),
+    firstTokenP95Ms: millis(firsts.getValueAtPercentile(95)),
+    gapP50Ms: millis(gaps.getValueAtPercentile(50)),
+    gapP95Ms: millis(gaps.getValueAtPercentile(95)),
+    tokensPerSecond: Math.round(received * 1000 / elapsedMs),
+    whole,
+  };
+}
+
+function formatDocument(address: string): string {
+  return JSON.stringify({
+    service: "bench",
+    dataCentres: { north: { region: "one" } },
+    clients: { caller: { keys: [hashKey(KEY)] } },
+    upstreams: {
+      engine: {
+        kind: "model-runner",
+        serves: ["small"],
+        dataCentre: "north",
+        vm: "engine-vm",
+        address,
+        maxConcurrent: MAX_ENGINE_CALLS,
+        coldConcurrent: MAX_ENGINE_CALLS,
+      },
+    },
+    classes: [{ name: "all", tier: 1, firstTokenMs: 430, queueMs: 10_000 }],
+  });
+}
+
+function round(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
--- /dev/null
+++ b/packages/bench/src/start_local_fleet.ts
@@ -0,0 +1,93 @@
+import { type Broker, createBroker } from "@rosemarytiller/broker";
+import {
+  createEntry,
+  type Entry,
+  type EntryOptions,
+} from "@rosemarytiller/entry";
+import { createHttpPlatform } from "@rosemarytiller/platform";
+import { freePort } from "@rosemarytiller/sessions";
+import { parseSettings } from "@rosemarytiller/settings";
+import { createSystemClock } from "@rosemarytiller/shared";
+import {
+  createStandInPlatform,
+  type StandInPlatform,
+} from "@rosemarytiller/standins";
+
+/** A fleet inside this process, for measurements. */
+export interface LocalFleet {
+  platform: StandInPlatform;
+  /** Base URLs for callers. */
+  urls: string[];
+  stop(): Promise<void>;
+}
+
+/** Starts an entry and a broker for each data centre named. */
+export async function startLocalFleet(options: {
+  dataCentres: readonly string[];
+  document: string;
+  /** VMs of upstreams by name, with their data centre. */
+  upstreamVms: Record<string, string>;
+  createPermits?: EntryOptions["createPermits"];
+}): Promise<LocalFleet> {
+  const { dataCentres, document, upstreamVms, createPermits } = options;
+  const platform = await createStandInPlatform();
+  const clock = createSystemClock();
+  const brokers: Broker[] = [];
+  const entries: Entry[] = [];
+  const vms = [];
+  platform.publish("services/bench", document);
+  for (const [index, dataCentre] of dataCentres.entries()) {
+    const vm = `vm-${index + 1}`;
+    const settings = parseSettings(
+      JSON.stringify({
+        vm,
+        dataCentre,
+        platform: [platform.url],
+        linkKey: "a link key for measurements",
+        entry: { port: 0 },
+        entryAdmin: { port: 0 },
+        broker: { port: await freePort() },
+      }),
+      vm,
+    );
+    const broker = await createBroker({
+      settings,
+      clock,
+      platform: createHttpPlatform(settings.platform),
+    });
+    const entry = await createEntry({ settings, clock, createPermits });
+    brokers.push(broker);
+    entries.push(entry);
+    vms.push({
+      name: vm,
+      dataCentre,
+      region: "",
+      kind: "entry" as const,
+      state: "live" as const,
+      broker: broker.address,
+      entryAdmin: entry.adminAddress,
+    });
+  }
+  for (const [name, dataCentre] of Object.entries(upstreamVms)) {
+    vms.push({
+      name,
+      dataCentre,
+      region: "",
+      kind: "upstream" as const,
+      state: "live" as const,
+      broker: "",
+      entryAdmin: "",
+    });
+  }
+  platform.setVms(vms);
+  await Promise.all(entries.map((entry) => entry.ready));
+  return {
+    platform,
+    urls: entries.map((entry) => `http://${entry.address}`),
+    async stop() {
+      await Promise.all(entries.map((entry) => entry.stop()));
+      await Promise.all(brokers.map((broker) => broker.stop()));
+      await platform.close();
+    },
+  };
+}
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -25,7 +25,11 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Agent } from "undici";
-import { createPermitClient } from "./create_permit_client.ts";
+import {
+  createPermitClient,
+  type PermitClient,
+  type PermitClientOptions,
+} from "./create_permit_client.ts";
 import { authenticateCaller, MODELS_PATH, readCall } from "./read_call.ts";
 import { createModelAttempt } from "./run_model_attempt.ts";
 import { createServiceAttempt } from "./run_service_attempt.ts";
@@ -53,11 +57,13 @@
 export interface EntryOptions {
   settings: Settings;
   clock: Clock;
+  /** Adapter that finds an upstream for each call; by default the leaders. */
+  createPermits?: (options: PermitClientOptions) => PermitClient;
 }
 
 /** Starts an entry. */
 export async function createEntry(options: EntryOptions): Promise<Entry> {
-  const { settings, clock } = options;
+  const { settings, clock, createPermits = createPermitClient } = options;
   const log = useLog(LogPart.Entry);
   const identity: LinkIdentity = {
     vm: settings.vm,
@@ -68,7 +74,7 @@
   const timeline = createTimeline({ process: `${settings.vm}/entry`, clock });
   const metrics = createMetrics(settings.statsd);
   const view = createFleetView({ clock });
-  const permits = createPermitClient({
+  const permits = createPermits({
     identity,
     view,
     clock,
