--- /dev/null
+++ b/packages/lease/src/create_upstream_account.ts
@@ -0,0 +1,172 @@
+import type { Clock } from "@rosemarytiller/shared";
+import { GRANT_VALID_MS, START_MS } from "./lease_times.ts";
+
+/** How long after a load report the end of a call it counted may show. */
+export const END_LAG_MS = 1000;
+
+/** Calls of an upstream as it reported them. */
+export interface CountedLoad {
+  /** Calls running and waiting there. */
+  calls: number;
+  /** Latest monotonic time before which the count wasn't taken. */
+  measuredMs: number;
+}
+
+/** A backer as an account sees it. */
+export interface AccountBacker {
+  /** VM, process start and term as one text. */
+  key: string;
+  /** Monotonic time at which it came to back this leader. */
+  arrivedMs: number;
+}
+
+/**
+ * What a leader knows of one upstream's calls: those under its own permits,
+ * and an upper bound of those granted by leaders before or beside it.
+ */
+export interface UpstreamAccount {
+  /** Notes a permit that this leader granted to an entry. */
+  granted(permit: string, vm: string): void;
+  /** Notes a permit that an entry reported as live. */
+  adopted(permit: string, vm: string): void;
+  /** Notes the end of a permit. */
+  ended(permit: string): void;
+  /** Permits of an entry granted before a time, in milliseconds. */
+  permitsOf(vm: string, beforeMs: number): string[];
+  /** Moves the permits of an entry that is gone to the unseen calls. */
+  lose(permits: readonly string[]): void;
+  /**
+   * Takes a load report. New backers are let in unless that would leave fewer
+   * calls; `sharedCalls` tells how many belong to a number of backers.
+   */
+  report(
+    load: CountedLoad,
+    backers: readonly AccountBacker[],
+    sharedCalls: (backers: number) => number,
+  ): void;
+  /** Notes that every entry has reported: nothing is unseen. */
+  complete(backers: readonly AccountBacker[]): void;
+  /** Whether a backer's share of this upstream may be used. */
+  counts(backer: AccountBacker): boolean;
+  /** Upper bound of the calls that this leader has no permit for. */
+  unseen(): number;
+  /** Permits in progress. */
+  live(): number;
+}
+
+/**
+ * Creates the account of an upstream. A backer counts only after a load report
+ * was taken when all calls granted under its former backings had begun: what
+ * the report shows beyond this leader's own calls is unseen. Unseen calls only
+ * end, so that the bound may fall with each later report.
+ */
+export function createUpstreamAccount(
+  options: { clock: Clock; callMs: () => number },
+): UpstreamAccount {
+  const { clock, callMs } = options;
+  /** Time from which a permit's call is surely counted by its upstream. */
+  const live = new Map<string, { vm: string; sinceMs: number }>();
+  const counted = new Set<string>();
+  /** Own permits that were taken off the report behind `unseen`. */
+  let subtracted = new Set<string>();
+  let unseen = 0;
+  let takenAtMs = -Infinity;
+  /** By then every unseen call has run out of time. */
+  let unseenEndMs = Infinity;
+  let basisMs = -Infinity;
+
+  function take(load: CountedLoad): void {
+    const own = surelyRunning(load.measuredMs);
+    unseen = Math.max(0, load.calls - own.size);
+    subtracted = own;
+    takenAtMs = clock.now();
+  }
+
+  function surelyRunning(atMs: number): Set<string> {
+    const permits = new Set<string>();
+    for (const [permit, { sinceMs }] of live) {
+      if (sinceMs + START_MS <= atMs) permits.add(permit);
+    }
+    return permits;
+  }
+
+  function unseenNow(): number {
+    if (clock.now() >= unseenEndMs) unseen = 0;
+    return unseen;
+  }
+
+  function addUnseen(permits: number): void {
+    unseen = unseenNow() + permits;
+    unseenEndMs = clock.now() + callMs();
+  }
+
+  function counts(backer: AccountBacker): boolean {
+    return counted.has(backer.key) ||
+      clock.now() >= backer.arrivedMs + callMs();
+  }
+
+  return {
+    granted(permit, vm) {
+      live.set(permit, { vm, sinceMs: clock.now() + GRANT_VALID_MS });
+    },
+    adopted(permit, vm) {
+      if (live.has(permit)) return;
+      live.set(permit, { vm, sinceMs: clock.now() });
+    },
+    ended(permit) {
+      if (!live.delete(permit)) return;
+      if (!subtracted.delete(permit)) return;
+      // The call may have ended before the count that it was taken off.
+      if (clock.now() < takenAtMs + END_LAG_MS) addUnseen(1);
+    },
+    permitsOf(vm, beforeMs) {
+      const permits: string[] = [];
+      for (const [permit, held] of live) {
+        if (held.vm !== vm) continue;
+        if (held.sinceMs - GRANT_VALID_MS < beforeMs) permits.push(permit);
+      }
+      return permits;
+    },
+    lose(permits) {
+      let lost = 0;
+      for (const permit of permits) {
+        if (!live.delete(permit)) continue;
+        subtracted.delete(permit);
+        lost++;
+      }
+      if (lost === 0) return;
+      addUnseen(lost);
+      // One granted just now may still be on its way to the upstream.
+      const startedMs = clock.now() + GRANT_VALID_MS + START_MS;
+      basisMs = Math.max(basisMs, startedMs);
+    },
+    report(load, backers, sharedCalls) {
+      const { measuredMs } = load;
+      if (measuredMs < basisMs) return;
+      const before = backers.filter(counts);
+      const arrived = backers.filter((backer) =>
+        !counts(backer) && backer.arrivedMs + START_MS <= measuredMs
+      );
+      const own = surelyRunning(measuredMs).size;
+      const bound = Math.max(0, load.calls - own);
+      const present = sharedCalls(before.length) - unseenNow();
+      const next = sharedCalls(before.length + arrived.length) - bound;
+      if (arrived.length > 0 && next >= present) {
+        take(load);
+        basisMs = measuredMs;
+        unseenEndMs = clock.now() + callMs();
+        for (const backer of arrived) counted.add(backer.key);
+      } else if (bound < unseen) {
+        take(load);
+      }
+    },
+    complete(backers) {
+      unseen = 0;
+      subtracted.clear();
+      for (const backer of backers) counted.add(backer.key);
+    },
+    counts,
+    unseen: unseenNow,
+    live: () => live.size,
+  };
+}
