Return a permit to the broker that granted it, and record golden sessions

Seen failing first: of thirteen recorded sessions two never saw their permit returned (plain service through the other VM, data centre out of service), in each of two runs. Cause: the first ask for a pool went to the nearest broker with a link, as the leader's link was still opening; at the end of the call the link was up and the permit was returned to the leader, which did not know it. The granter kept a place taken for ever. A slow time line was ruled out: the broker's status still showed the call after 30 s. The permit client now keeps the granter of each live permit.

--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -86,6 +86,8 @@
   const kept = new Map<string, KeptLink>();
   const pending = new Map<string, PendingAsk>();
   const live = new Map<string, LivePermit>();
+  /** VM of the broker that granted each live permit. */
+  const granters = new Map<string, string>();
 
   const exchange = createFleetExchange(view, { clock, role: identity.role });
   const handlers: MessageHandlers<Link> = {
@@ -230,6 +232,7 @@
           client,
           fingerprint,
         });
+        granters.set(permit, link.vm);
         return { permit, pool, upstream };
       }
       throw new TillerError(ErrorKind.Overloaded, "no permit came in time");
@@ -238,8 +241,13 @@
       live.delete(permit.permit);
       const name = permit.pool;
       const dataCentre = name.slice(name.lastIndexOf("@") + 1);
-      for (const vm of rankLeaders(name, { dataCentre, vms: view.vms() })) {
-        const link = kept.get(vm.name)?.current();
+      const ranked = rankLeaders(name, { dataCentre, vms: view.vms() })
+        .map((vm) => vm.name);
+      // A better-ranked broker may have come in reach since the grant.
+      const granter = granters.get(permit.permit);
+      granters.delete(permit.permit);
+      for (const vm of granter ? [granter, ...ranked] : ranked) {
+        const link = kept.get(vm)?.current();
         if (!link) continue;
         link.send({ kind: MessageKind.Done, ...permit, ...report });
         return;
--- /dev/null
+++ b/packages/sessions/src/golden_fleet.ts
@@ -0,0 +1,137 @@
+import {
+  createStandInEngine,
+  createStandInService,
+  type StandInEngine,
+  type StandInService,
+} from "@rosemarytiller/standins";
+import { callChat, hashKey, TEST_KEY } from "./call_fleet.ts";
+import { type Fleet, startFleet, waitUntil } from "./start_fleet.ts";
+
+/** API key of a client that no class matches. */
+export const VISITOR_KEY = "test-key-of-the-visitor-client";
+
+/** A fleet for recorded sessions, with its stand-ins. */
+export interface GoldenFleet {
+  fleet: Fleet;
+  engines: { north: StandInEngine; south: StandInEngine };
+  service: StandInService;
+  /** Publishes the document with a data centre's state. */
+  publish(states?: { north?: string }): void;
+  stop(): Promise<void>;
+}
+
+/** Starts two VMs in two data centres with one engine in each. */
+export async function startGoldenFleet(): Promise<GoldenFleet> {
+  const engines = {
+    north: await createStandInEngine({ capacity: 2, tokenMs: 5 }),
+    south: await createStandInEngine({ capacity: 2, tokenMs: 5 }),
+  };
+  const service = await createStandInService({ name: "orders" });
+  const write = (states: { north?: string } = {}) =>
+    JSON.stringify(documentOf(engines, service, states));
+  const fleet = await startFleet({
+    dataCentres: ["north", "south"],
+    upstreamVms: {
+      "runner-vm-1": "north",
+      "runner-vm-2": "south",
+      "orders-vm": "north",
+    },
+    document: write(),
+  });
+  await fleet.ready();
+  await warmUp(fleet);
+  return {
+    fleet,
+    engines,
+    service,
+    publish: (states) =>
+      void fleet.platform.publish("services/test", write(states)),
+    async stop() {
+      await fleet.stop();
+      for (const engine of Object.values(engines)) await engine.close();
+      await service.close();
+    },
+  };
+}
+
+/** Waits until each VM has been served: then all links are up. */
+async function warmUp(fleet: Fleet): Promise<void> {
+  for (const vm of fleet.vms) {
+    await waitUntil(async () => {
+      const messages = [{ role: "user", content: "warm up" }];
+      const answer = await callChat(vm.url, {
+        model: "small",
+        messages,
+        max_tokens: 1,
+      });
+      return answer.status === 200;
+    }, `${vm.name} serves`);
+  }
+}
+
+function documentOf(
+  engines: GoldenFleet["engines"],
+  service: StandInService,
+  states: { north?: string },
+): unknown {
+  const runner = (dataCentre: string, vm: string, engine: StandInEngine) => ({
+    kind: "model-runner",
+    serves: ["small"],
+    dataCentre,
+    vm,
+    address: engine.url,
+    maxConcurrent: 2,
+    coldConcurrent: 2,
+  });
+  return {
+    service: "test",
+    dataCentres: {
+      north: { region: "r", state: states.north ?? "in-service" },
+      south: { region: "r" },
+    },
+    clients: {
+      counter: { keys: [hashKey(TEST_KEY)] },
+      visitor: { keys: [hashKey(VISITOR_KEY)] },
+    },
+    upstreams: {
+      "runner-1": runner("north", "runner-vm-1", engines.north),
+      "runner-2": runner("south", "runner-vm-2", engines.south),
+      "orders-1": {
+        kind: "plain-service",
+        serves: ["orders"],
+        dataCentre: "north",
+        vm: "orders-vm",
+        address: service.url,
+        maxConcurrent: 4,
+      },
+    },
+    classes: [
+      {
+        name: "orders",
+        tier: 2,
+        match: { services: ["orders"], clients: ["counter"] },
+        firstTokenMs: 1000,
+        queueMs: 5000,
+        idempotent: false,
+      },
+      {
+        name: "north-only",
+        tier: 2,
+        match: {
+          clients: ["counter"],
+          header: { name: "x-task", value: "north" },
+        },
+        firstTokenMs: 1000,
+        queueMs: 300,
+        dataCentres: ["north"],
+      },
+      {
+        name: "counter",
+        tier: 1,
+        match: { clients: ["counter"], models: ["small"] },
+        firstTokenMs: 430,
+        queueMs: 5000,
+      },
+    ],
+  };
+}
--- /dev/null
+++ b/packages/sessions/src/golden_sessions_test.ts
@@ -0,0 +1,191 @@
+import type { ProcessStatus } from "@rosemarytiller/admin";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { readFile, writeFile } from "node:fs/promises";
+import process from "node:process";
+import { after, before, test } from "node:test";
+import { callChat, TEST_KEY } from "./call_fleet.ts";
+import {
+  type GoldenFleet,
+  startGoldenFleet,
+  VISITOR_KEY,
+} from "./golden_fleet.ts";
+import {
+  recordSession,
+  type SessionRecord,
+  type SessionRequest,
+} from "./record_session.ts";
+import { waitUntil } from "./start_fleet.ts";
+
+// Rewrites the golden files in place of comparing with them.
+const UPDATE = process.env.ROSEMARYTILLER_UPDATE_GOLDEN === "1";
+const FOLDER = new URL("../golden/", import.meta.url);
+const MESSAGES = [{ role: "user", content: "how much honey?" }];
+
+function chat(
+  body: Record<string, unknown> = {},
+  rest: Partial<SessionRequest> = {},
+): SessionRequest {
+  return {
+    path: "/v1/chat/completions",
+    key: TEST_KEY,
+    headers: { "content-type": "application/json" },
+    body: { model: "small", messages: MESSAGES, max_tokens: 3, ...body },
+    ...rest,
+  };
+}
+
+type Session = (record: SessionRecord, golden: GoldenFleet) => Promise<void>;
+
+/** Sessions by name, in the order in which they run on one fleet. */
+const SESSIONS: Record<string, Session> = {
+  async "streamed answer"(record, { fleet }) {
+    await record.call(fleet.vms[0].url, chat({ stream: true }));
+  },
+
+  async "unstreamed answer"(record, { fleet }) {
+    await record.call(fleet.vms[1].url, chat());
+  },
+
+  async "list of models"(record, { fleet }) {
+    const key = TEST_KEY;
+    await record.call(fleet.vms[0].url, {
+      method: "GET",
+      path: "/v1/models",
+      key,
+    });
+  },
+
+  async "unknown model"(record, { fleet }) {
+    await record.call(fleet.vms[0].url, chat({ model: "huge" }));
+  },
+
+  async "unknown route"(record, { fleet }) {
+    await record.call(fleet.vms[0].url, chat({}, { path: "/v2/chat" }));
+  },
+
+  async "wrong key"(record, { fleet }) {
+    await record.call(fleet.vms[0].url, chat({}, { key: "some-other-key" }));
+  },
+
+  async "no class"(record, { fleet }) {
+    await record.call(fleet.vms[0].url, chat({}, { key: VISITOR_KEY }));
+  },
+
+  async "malformed body"(record, { fleet }) {
+    await record.call(fleet.vms[0].url, chat({}, { body: '{"model": ' }));
+  },
+
+  async "plain service"(record, { fleet }) {
+    await record.call(fleet.vms[1].url, {
+      method: "PUT",
+      path: "/v1/services/orders/jars?size=1",
+      key: TEST_KEY,
+      headers: { "content-type": "text/plain" },
+      body: "ten jars",
+    });
+  },
+
+  async "overloaded"(record, { fleet, engines }) {
+    record.note("two long answers fill the only upstream allowed");
+    const leaving = new AbortController();
+    const held = [1, 2].map(() => holdPlace(fleet.vms[0].url, leaving));
+    await waitUntil(() => engines.north.running() === 2, "the engine is full");
+    await record.call(fleet.vms[0].url, chat({}, { headers: NORTH }));
+    leaving.abort();
+    await Promise.all(held);
+    await waitUntil(() => engines.north.running() === 0, "the engine is idle");
+  },
+
+  async "cancelled by the caller"(record, { fleet, engines }) {
+    const { counts } = engines.north;
+    const before = counts.cancelled;
+    const body = { stream: true, max_tokens: 2000 };
+    await record.callAndLeave(fleet.vms[0].url, chat(body));
+    await waitUntil(() => counts.cancelled === before + 1, "it is cancelled");
+    record.note("the engine has stopped the call");
+  },
+
+  async "data centre out of service"(record, golden) {
+    const { fleet } = golden;
+    await changeNorth(golden, "out-of-service");
+    record.note("operators take the data centre north out of service");
+    await record.call(fleet.vms[0].url, chat());
+    await record.call(fleet.vms[0].url, chat({}, { headers: NORTH }));
+    await changeNorth(golden, "in-service");
+    record.note("operators bring it back");
+    await record.call(fleet.vms[0].url, chat());
+  },
+
+  async "planned stop in the middle of a stream"(record, { fleet }) {
+    const [vm] = fleet.vms;
+    const exit = once(vm.entry, "exit");
+    const stream = record.call(
+      vm.url,
+      chat({ stream: true, max_tokens: 60 }),
+      { beforeTimeline: exit },
+    );
+    await waitUntil(
+      async () => (await readStatus(vm.entryAdmin)).entry!.requests > 0,
+      "the stream has begun",
+    );
+    vm.entry.kill("SIGTERM");
+    await stream;
+    const [code] = await exit;
+    record.note(`told to stop in the stream, the entry ended with ${code}`);
+  },
+};
+
+const NORTH = { "content-type": "application/json", "x-task": "north" };
+
+/** Keeps a place at the northern engine until the signal. */
+async function holdPlace(url: string, leaving: AbortController): Promise<void> {
+  const body = { model: "small", messages: MESSAGES, max_tokens: 100_000 };
+  const { signal } = leaving;
+  await callChat(url, body, { signal, headers: { "x-task": "north" } })
+    .catch(() => {});
+}
+
+async function changeNorth(golden: GoldenFleet, north: string): Promise<void> {
+  const { fleet } = golden;
+  golden.publish({ north });
+  const revisions = new Set<number>();
+  await waitUntil(async () => {
+    revisions.clear();
+    for (const vm of fleet.vms) {
+      for (const address of [vm.entryAdmin, vm.brokerAddress]) {
+        const status = await readStatus(address);
+        revisions.add(status.revisions["services/test"]);
+      }
+    }
+    return revisions.size === 1 && !seenRevisions.has([...revisions][0]);
+  }, "all processes have the document in force");
+  seenRevisions.add([...revisions][0]);
+}
+
+/** Revisions that were in force before; the first one is 1. */
+const seenRevisions = new Set([1]);
+
+async function readStatus(address: string): Promise<ProcessStatus> {
+  const answer = await fetch(`http://${address}/status`);
+  return await answer.json() as ProcessStatus;
+}
+
+let golden: GoldenFleet;
+before(async () => void (golden = await startGoldenFleet()));
+after(() => golden.stop());
+
+for (const [name, session] of Object.entries(SESSIONS)) {
+  test(`golden session: ${name}`, async () => {
+    const record = recordSession(name, golden.fleet);
+    await session(record, golden);
+    const file = new URL(`${name.replaceAll(" ", "_")}.txt`, FOLDER);
+    if (UPDATE) await writeFile(file, record.text());
+    assert.equal(
+      record.text(),
+      await readFile(file, "utf8"),
+      "the session differs; if it is meant to, set " +
+        "ROSEMARYTILLER_UPDATE_GOLDEN=1 and read the change",
+    );
+  });
+}
