Spend less processor time on each streamed token

Cause: a profile of one entry with 300 streams showed two layers of async generators and two timers for each chunk around the socket writes. Change: one reader per stream without generators, writes without a promise unless the caller is slow, and one silence timer per call that is moved only when it comes due.

--- a/packages/entry/src/create_silence_guard.ts
+++ b/packages/entry/src/create_silence_guard.ts
@@ -10,6 +10,8 @@
   arm(limitMs: number): void;
   /** The upstream need not send anything now. */
   disarm(): void;
+  /** Ends the guard. */
+  close(): void;
 }
 
 /** Creates the guard of one call. */
@@ -17,22 +19,44 @@
   signal: AbortSignal,
   options: { clock: Clock },
 ): SilenceGuard {
+  const { clock } = options;
   const controller = new AbortController();
+  let deadlineMs = Infinity;
+  let timerDueMs = Infinity;
   let cancel = () => {};
   let fired = false;
+
+  // One timer serves many tokens: it is only moved when it comes due.
+  function schedule(): void {
+    cancel();
+    timerDueMs = deadlineMs;
+    cancel = clock.after(deadlineMs - clock.now(), onDue);
+  }
+
+  function onDue(): void {
+    timerDueMs = Infinity;
+    if (deadlineMs === Infinity) return;
+    if (clock.now() < deadlineMs) {
+      schedule();
+      return;
+    }
+    fired = true;
+    controller.abort(new Error("the upstream stayed silent"));
+  }
+
   return {
     signal: AbortSignal.any([signal, controller.signal]),
     hasFired: () => fired,
     arm(limitMs) {
-      cancel();
-      cancel = options.clock.after(limitMs, () => {
-        fired = true;
-        controller.abort(new Error("the upstream stayed silent"));
-      });
+      deadlineMs = clock.now() + limitMs;
+      if (deadlineMs < timerDueMs) schedule();
     },
     disarm() {
+      deadlineMs = Infinity;
+    },
+    close() {
+      deadlineMs = Infinity;
       cancel();
-      cancel = () => {};
     },
   };
 }
--- a/packages/entry/src/deliver_stream.ts
+++ b/packages/entry/src/deliver_stream.ts
@@ -1,3 +1,5 @@
+import type { EventSourceMessage } from "eventsource-parser";
+import type { Buffer } from "node:buffer";
 import { once } from "node:events";
 import type { AttemptRequest } from "./attempt.ts";
 import {
@@ -7,7 +9,7 @@
   StreamEventKind,
 } from "./check_stream_event.ts";
 import type { SilenceGuard } from "./create_silence_guard.ts";
-import { readEvents } from "./read_events.ts";
+import { createEventReader } from "./create_event_reader.ts";
 import type { UpstreamAnswer } from "./send_upstream.ts";
 
 /** Most times that a stream is resumed. */
@@ -62,11 +64,18 @@
 ): Promise<void> {
   checkContentType(answer);
   const { progress, guard } = source;
+  const read = createEventReader();
   guard.arm(source.silenceLimitMs(progress.next));
   try {
-    for await (const events of readEvents(answer.body)) {
-      guard.disarm();
-      await passOn(attempt, events, source);
+    for await (const chunk of answer.body as AsyncIterable<Buffer>) {
+      const events = read(chunk);
+      if (events.length === 0) continue;
+      const flushed = passOn(attempt, events, source);
+      if (!flushed && !progress.ended) {
+        // A caller who reads slowly does not make the upstream silent.
+        guard.disarm();
+        await once(attempt.response, "drain", { signal: attempt.signal });
+      }
       guard.arm(
         progress.ended
           ? CLOSING_LIMIT_MS
@@ -79,14 +88,17 @@
   if (!progress.ended) throw new Error("the stream ended before its end mark");
 }
 
-/** Writes the events of one chunk, as far as they belong to the answer. */
-async function passOn(
+/**
+ * Writes the events of one chunk, as far as they belong to the answer; tells
+ * whether the caller takes more at once.
+ */
+function passOn(
   attempt: AttemptRequest,
-  events: Parameters<typeof checkStreamEvent>[0][],
+  events: readonly EventSourceMessage[],
   source: StreamSource & { progress: { next: number; ended: boolean } },
-): Promise<void> {
+): boolean {
   const { progress } = source;
-  if (progress.ended) return;
+  if (progress.ended) return true;
   let text = "";
   try {
     for (const event of events) {
@@ -96,7 +108,7 @@
         writeStreamHead(attempt);
         attempt.response.end(`${text}data: ${END_MARK}\n\n`);
         progress.ended = true;
-        return;
+        return true;
       }
       if (kind !== StreamEventKind.Token) {
         source.countCrossed();
@@ -106,18 +118,19 @@
       source.noteToken();
       text += `data: ${event.data}\n\n`;
     }
-  } finally {
+  } catch (error) {
     // What came before a broken event is right and has been counted.
-    if (!progress.ended) await write(attempt, text);
+    write(attempt, text);
+    throw error;
   }
+  return write(attempt, text);
 }
 
-async function write(attempt: AttemptRequest, text: string): Promise<void> {
-  if (!text) return;
+function write(attempt: AttemptRequest, text: string): boolean {
+  if (!text) return true;
   writeStreamHead(attempt);
-  const { response, signal } = attempt;
-  if (response.destroyed || response.write(text)) return;
-  await once(response, "drain", { signal });
+  const { response } = attempt;
+  return response.destroyed || response.write(text);
 }
 
 function writeStreamHead({ response, call }: AttemptRequest): void {
--- a/packages/entry/src/run_model_attempt.ts
+++ b/packages/entry/src/run_model_attempt.ts
@@ -45,7 +45,7 @@
     const failure = await deliver(attempt, io).catch((cause) =>
       failureOf(cause, attempt, guard)
     );
-    guard.disarm();
+    guard.close();
     if (failure && CANCELLED_OUTCOMES.has(failure.outcome)) {
       void cancel(attempt, options);
     }
