Add stand-ins of a platform and its upstreams to try the pages with

A polled file was taken over a watched one: editors replace the file, and a watch on the old one sees no further change.

--- a/packages/demo/src/prepare_document.ts
+++ b/packages/demo/src/prepare_document.ts
@@ -1,10 +1,6 @@
 import { parseDocument, type ServiceDocument } from "@rosemarytiller/document";
 import { hashKey } from "@rosemarytiller/sessions";
-import { UpstreamKind } from "@rosemarytiller/shared";
-import {
-  createStandInEngine,
-  createStandInService,
-} from "@rosemarytiller/standins";
+import { startUpstream } from "./start_upstream.ts";
 
 /** A document whose upstreams are stand-ins of this process. */
 export interface PreparedDocument {
@@ -17,13 +13,6 @@
   close(): Promise<void>;
 }
 
-/** Time to the first token of a stand-in engine in milliseconds. */
-const FIRST_TOKEN_MS = 40;
-/** Time between two tokens of a stand-in engine in milliseconds. */
-const TOKEN_MS = 10;
-/** Time of one call of a stand-in plain service in milliseconds. */
-const SERVICE_MS = 15;
-
 /**
  * Starts a stand-in for each upstream of a document and puts its address in;
  * every client account gets an API key that the caller knows.
@@ -36,7 +25,7 @@
   const upstreamVms: Record<string, string> = {};
   const running: { close(): Promise<void> }[] = [];
   for (const [name, upstream] of Object.entries(document.upstreams)) {
-    const standIn = await startStandIn(upstream.kind, name);
+    const standIn = await startUpstream(upstream.kind, { name, port: 0 });
     running.push(standIn);
     upstream.address = standIn.url;
     upstreamVms[upstream.vm] = upstream.dataCentre;
@@ -55,16 +44,3 @@
     },
   };
 }
-
-function startStandIn(
-  kind: UpstreamKind,
-  name: string,
-): Promise<{ url: string; close(): Promise<void> }> {
-  if (kind === UpstreamKind.PlainService) {
-    return createStandInService({ name, delayMs: SERVICE_MS });
-  }
-  return createStandInEngine({
-    firstTokenMs: FIRST_TOKEN_MS,
-    tokenMs: TOKEN_MS,
-  });
-}
--- /dev/null
+++ b/packages/demo/src/run_stand_ins.ts
@@ -0,0 +1,105 @@
+import { parseDocument, type ServiceDocument } from "@rosemarytiller/document";
+import type { PublishedVm } from "@rosemarytiller/link";
+import { readSettings, type Settings } from "@rosemarytiller/settings";
+import { LogPart, useLog } from "@rosemarytiller/shared";
+import { createStandInPlatform } from "@rosemarytiller/standins";
+import { unwatchFile, watchFile } from "node:fs";
+import { readFile } from "node:fs/promises";
+import { type RunningUpstream, startUpstream } from "./start_upstream.ts";
+
+/** What the stand-ins take the place of. */
+export interface StandInOptions {
+  /** Service document that the platform publishes, again at each change. */
+  documentFile: string;
+  /** Settings files of the entry VMs, for the VM list. */
+  settingsFiles: readonly string[];
+}
+
+/** Stand-ins of a platform and of all upstreams of a document. */
+export interface RunningStandIns {
+  close(): Promise<void>;
+}
+
+/** How often the document's file is looked at, in milliseconds. */
+const WATCH_MS = 500;
+
+/**
+ * Starts a platform at the addresses that the settings name and an upstream at
+ * each address of the document.
+ */
+export async function runStandIns(
+  options: StandInOptions,
+): Promise<RunningStandIns> {
+  const { documentFile, settingsFiles } = options;
+  const text = await readFile(documentFile, "utf8");
+  const document = parseDocument(text, documentFile);
+  const settings: Settings[] = [];
+  for (const file of settingsFiles) settings.push(await readSettings(file));
+  const ports = settings[0].platform.map((url) => Number(new URL(url).port));
+  const platform = await createStandInPlatform({
+    replicas: ports.length,
+    ports,
+  });
+  const upstreams = await startUpstreams(document);
+  platform.setVms([
+    ...settings.map(toPublishedVm),
+    ...listUpstreamVms(document),
+  ]);
+  const key = `services/${document.service}`;
+  let published = text;
+  platform.publish(key, text);
+  watchFile(documentFile, { interval: WATCH_MS }, () => void republish());
+
+  /** Publishes the file as it is now; the processes check it themselves. */
+  async function republish(): Promise<void> {
+    const changed = await readFile(documentFile, "utf8").catch(() => "");
+    if (changed === "" || changed === published) return;
+    published = changed;
+    const revision = platform.publish(key, changed);
+    useLog(LogPart.StandIn).info(`Published revision ${revision}.`);
+  }
+
+  return {
+    async close() {
+      unwatchFile(documentFile);
+      await platform.close();
+      for (const upstream of upstreams) await upstream.close();
+    },
+  };
+}
+
+async function startUpstreams(
+  document: ServiceDocument,
+): Promise<RunningUpstream[]> {
+  const running: RunningUpstream[] = [];
+  for (const [name, upstream] of Object.entries(document.upstreams)) {
+    const port = Number(new URL(upstream.address).port);
+    running.push(await startUpstream(upstream.kind, { name, port }));
+  }
+  return running;
+}
+
+function toPublishedVm(settings: Settings): PublishedVm {
+  const { vm, dataCentre, region, broker, entryAdmin } = settings;
+  return {
+    name: vm,
+    dataCentre,
+    region,
+    kind: "entry",
+    state: "live",
+    broker: `${broker.host}:${broker.port}`,
+    entryAdmin: `${entryAdmin.host}:${entryAdmin.port}`,
+  };
+}
+
+function listUpstreamVms(document: ServiceDocument): PublishedVm[] {
+  return Object.values(document.upstreams).map(({ vm, dataCentre }) => ({
+    name: vm,
+    dataCentre,
+    region: document.dataCentres[dataCentre].region,
+    kind: "upstream",
+    state: "live",
+    broker: "",
+    entryAdmin: "",
+  }));
+}
--- a/packages/standins/src/create_stand_in_platform.ts
+++ b/packages/standins/src/create_stand_in_platform.ts
@@ -46,7 +46,7 @@
 
 /** Starts a stand-in platform. */
 export async function createStandInPlatform(
-  options: { replicas?: number } = {},
+  options: { replicas?: number; ports?: readonly number[] } = {},
 ): Promise<StandInPlatform> {
   const state: PlatformState = {
     documents: new Map(),
@@ -56,7 +56,8 @@
   };
   const replicas: Replica[] = [];
   for (let index = 0; index < (options.replicas ?? 1); index++) {
-    replicas.push(await startReplica(copyState(state)));
+    const port = options.ports?.[index] ?? 0;
+    replicas.push(await startReplica(copyState(state), port));
   }
 
   function spread(): void {
@@ -115,7 +116,10 @@
   close(): Promise<void>;
 }
 
-async function startReplica(initial: PlatformState): Promise<Replica> {
+async function startReplica(
+  initial: PlatformState,
+  port: number,
+): Promise<Replica> {
   const faults: PlatformFaults = { down: false, stale: false, delayMs: 0 };
   const wakers = new Set<() => void>();
   let shown = initial;
@@ -160,7 +164,7 @@
     const url = new URL(request.url ?? "/", "http://platform");
     void answer(url, response);
   });
-  const url = await listen(server);
+  const url = await listen(server, port);
   return {
     url,
     faults,
@@ -212,8 +216,8 @@
   return { ...state, documents: new Map(state.documents) };
 }
 
-async function listen(server: Server): Promise<string> {
-  server.listen(0, "127.0.0.1");
+async function listen(server: Server, wanted: number): Promise<string> {
+  server.listen(wanted, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
   return `http://127.0.0.1:${port}`;
