Count calls anew before a leaver's weight is used

A better basis of shares now waits for a load report taken after it, or for the longest call, as new backers do. Callers that left are reckoned with for the longest call when all callers must have reported.

--- a/packages/lease/src/create_backer_ledger.ts
+++ b/packages/lease/src/create_backer_ledger.ts
@@ -16,6 +16,11 @@
   release(pool: string, leader: string): void;
   /** The leader backed for a pool, if any. */
   leaderOf(pool: string): string | undefined;
+  /**
+   * Whether a grant of a leader may start a call. While the leader backed here
+   * may count this entry, it must know all of its calls.
+   */
+  mayUse(pool: string, granter: string): boolean;
   /** Monotonic time from which another leader may be backed. */
   freeAtMs(pool: string): number;
   /** Pools with their terms for which a leader is backed. */
@@ -78,6 +83,12 @@
       backing.untilMs = Math.min(backing.untilMs, grantsEndMs);
     },
     leaderOf: (pool) => backings.get(pool)?.leader || undefined,
+    mayUse(pool, granter) {
+      const backing = backings.get(pool);
+      if (!backing?.leader || backing.leader === granter) return true;
+      // The grants' validity outlasts the lease itself.
+      return clock.now() >= backing.untilMs - outlast(GRANT_VALID_MS);
+    },
     freeAtMs,
     termsOf(leader) {
       const terms: [string, number][] = [];
--- a/packages/lease/src/create_leader_tenure.ts
+++ b/packages/lease/src/create_leader_tenure.ts
@@ -1,5 +1,9 @@
 import type { Clock } from "@rosemarytiller/shared";
-import type { Membership } from "./create_membership.ts";
+import {
+  type Membership,
+  type MembershipBasis,
+  shareOfBackers,
+} from "./create_membership.ts";
 import {
   type AccountBacker,
   type CountedLoad,
@@ -70,8 +74,8 @@
   callMs: () => number;
   /** Whether an upstream reports its load. */
   reportsLoad: (upstream: string) => boolean;
-  /** Whether older lists than this process knows may be in force. */
-  isYoung: () => boolean;
+  /** Whether `callers` holds all whose calls may still be in progress. */
+  knowsCallers: () => boolean;
 }
 
 /** Longest wait for the backers that come after the first, in milliseconds. */
@@ -99,6 +103,10 @@
   const accounts = new Map<string, UpstreamAccount>();
   const holds = new Map<string, number>();
   const processes = new Map<string, number>();
+  /** Basis by upstream under which its calls were last counted. */
+  const admitted = new Map<string, MembershipBasis>();
+  let seen: MembershipBasis = membership.basis();
+  let seenAtMs = clock.now();
 
   function account(upstream: string): UpstreamAccount {
     let found = accounts.get(upstream);
@@ -123,7 +131,7 @@
   function isComplete(upstream: string): boolean {
     const nowMs = clock.now();
     const reportsLoad = options.reportsLoad(upstream);
-    if (reportsLoad && options.isYoung()) return false;
+    if (reportsLoad && !options.knowsCallers()) return false;
     for (const vm of callers()) {
       const backer = known.get(vm);
       if (!backer || backer.untilMs <= nowMs) return false;
@@ -135,26 +143,70 @@
   function countedBackers(upstream: string): Backer[] {
     const found = account(upstream);
     const backers = present();
-    const pending = backers.some((backer) => !found.counts(backer));
-    if ((pending || found.unseen() > 0) && isComplete(upstream)) {
+    const open = found.unseen() > 0 || needsCount(upstream, backers);
+    if (open && isComplete(upstream)) {
       found.complete(backers);
+      admitted.set(upstream, currentBasis());
     }
     return backers.filter(found.counts);
   }
 
+  function currentBasis(): MembershipBasis {
+    const basis = membership.basis();
+    if (basis.size !== seen.size || basis.trust !== seen.trust) {
+      seen = basis;
+      seenAtMs = clock.now();
+    }
+    return seen;
+  }
+
+  /** The basis let in; after the longest call no other count is needed. */
+  function admittedBasis(upstream: string): MembershipBasis | undefined {
+    const basis = currentBasis();
+    if (clock.now() >= seenAtMs + callMs()) admitted.set(upstream, basis);
+    return admitted.get(upstream);
+  }
+
+  /**
+   * Share of backers. Calls granted under the weight of a member that left may
+   * still run, so that a better basis holds only after a count.
+   */
+  function shareAt(upstream: string, backers: number): number {
+    const basis = admittedBasis(upstream);
+    if (!basis) return 0;
+    return Math.min(
+      shareOfBackers(backers, basis),
+      shareOfBackers(backers, currentBasis()),
+    );
+  }
+
+  function isBasisPending(upstream: string, backers: number): boolean {
+    const next = shareOfBackers(backers, currentBasis());
+    return next > shareAt(upstream, backers);
+  }
+
+  function needsCount(upstream: string, backers: readonly Backer[]): boolean {
+    const { counts } = account(upstream);
+    return backers.some((backer) => !counts(backer)) ||
+      isBasisPending(upstream, backers.length);
+  }
+
   function share(upstream: string): number {
-    return membership.share(countedBackers(upstream).length);
+    return shareAt(upstream, countedBackers(upstream).length);
   }
 
   /** Whether grants are held so that a report tells own calls from others. */
-  function isHeld(upstream: string, counted: readonly Backer[]): boolean {
+  function isHeld(upstream: string): boolean {
+    if (!options.reportsLoad(upstream)) return false;
     const nowMs = clock.now();
-    const found = account(upstream);
-    const overdue = present().some((backer) =>
-      !counted.includes(backer) && !found.counts(backer) &&
-      nowMs >= backer.arrivedMs + RECOUNT_AFTER_MS
-    );
-    if (!overdue || !options.reportsLoad(upstream)) return false;
+    const { counts } = account(upstream);
+    const backers = present();
+    const oldestMs = nowMs - RECOUNT_AFTER_MS;
+    const overdue =
+      backers.some((backer) =>
+        !counts(backer) && backer.arrivedMs <= oldestMs
+      ) || (seenAtMs <= oldestMs && isBasisPending(upstream, backers.length));
+    if (!overdue) return false;
     const heldAtMs = holds.get(upstream) ?? -Infinity;
     if (nowMs < heldAtMs + RECOUNT_HOLD_MS) return true;
     if (nowMs < heldAtMs + RECOUNT_INTERVAL_MS) return false;
@@ -248,24 +300,27 @@
     account,
     report(upstream, load, limit) {
       if (isGathering(upstream)) return;
-      account(upstream).report(
-        load,
-        present(),
-        (backers) => shareOfLimit(limit, membership.share(backers)),
-      );
+      const backers = present();
+      const next = currentBasis();
+      const pending = isBasisPending(upstream, backers.length);
+      const rebased = account(upstream).report(load, backers, {
+        present: (count) => shareOfLimit(limit, shareAt(upstream, count)),
+        next: (count) => shareOfLimit(limit, shareOfBackers(count, next)),
+        changedAtMs: pending ? seenAtMs : undefined,
+      });
+      if (rebased) admitted.set(upstream, next);
     },
     allowance(upstream, limit) {
       const counted = countedBackers(upstream);
-      if (counted.length === 0 || isHeld(upstream, counted)) return 0;
-      const calls = shareOfLimit(limit, membership.share(counted.length));
+      if (counted.length === 0 || isHeld(upstream)) return 0;
+      const calls = shareOfLimit(limit, shareAt(upstream, counted.length));
       return Math.max(0, calls - account(upstream).unseen());
     },
     needsReport(upstream) {
-      const found = account(upstream);
       const oldestMs = clock.now() - START_MS;
-      return present().some((backer) =>
-        backer.arrivedMs <= oldestMs && !found.counts(backer)
-      );
+      const backers = present()
+        .filter((backer) => backer.arrivedMs <= oldestMs);
+      return backers.length > 0 && needsCount(upstream, backers);
     },
     share,
   };
--- a/packages/lease/src/create_list_history.ts
+++ b/packages/lease/src/create_list_history.ts
@@ -12,23 +12,23 @@
 export interface ListHistory<List> {
   /** Takes the list now in force. */
   observe(list: List): void;
-  /** Takes a peer's word that the list in force is as old as the window. */
-  attest(): void;
-  /** Lists in force within the window, newest first. */
+  /** Takes a peer's word that the list in force is `ageMs` old. */
+  attest(ageMs: number): void;
+  /** Lists in force within the time kept, newest first. */
   lists(): readonly PastList<List>[];
   /** Number that grows whenever `lists` changes. */
   version(): number;
-  /** Whether older lists may have been in force unknown to this process. */
-  isYoung(): boolean;
-  /** Whether the list in force is as old as the window. */
-  isSettled(): boolean;
+  /** Time for which all lists in force are known, in milliseconds. */
+  spanMs(): number;
+  /** Age of the list in force, in milliseconds. */
+  ageMs(): number;
 }
 
-/** Creates an empty history that reaches `windowMs` back. */
+/** Creates an empty history that reaches `keepMs` back. */
 export function createListHistory<List>(
-  options: { clock: Clock; windowMs: number },
+  options: { clock: Clock; keepMs: number },
 ): ListHistory<List> {
-  const { clock, windowMs } = options;
+  const { clock, keepMs } = options;
   let lists: PastList<List>[] = [];
   let firstMs = Infinity;
   let version = 0;
@@ -41,15 +41,22 @@
       version++;
       lists = [{ list, fromMs: nowMs, untilMs: Infinity }, ...lists];
     },
-    attest() {
-      if (lists.length === 0) return;
+    attest(ageMs) {
+      const sinceMs = clock.now() - ageMs;
+      if (lists.length === 0 || lists[0].fromMs <= sinceMs) return;
       version++;
-      firstMs = -Infinity;
-      lists[0].fromMs = -Infinity;
-      lists.length = 1;
+      firstMs = Math.min(firstMs, sinceMs);
+      lists[0].fromMs = sinceMs;
+      // What this process saw since then was older than the list in force.
+      lists = lists.filter((past) =>
+        past === lists[0] || past.fromMs < sinceMs
+      );
+      for (const past of lists.slice(1)) {
+        past.untilMs = Math.min(past.untilMs, sinceMs);
+      }
     },
     lists() {
-      const fromMs = clock.now() - windowMs;
+      const fromMs = clock.now() - keepMs;
       if (lists.some((past) => past.untilMs < fromMs)) {
         lists = lists.filter((past) => past.untilMs >= fromMs);
         version++;
@@ -57,8 +64,7 @@
       return lists;
     },
     version: () => version,
-    isYoung: () => clock.now() - firstMs < windowMs,
-    isSettled: () =>
-      lists.length > 0 && clock.now() - lists[0].fromMs >= windowMs,
+    spanMs: () => clock.now() - firstMs,
+    ageMs: () => lists.length > 0 ? clock.now() - lists[0].fromMs : 0,
   };
 }
--- a/packages/lease/src/create_membership.ts
+++ b/packages/lease/src/create_membership.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@rosemarytiller/shared";
-import type { ListHistory } from "./create_list_history.ts";
+import type { ListHistory, PastList } from "./create_list_history.ts";
 
 /**
  * Largest part of a pool's members that joins or leaves unseen by a process
@@ -7,14 +7,30 @@
  */
 export const UNSEEN_CHURN = 0.2;
 
+/** How far a process may trust its VM list. */
+export enum ListTrust {
+  /** Confirmed, and older lists are known as far as they matter. */
+  Settled = "settled",
+  /** Not confirmed within the longest lag. */
+  Stale = "stale",
+  /** The process can't know which lists came before. */
+  Young = "young",
+}
+
+/** What shares are reckoned from. */
+export interface MembershipBasis {
+  /** Members of all lists within the window. */
+  size: number;
+  trust: ListTrust;
+}
+
 /** The entry VMs whose backing decides a pool's leader. */
 export interface Membership {
   /** Whether a VM's backing counts. */
   counts(vm: string): boolean;
   /** Members of all lists within the window. */
   all(): ReadonlySet<string>;
-  /** Share of each limit that belongs to a number of backers, 0 to 1. */
-  share(backers: number): number;
+  basis(): MembershipBasis;
 }
 
 /** Where the members come from. */
@@ -23,8 +39,8 @@
   history: ListHistory<List>;
   /** Members according to one list. */
   select: (list: List) => readonly string[];
-  /** Longest lag of a list. */
-  windowMs: number;
+  /** How long whoever left is reckoned with and whoever joined isn't. */
+  windowMs: () => number;
   /** Whether the list in force was confirmed within its longest lag. */
   isConfirmed: () => boolean;
 }
@@ -41,12 +57,13 @@
   /** Time since when each member has been listed without a break. */
   let sinceMs = new Map<string, number>();
   let members = new Set<string>();
-  let version = -1;
+  let version = "";
 
   function refresh(): void {
-    const lists = history.lists();
-    if (history.version() === version) return;
-    version = history.version();
+    const lists = recentLists();
+    const next = `${history.version()} ${lists.length}`;
+    if (next === version) return;
+    version = next;
     members = new Set();
     sinceMs = new Map();
     for (const [age, past] of lists.entries()) {
@@ -60,37 +77,63 @@
     }
   }
 
-  function all(): ReadonlySet<string> {
-    refresh();
-    return members;
+  function recentLists(): PastList<List>[] {
+    const fromMs = clock.now() - windowMs();
+    return history.lists().filter((past) => past.untilMs >= fromMs);
+  }
+
+  function isYoung(): boolean {
+    return history.spanMs() < windowMs();
+  }
+
+  function trust(): ListTrust {
+    if (isYoung()) return ListTrust.Young;
+    return options.isConfirmed() ? ListTrust.Settled : ListTrust.Stale;
   }
 
   return {
-    all,
+    all() {
+      refresh();
+      return members;
+    },
     counts(vm) {
       refresh();
       const listedMs = sinceMs.get(vm);
       if (listedMs === undefined) return false;
-      if (clock.now() - listedMs >= windowMs) return true;
-      const oldestMs = history.lists().at(-1)?.fromMs;
-      return history.isYoung() && listedMs === oldestMs;
+      if (clock.now() - listedMs >= windowMs()) return true;
+      return isYoung() && listedMs === history.lists().at(-1)?.fromMs;
     },
-    share(backers) {
-      const size = all().size;
-      if (size === 0) return 0;
-      if (history.isYoung()) return youngShare(backers, size);
-      if (options.isConfirmed()) return backers / size;
-      return backers / (size / (1 - UNSEEN_CHURN));
+    basis() {
+      refresh();
+      return { size: members.size, trust: trust() };
     },
   };
 }
 
-/**
- * A young process can't tell joiners from old members: an older list may be as
- * small as all but the churn, and hold the churn's number of VMs unknown here.
- * Their leaders may have what those and the members not backing here make.
- */
-function youngShare(backers: number, members: number): number {
-  const others = members - backers + members * UNSEEN_CHURN;
-  return Math.max(0, 1 - others / (members * (1 - UNSEEN_CHURN)));
+/** Share of each limit that belongs to a number of backers, 0 to 1. */
+export function shareOfBackers(
+  backers: number,
+  { size, trust }: MembershipBasis,
+): number {
+  return size === 0 ? 0 : SHARES[trust](backers, size);
+}
+
+const SHARES: Record<ListTrust, (backers: number, size: number) => number> = {
+  [ListTrust.Settled]: (backers, size) => backers / size,
+  [ListTrust.Stale]: (backers, size) => backers / (size + largestLoss(size)),
+  /**
+   * A young process can't tell joiners from old members: an older list may
+   * lack the joiners and hold the leavers. Its leaders may have what those and
+   * the members that don't back this one make of it.
+   */
+  [ListTrust.Young](backers, size) {
+    const others = size - backers + largestLoss(size);
+    const joiners = Math.floor(size * UNSEEN_CHURN);
+    return Math.max(0, 1 - others / (size - joiners));
+  },
+};
+
+/** Most VMs that an older list had beside the members known here. */
+function largestLoss(size: number): number {
+  return Math.floor(size * UNSEEN_CHURN / (1 - UNSEEN_CHURN));
 }
--- a/packages/lease/src/create_upstream_account.ts
+++ b/packages/lease/src/create_upstream_account.ts
@@ -20,6 +20,16 @@
   arrivedMs: number;
 }
 
+/** Calls that belong to a number of backers. */
+export interface AccountShares {
+  /** By the basis that is let in. */
+  present(backers: number): number;
+  /** By the basis that a report lets in. */
+  next(backers: number): number;
+  /** Since when the next basis holds; nothing if it is let in already. */
+  changedAtMs: number | undefined;
+}
+
 /**
  * What a leader knows of one upstream's calls: those under its own permits,
  * and an upper bound of those granted by leaders before or beside it.
@@ -36,14 +46,14 @@
   /** Moves the permits of an entry that is gone to the unseen calls. */
   lose(permits: readonly string[]): void;
   /**
-   * Takes a load report. New backers are let in unless that would leave fewer
-   * calls; `sharedCalls` tells how many belong to a number of backers.
+   * Takes a load report. New backers and a new basis are let in unless that
+   * would leave fewer calls. Returns whether they were.
    */
   report(
     load: CountedLoad,
     backers: readonly AccountBacker[],
-    sharedCalls: (backers: number) => number,
-  ): void;
+    shares: AccountShares,
+  ): boolean;
   /** Notes that every entry has reported: nothing is unseen. */
   complete(backers: readonly AccountBacker[]): void;
   /** Whether a backer's share of this upstream may be used. */
@@ -76,12 +86,15 @@
   let basisMs = -Infinity;
 
   function take(load: CountedLoad): void {
-    const own = surelyRunning(load.measuredMs);
-    unseen = Math.max(0, load.calls - own.size);
-    subtracted = own;
+    unseen = boundOf(load);
+    subtracted = surelyRunning(load.measuredMs);
     takenAtMs = clock.now();
   }
 
+  function boundOf({ calls, measuredMs }: CountedLoad): number {
+    return Math.max(0, calls - surelyRunning(measuredMs).size);
+  }
+
   function surelyRunning(atMs: number): Set<string> {
     const permits = new Set<string>();
     for (const [permit, { sinceMs }] of live) {
@@ -140,25 +153,29 @@
       const startedMs = clock.now() + GRANT_VALID_MS + START_MS;
       basisMs = Math.max(basisMs, startedMs);
     },
-    report(load, backers, sharedCalls) {
+    report(load, backers, shares) {
       const { measuredMs } = load;
-      if (measuredMs < basisMs) return;
+      if (measuredMs < basisMs) return false;
+      const isPast = (atMs: number) => atMs + START_MS <= measuredMs;
       const before = backers.filter(counts);
       const arrived = backers.filter((backer) =>
-        !counts(backer) && backer.arrivedMs + START_MS <= measuredMs
+        !counts(backer) && isPast(backer.arrivedMs)
       );
-      const own = surelyRunning(measuredMs).size;
-      const bound = Math.max(0, load.calls - own);
-      const present = sharedCalls(before.length) - unseenNow();
-      const next = sharedCalls(before.length + arrived.length) - bound;
-      if (arrived.length > 0 && next >= present) {
+      const { changedAtMs = Infinity } = shares;
+      const rebase = isPast(changedAtMs);
+      const bound = boundOf(load);
+      const calls = rebase ? shares.next : shares.present;
+      const next = calls(before.length + arrived.length) - bound;
+      const present = shares.present(before.length) - unseenNow();
+      if ((rebase || arrived.length > 0) && next >= present) {
         take(load);
         basisMs = measuredMs;
         unseenEndMs = clock.now() + callMs();
         for (const backer of arrived) counted.add(backer.key);
-      } else if (bound < unseen) {
-        take(load);
+        return rebase;
       }
+      if (bound < unseen) take(load);
+      return false;
     },
     complete(backers) {
       unseen = 0;
--- a/packages/sessions/src/run_lease_model.ts
+++ b/packages/sessions/src/run_lease_model.ts
@@ -533,8 +533,10 @@
       ): void {
         const asked = asks.delete(grant.id);
         const valid = process.clock.now() < grant.stamp + GRANT_VALID_MS;
-        const backed = ledger.leaderOf(POOL) ?? grant.leader;
-        if (asked && valid && backed === grant.leader) {
+        const usable = ledger.mayUse(POOL, grant.leader);
+        if (asked && valid && usable) {
+          // Whoever is backed next must hear of this call.
+          if (ledger.leaderOf(POOL) !== grant.leader) told.clear();
           start(grant.permit, grant.leader, broker);
         } else {
           sendToBroker(vm, broker, (side) => side.onDone(grant.permit));
@@ -587,22 +589,25 @@
       const { clock } = process;
       const history = createListHistory<readonly string[]>({
         clock,
-        windowMs: WINDOW_MS,
-      });
-      const membership = createMembership({
-        clock,
-        history,
-        select: (members) => members,
-        windowMs: WINDOW_MS,
-        isConfirmed: () => clock.now() - confirmedMs < MODEL_LIST_LAG_MS,
+        keepMs: WINDOW_MS + scenario.callMs,
       });
+      const membershipOver = (windowMs: number) =>
+        createMembership({
+          clock,
+          history,
+          select: (members) => members,
+          windowMs: () => windowMs,
+          isConfirmed: () => clock.now() - confirmedMs < MODEL_LIST_LAG_MS,
+        });
+      const membership = membershipOver(WINDOW_MS);
+      const callers = membershipOver(WINDOW_MS + scenario.callMs);
       const tenure = createLeaderTenure({
         clock,
         membership,
-        callers: membership.all,
+        callers: callers.all,
         callMs: () => scenario.callMs,
         reportsLoad: () => scenario.reportsLoad,
-        isYoung: history.isYoung,
+        knowsCallers: () => history.spanMs() >= WINDOW_MS + scenario.callMs,
       });
       return {
         history,
