Let entries back one leader at a time, and leaders use their share

Every broker that an entry reached granted up to the whole limit, so that two leaders of a pool could pass it together; a grant could be used at any time; a broker's death left its waiting asks to the closing of its links.

Brokers keep tenures (create_leadership) and grant within their share, less the calls of others that a load report shows. Pools that share an upstream share a lease, and so a leader. An entry is ready only when it can back a leader.

Small changes in admin (lease, share, unseen in the status), document (resolveLease), platform (selectMembers) and link (messages) go with it.

--- a/packages/admin/src/process_status.ts
+++ b/packages/admin/src/process_status.ts
@@ -42,7 +42,9 @@
   /** Requests that wait, by class. */
   queue: Record<string, number>;
   upstreams: UpstreamStatus[];
-  /** Processes whose lease the leader holds, where leases are kept. */
+  /** Lease of the pool, shared with pools of the same upstreams. */
+  lease?: string;
+  /** VMs whose backing the broker holds; it leads if there are any. */
   backers?: string[];
 }
 
@@ -54,4 +56,8 @@
   limit: number;
   /** Calls in progress that this leader knows of. */
   live: number;
+  /** Share of the limit that this leader may use, 0 to 1. */
+  share?: number;
+  /** Most calls of others that may be in progress there. */
+  unseen?: number;
 }
--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -23,18 +23,22 @@
   LogPart,
   repeat,
   Role,
+  sleep,
   useLog,
 } from "@rosemarytiller/shared";
 import { createTimeline } from "@rosemarytiller/timeline";
 import { once } from "node:events";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import { createLeadership } from "./create_leadership.ts";
 import { createPool, type Pool } from "./create_pool.ts";
 import { gaugePools } from "./gauge_pools.ts";
+import { BEAT_MS, createBeats } from "./create_beats.ts";
+import { addLease } from "./add_lease.ts";
 import { pollLoad } from "./poll_load.ts";
 
-/** Time between two beats to each link. */
-export const BEAT_MS = 300;
+/** Time for the last messages of a stopping broker to leave. */
+export const RELEASE_FLUSH_MS = 100;
 
 /** A running broker. */
 export interface Broker {
@@ -66,7 +70,13 @@
   const view = createFleetView({ clock });
   const pools = new Map<string, Pool>();
   const links = new Set<Link>();
-  const stamps = new Map<Link, number>();
+  const leadership = createLeadership({
+    view,
+    clock,
+    timeline,
+    listLagMs: settings.listLagMs,
+  });
+  const beats = createBeats(leadership, { clock, view });
   const exchange = createFleetExchange(view, { clock, role: Role.Broker });
   const peers = createPeerLinks(view, {
     identity,
@@ -86,39 +96,54 @@
       clock,
       timeline,
       metrics,
-      shareOf: (_upstream, limit) => limit,
-      stampOf: (link) => stamps.get(link) ?? 0,
+      shareOf: (upstream, limit) => leadership.shareOf(name, upstream, limit),
+      stampOf: leadership.stampOf,
+      onGranted: leadership.onGranted,
     });
     pools.set(name, pool);
-    timeline.record(EventKind.LeadershipTaken, "", { pool: name });
     return pool;
   }
 
   const handlers: MessageHandlers<Link> = {
     ...exchange.handlers,
     [MessageKind.Ask](ask, link) {
-      stamps.set(link, ask.stamp);
+      leadership.onAsk(ask.pool, ask.stamp, link);
+      beats.tellChanges(links);
       poolOf(ask.pool).ask(ask, link);
     },
     [MessageKind.CancelAsk]({ id }) {
       for (const pool of pools.values()) pool.cancel(id);
     },
-    [MessageKind.Done]: (done) => poolOf(done.pool).done(done),
+    [MessageKind.Done](done) {
+      leadership.onDone(done.permit);
+      poolOf(done.pool).done(done);
+    },
     [MessageKind.Back](back, link) {
-      stamps.set(link, back.stamp);
-      for (const permit of back.live) poolOf(permit.pool).adopt(permit);
+      const { adopted, ended } = leadership.onBack(back, link);
+      forget(ended);
+      for (const permit of adopted) poolOf(permit.pool).adopt(permit);
+      for (const pool of pools.values()) pool.pump();
     },
   };
 
+  function forget(permits: readonly string[]): void {
+    for (const permit of permits) {
+      for (const pool of pools.values()) pool.forget(permit);
+    }
+  }
+
   async function serve(link: Link): Promise<void> {
     links.add(link);
     exchange.open(link);
+    leadership.openLink(link);
+    beats.tell(link);
     await link.messages.observe((message) => {
       handleMessage(handlers, message, link);
     });
     links.delete(link);
     exchange.close(link);
-    stamps.delete(link);
+    leadership.closeLink(link);
+    beats.forget(link);
     for (const pool of pools.values()) pool.dropLink(link);
   }
 
@@ -151,7 +176,9 @@
         broker: {
           watching: watch.isWatching(),
           peers: peers.vms(),
-          pools: [...pools.values()].map((pool) => pool.status()),
+          pools: [...pools.values()].map((pool) =>
+            addLease(pool.status(), leadership)
+          ),
         },
       }),
       timeline,
@@ -167,20 +194,12 @@
     vm: settings.vm,
     dataCentre: settings.dataCentre,
   });
-  const polling = pollLoad(() => pools.values(), { clock });
+  const polling = pollLoad(() => pools.values(), { clock, leadership });
   const cancelBeat = repeat(clock, BEAT_MS, () => {
     for (const pool of pools.values()) pool.pump();
     gaugePools(metrics, pools.values());
-    const summaries = [...pools.values()].map((pool) => pool.summary());
-    for (const link of links) {
-      link.send({
-        kind: MessageKind.Beat,
-        stamp: clock.now(),
-        pools: summaries,
-        revision: view.revision(),
-        listRevision: view.listRevision(),
-      });
-    }
+    forget(leadership.check());
+    beats.tellAll(links, () => [...pools.values()].map((one) => one.summary()));
   });
   timeline.record(EventKind.ProcessStarted, "");
   log.info(`Listening on ${address}:${port}.`);
@@ -191,6 +210,8 @@
       stopping = true;
       timeline.record(EventKind.ProcessStopping, "");
       cancelBeat();
+      leadership.releaseAll();
+      await sleep(clock, RELEASE_FLUSH_MS);
       polling.stop();
       watch.stop();
       exchange.stop();
--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -56,6 +56,8 @@
   shareOf(upstream: string, limit: number): number;
   /** Newest stamp of the process behind a link. */
   stampOf(link: Link): number;
+  /** Hears of each permit as it is granted. */
+  onGranted?(permit: LivePermit, link: Link): void;
   /** Numbers from 0 to 1 for the jitter of refusals. */
   random?: () => number;
 }
@@ -68,6 +70,8 @@
   done(message: DoneMessage): void;
   /** Takes over the permits that an entry still holds. */
   adopt(permit: LivePermit): void;
+  /** Drops a permit whose end is not known; its limit learns nothing. */
+  forget(permit: string): void;
   /** Takes a load report of an upstream. */
   report(upstream: string, report: LoadReport): void;
   /** Drops the asks of a link that has ended. */
@@ -128,14 +132,16 @@
     const { ask, link } = asked;
     const pool = ask.pool;
     const permit = createId("permit");
-    upstreams.find(upstreamName)!.live.set(permit, {
+    const live: LivePermit = {
       permit,
       pool,
       upstream: upstreamName,
       className: ask.className,
       client: ask.client,
       fingerprint: ask.fingerprint,
-    });
+    };
+    upstreams.find(upstreamName)!.live.set(permit, live);
+    options.onGranted?.(live, link);
     link.send({
       kind: MessageKind.Grant,
       id: ask.id,
@@ -291,6 +297,9 @@
       upstreams.current();
       upstreams.find(permit.upstream)?.live.set(permit.permit, permit);
     },
+    forget(permit) {
+      for (const upstream of upstreams.current()) upstream.live.delete(permit);
+    },
     report(upstream, report) {
       upstreams.find(upstream)?.limit.onReport(report, clock.now());
       pump();
--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -3,3 +3,4 @@
 export * from "./parse_document.ts";
 export * from "./classify_request.ts";
 export * from "./pools.ts";
+export * from "./resolve_lease.ts";
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -109,6 +109,10 @@
   let active = 0;
   let onIdle = () => {};
 
+  function isEntryReady(): boolean {
+    return view.isReady() && permits.isReady() && !stopping;
+  }
+
   function checkOpen(): void {
     if (stopping) {
       throw new TillerError(ErrorKind.Stopping, "this process is stopping");
@@ -185,12 +189,12 @@
   }, (request, response) => void serveRequest(request, response));
   const admin = createServer((request, response) =>
     handleAdminRequest(request, response, {
-      isReady: () => view.isReady() && !stopping,
+      isReady: isEntryReady,
       status: () => ({
         process: `${settings.vm}/entry`,
         role: Role.Entry,
         dataCentre: settings.dataCentre,
-        ready: view.isReady() && !stopping,
+        ready: isEntryReady(),
         stopping,
         revisions: view.revisions(),
         listRevision: view.listRevision(),
--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -1,4 +1,5 @@
 import { formatPool, type PoolName } from "@rosemarytiller/document";
+import { GRANT_VALID_MS } from "@rosemarytiller/lease";
 import {
   type GrantMessage,
   handleMessage,
@@ -9,29 +10,30 @@
   type LivePermit,
   type MessageHandlers,
   MessageKind,
+  type PublishedVm,
   type RefuseMessage,
 } from "@rosemarytiller/link";
-import {
-  createFleetExchange,
-  type FleetView,
-  rankLeaders,
-} from "@rosemarytiller/platform";
+import { createFleetExchange, type FleetView } from "@rosemarytiller/platform";
 import {
   CallOutcome,
   type Clock,
   createId,
   ErrorKind,
   EventKind,
+  repeat,
   sleep,
   TillerError,
 } from "@rosemarytiller/shared";
 import type { Timeline } from "@rosemarytiller/timeline";
 import type { Call } from "./call.ts";
+import { createBacking } from "./create_backing.ts";
 
-/** How long after its stamp a grant may still be used. */
-export const GRANT_VALID_MS = 500;
 /** Delay before an ask goes to the next leader. */
 export const ASK_AGAIN_MS = 50;
+/** How much longer than its wait an ask may take to be refused. */
+export const ASK_GRACE_MS = 100;
+/** When a caller should come back after no leader answered. */
+export const NO_LEADER_RETRY_MS = 1000;
 
 /** How a call ended, for the leader that granted it. */
 export interface CallReport {
@@ -60,11 +62,14 @@
   finish(permit: Permit, report: CallReport): void;
   /** Permits whose calls are in progress. */
   liveCount(): number;
+  /** Whether permits can be had by now, as far as this entry goes. */
+  isReady(): boolean;
   close(): void;
 }
 
 interface PendingAsk {
   settle(answer: GrantMessage | RefuseMessage | undefined): void;
+  pool: string;
   link: Link;
 }
 
@@ -89,21 +94,21 @@
   /** VM of the broker that granted each live permit. */
   const granters = new Map<string, string>();
 
+  const backing = createBacking({
+    vm: identity.vm,
+    view,
+    clock,
+    timeline,
+    linkTo: (vm) => linkTo(vm.name, addressOf(vm)),
+    livePermits: () => live.values(),
+    onMoved: moveAsks,
+  });
   const exchange = createFleetExchange(view, { clock, role: identity.role });
   const handlers: MessageHandlers<Link> = {
     ...exchange.handlers,
     [MessageKind.Grant]: settle,
     [MessageKind.Refuse]: settle,
-    [MessageKind.Beat](beat, link) {
-      link.send({
-        kind: MessageKind.Back,
-        echo: beat.stamp,
-        stamp: clock.now(),
-        listRevision: view.listRevision(),
-        pools: [],
-        live: [],
-      });
-    },
+    ...backing.handlers,
   };
 
   function settle(answer: GrantMessage | RefuseMessage, link: Link): void {
@@ -129,15 +134,37 @@
 
   async function serve(link: Link): Promise<void> {
     exchange.open(link);
+    backing.open(link);
     await link.messages.observe((message) => {
       handleMessage(handlers, message, link);
     });
     exchange.close(link);
+    backing.close(link);
     for (const ask of [...pending.values()]) {
       if (ask.link === link) ask.settle(undefined);
     }
   }
 
+  /** Asks again elsewhere what waits at a broker that is not the one to ask. */
+  function moveAsks(): void {
+    const leaders = new Map<string, Link | undefined>();
+    for (const [id, ask] of [...pending]) {
+      if (!leaders.has(ask.pool)) {
+        leaders.set(ask.pool, backing.leaderLink(ask.pool));
+      }
+      const link = leaders.get(ask.pool);
+      if (link === ask.link) continue;
+      if (!link && backing.isAlive(ask.link)) continue;
+      ask.link.send({ kind: MessageKind.CancelAsk, id });
+      ask.settle(undefined);
+    }
+  }
+
+  function addressOf(vm: PublishedVm): string {
+    if (vm.name === identity.vm) return ownBroker;
+    return linkAddresses[vm.name] ?? vm.broker;
+  }
+
   function linkTo(vm: string, address: string): Link | undefined {
     let link = kept.get(vm);
     if (!link) {
@@ -147,19 +174,6 @@
     return link.current();
   }
 
-  /** Link to the first reachable candidate for a pool. */
-  function leaderLink(pool: PoolName): Link | undefined {
-    const candidates = rankLeaders(formatPool(pool), {
-      dataCentre: pool.dataCentre,
-      vms: view.vms(),
-    });
-    for (const vm of candidates) {
-      const link = linkTo(vm.name, linkAddresses[vm.name] ?? vm.broker);
-      if (link) return link;
-    }
-    return undefined;
-  }
-
   function askOnce(
     link: Link,
     call: Call,
@@ -176,11 +190,14 @@
         answer: GrantMessage | RefuseMessage | undefined,
       ): void {
         signal.removeEventListener("abort", onAbort);
+        cancelTimer();
         pending.delete(id);
         resolve(answer);
       }
+      // A leader that can still answer refuses by itself, and says more.
+      const cancelTimer = clock.after(rest.queueMs + ASK_GRACE_MS, onAbort);
       signal.addEventListener("abort", onAbort, { once: true });
-      pending.set(id, { settle: finishAsk, link });
+      pending.set(id, { settle: finishAsk, pool: rest.pool, link });
       timeline.record(EventKind.PermitAsked, call.request, {
         ask: id,
         pool: rest.pool,
@@ -195,13 +212,14 @@
         promptTokens: call.promptTokens,
         prefix: call.prefix,
         fingerprint: call.fingerprint,
-        stamp: clock.now(),
+        stamp: backing.stamp(),
         ...rest,
       });
     });
   }
 
   linkTo(identity.vm, ownBroker);
+  const cancelMoves = repeat(clock, ASK_AGAIN_MS, moveAsks);
   return {
     async ask(call, poolName, { avoid, retry, signal }) {
       const pool = formatPool(poolName);
@@ -209,7 +227,7 @@
       while (!signal.aborted) {
         const queueMs = deadlineMs - clock.now();
         if (queueMs <= 0) break;
-        const link = leaderLink(poolName);
+        const link = backing.leaderLink(pool);
         if (!link) {
           await sleep(clock, ASK_AGAIN_MS);
           continue;
@@ -222,6 +240,12 @@
           throw new TillerError(error, detail, { retryAfterMs });
         }
         const { permit, upstream } = answer;
+        // A process that slept, or was told to back another, must not start.
+        const isLate = clock.now() >= answer.stamp + GRANT_VALID_MS;
+        if (isLate || !backing.mayUse(pool, link)) {
+          giveBack(answer, link);
+          continue;
+        }
         const { name: className } = call.requestClass;
         const { client, fingerprint } = call;
         live.set(permit, {
@@ -235,26 +259,26 @@
         granters.set(permit, link.vm);
         return { permit, pool, upstream };
       }
-      throw new TillerError(ErrorKind.Overloaded, "no permit came in time");
+      throw new TillerError(ErrorKind.Overloaded, "no permit came in time", {
+        retryAfterMs: NO_LEADER_RETRY_MS,
+      });
     },
     finish(permit, report) {
       live.delete(permit.permit);
-      const name = permit.pool;
-      const dataCentre = name.slice(name.lastIndexOf("@") + 1);
-      const ranked = rankLeaders(name, { dataCentre, vms: view.vms() })
-        .map((vm) => vm.name);
-      // A better-ranked broker may have come in reach since the grant.
-      const granter = granters.get(permit.permit);
+      const granter = granters.get(permit.permit) ?? "";
       granters.delete(permit.permit);
-      for (const vm of granter ? [granter, ...ranked] : ranked) {
-        const link = kept.get(vm)?.current();
-        if (!link) continue;
-        link.send({ kind: MessageKind.Done, ...permit, ...report });
-        return;
-      }
+      const done = { kind: MessageKind.Done as const, ...permit, ...report };
+      const links = new Set([
+        kept.get(granter)?.current(),
+        backing.leaderLink(permit.pool),
+      ]);
+      for (const link of links) link?.send(done);
     },
+    isReady: backing.isReady,
     liveCount: () => live.size,
     close() {
+      backing.stop();
+      cancelMoves();
       for (const link of kept.values()) link.close();
     },
   };
--- a/packages/lease/src/create_leader_tenure.ts
+++ b/packages/lease/src/create_leader_tenure.ts
@@ -50,6 +50,8 @@
   lose(vm: string): string[];
   /** Lets one backer go for good under its present term. */
   release(vm: string): void;
+  /** Whether a backing was released and its entry has yet to hear of it. */
+  isReleased(backing: Pick<Backing, "vm" | "incarnation" | "term">): boolean;
   /** Backers whose leases haven't run out. */
   backers(): string[];
   /** Account of an upstream. */
@@ -291,6 +293,10 @@
       known.delete(vm);
       released.set(vm, backer);
     },
+    isReleased(backing) {
+      const gone = released.get(backing.vm);
+      return gone !== undefined && !isNewer(backing, gone);
+    },
     backers() {
       const nowMs = clock.now();
       return [...known]
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -123,7 +123,13 @@
   kind: MessageKind.Beat;
   /** Monotonic time of the broker when it sent this, in milliseconds. */
   stamp: number;
-  /** Short state of the pools that the broker leads. */
+  /** Whether the next beats come seldom, for want of traffic. */
+  idle: boolean;
+  /** Leases that the broker wants to be backed for; absent if unchanged. */
+  wants?: string[];
+  /** Leases for which the broker is backed; absent if unchanged. */
+  leads?: string[];
+  /** Short state of the pools that the broker leads; at times empty. */
   pools: PoolSummary[];
   /** Revision of the documents in force at the broker. */
   revision: number;
@@ -149,10 +155,16 @@
   stamp: number;
   /** Revision of the entry's VM list. */
   listRevision: number;
-  /** Pools for which the entry backs the broker. */
-  pools: string[];
-  /** Live permits of pools that the broker leads, if they changed hands. */
-  live: LivePermit[];
+  /** Age of that list at the entry, in milliseconds. */
+  listAgeMs: number;
+  /** Whether no call of an earlier process of the VM can be in progress. */
+  vouches: boolean;
+  /** Leases for which the entry backs the broker; absent if unchanged. */
+  terms?: [lease: string, term: number][];
+  /** All live permits of the leases that were not told on this link before. */
+  live?: Record<string, LivePermit[]>;
+  /** Leases for which a broker of a higher rank has come back. */
+  prefers?: string[];
 }
 
 /** A permit whose call is in progress. */
@@ -165,10 +177,12 @@
   fingerprint: string;
 }
 
-/** A leaving leader gives its pools up; backers are free at once. */
+/** A leader counts the receiver no more for these leases. */
 export interface ReleaseMessage {
   kind: MessageKind.Release;
-  pools: string[];
+  leases: string[];
+  /** Whether the broker is about to stop. */
+  stopping: boolean;
 }
 
 /** An entry claims an idempotency key. */
