--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -7,13 +7,14 @@
   MessageKind,
   serveLinks,
 } from "@rosemarytiller/link";
-import { createMetrics, MetricName } from "@rosemarytiller/metrics";
+import { createMetrics } from "@rosemarytiller/metrics";
 import {
   createFleetExchange,
   createFleetView,
   createPeerLinks,
   FleetChangeKind,
   type PlatformPort,
+  recordFleetChanges,
   watchPlatform,
 } from "@rosemarytiller/platform";
 import type { Settings } from "@rosemarytiller/settings";
@@ -147,13 +148,8 @@
     for (const pool of pools.values()) pool.dropLink(link);
   }
 
-  void view.changes.observe((change) => {
-    const { kind, key, revision } = change;
-    const event = REVISION_EVENTS[kind];
-    if (event) timeline.record(event, "", { key, revision });
-    if (kind === FleetChangeKind.Document) {
-      metrics.gauge(MetricName.DocumentRevision, revision, { key });
-    }
+  recordFleetChanges(view, { timeline, metrics });
+  void view.changes.observe(({ kind }) => {
     if (kind === FleetChangeKind.VmList) {
       peers.update();
       exchange.expectPeers(peers.vms());
@@ -225,9 +221,3 @@
     },
   };
 }
-
-const REVISION_EVENTS: Partial<Record<FleetChangeKind, EventKind>> = {
-  [FleetChangeKind.Document]: EventKind.RevisionAccepted,
-  [FleetChangeKind.DocumentRefused]: EventKind.RevisionRefused,
-  [FleetChangeKind.VmList]: EventKind.MembershipChanged,
-};
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -1,7 +1,7 @@
 import { handleAdminRequest } from "@rosemarytiller/admin";
 import type { LinkIdentity } from "@rosemarytiller/link";
 import { createMetrics, MetricName } from "@rosemarytiller/metrics";
-import { createFleetView } from "@rosemarytiller/platform";
+import { createFleetView, recordFleetChanges } from "@rosemarytiller/platform";
 import type { Settings } from "@rosemarytiller/settings";
 import {
   type Clock,
@@ -74,6 +74,7 @@
   const timeline = createTimeline({ process: `${settings.vm}/entry`, clock });
   const metrics = createMetrics(settings.statsd);
   const view = createFleetView({ clock });
+  recordFleetChanges(view, { timeline, metrics });
   const permits = createPermits({
     identity,
     view,
--- a/packages/link/src/create_link.ts
+++ b/packages/link/src/create_link.ts
@@ -166,13 +166,25 @@
     });
     const answer = await io.inbox.take();
     const expected = sign(key, [nonce, peer.vm, peer.role, peer.incarnation]);
-    if (!isProof(answer, expected)) throw refuse(socket, "wrong key");
+    if (!isProof(answer, expected)) {
+      warnOfKey(`${peer.vm}/${peer.role}`);
+      throw refuse(socket, "wrong key");
+    }
     return peer;
   } finally {
     cancel();
   }
 }
 
+const peersOfOtherKey = new Set<string>();
+
+/** Warns once of a peer; it will try again every second. */
+function warnOfKey(peer: string): void {
+  if (peersOfOtherKey.has(peer)) return;
+  peersOfOtherKey.add(peer);
+  useLog(LogPart.Link).warn(`${peer} has another link key; refused.`);
+}
+
 function sign(key: string, parts: readonly string[]): string {
   return createHmac("sha256", key).update(parts.join("\n")).digest("base64url");
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,3 +9,4 @@
 export * from "./select_peers.ts";
 export * from "./watch_platform.ts";
 export * from "./watch_replica.ts";
+export * from "./record_fleet_changes.ts";
--- a/packages/sessions/src/start_fleet.ts
+++ b/packages/sessions/src/start_fleet.ts
@@ -58,6 +58,8 @@
   upstreamVms?: Record<string, string>;
   /** Settings beside the addresses. */
   settings?: Record<string, unknown>;
+  /** Takes what the processes write, in place of this process's output. */
+  onOutput?: (text: string) => void;
   /** Whether links between VMs go through relays. */
   relayed?: boolean;
 }
@@ -92,9 +94,13 @@
   const children = new Set<ChildProcess>();
 
   function run(role: string, file: string): ChildProcess {
+    const { onOutput } = options;
+    const output = onOutput ? "pipe" : "inherit";
     const child = spawn(process.execPath, [MAIN, role, "--settings", file], {
-      stdio: ["ignore", "inherit", "inherit"],
+      stdio: ["ignore", output, output],
     });
+    child.stdout?.on("data", (chunk) => onOutput!(String(chunk)));
+    child.stderr?.on("data", (chunk) => onOutput!(String(chunk)));
     children.add(child);
     child.once("exit", () => children.delete(child));
     return child;
