--- a/packages/timeline/src/order_events_test.ts
+++ b/packages/timeline/src/order_events_test.ts
@@ -1,6 +1,7 @@
 import { EventKind } from "@rosemarytiller/shared";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Script } from "node:vm";
 import type { TimelineEvent } from "./create_timeline.ts";
 import { filterEvents } from "./filter_events.ts";
 import { formatEventsAsHtml, formatEventsAsText } from "./format_events.ts";
@@ -114,6 +115,8 @@
   assert.ok(page.includes("\\u003c/script>\\u003cb>"));
   assert.ok(!/(src|href)=/.test(page));
   assert.equal(page.match(/<\/script>/g)?.length, 2);
+  const [, script] = /<script>([^]*)<\/script>/.exec(page)!;
+  assert.doesNotThrow(() => new Script(script));
 });
 
 test("the text has one line for each event", () => {
