Start no call on what is out, and return it cold

Cause: an upstream whose VM had gone from the VM list still got calls; one that came back from leaving or out of service kept its warm limit, though it may have been restarted meanwhile; an entry started on any grant, though its own document already said that the upstream was out.

One rule, isUpstreamOpen, now says for leader and entry alike whether a new call may start: upstream, VM and data centre in service by the document and the VM live in the list. A list without any upstream VM says nothing of them. Whoever hears first keeps the call away; the entry gives such a grant back and asks again without that upstream. A returning upstream starts with a new, cold limit.

--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -1,25 +1,25 @@
 import {
-  isUpstreamInService,
   listPoolUpstreams,
   type PoolName,
   type ServiceDocument,
   type UpstreamEntry,
 } from "@rosemarytiller/document";
 import type { LivePermit } from "@rosemarytiller/link";
-import type { FleetView } from "@rosemarytiller/platform";
+import { type FleetView, isUpstreamOpen } from "@rosemarytiller/platform";
 import {
   createUpstreamLimit,
   type QueuedRequest,
   type UpstreamCandidate,
   type UpstreamLimit,
 } from "@rosemarytiller/policy";
-import { VmState } from "@rosemarytiller/shared";
 
 /** An upstream as the leader of its pool sees it. */
 export interface PoolUpstream {
   readonly name: string;
   entry: UpstreamEntry;
-  readonly limit: UpstreamLimit;
+  limit: UpstreamLimit;
+  /** Whether new calls could start there when last looked at. */
+  isOpen: boolean;
   /** Permits in progress, by permit. */
   readonly live: Map<string, LivePermit>;
 }
@@ -58,26 +58,27 @@
     let upstream = known.get(name);
     if (!upstream) {
       const limit = createUpstreamLimit(entry);
-      upstream = { name, entry, limit, live: new Map() };
+      upstream = { name, entry, limit, isOpen: true, live: new Map() };
       known.set(name, upstream);
     }
     if (upstream.entry !== entry) {
       upstream.entry = entry;
       upstream.limit.setBounds(entry);
     }
+    const isOpen = isUpstreamOpen(view, pool.service, name);
+    // It may have been restarted while it was out of service.
+    if (isOpen && !upstream.isOpen) upstream.limit = createUpstreamLimit(entry);
+    upstream.isOpen = isOpen;
     return upstream;
   }
 
   function current(): PoolUpstream[] {
     const document = view.documentOf(pool.service);
     if (!document) return [];
-    const leaving = listLeavingVms(view);
     const upstreams: PoolUpstream[] = [];
     for (const [name, entry] of listPoolUpstreams(document, pool)) {
       const upstream = update(name, entry);
-      if (!isUpstreamInService(document, name)) continue;
-      if (leaving.has(entry.vm)) continue;
-      upstreams.push(upstream);
+      if (upstream.isOpen) upstreams.push(upstream);
     }
     return upstreams;
   }
@@ -111,14 +112,6 @@
   };
 }
 
-function listLeavingVms(view: FleetView): Set<string> {
-  const leaving = new Set<string>();
-  for (const { name, state } of view.vms()) {
-    if (state === VmState.Leaving) leaving.add(name);
-  }
-  return leaving;
-}
-
 /** Upstreams that a request's class names; empty means all. */
 function listAllowed(
   document: ServiceDocument | undefined,
--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -13,7 +13,11 @@
   type PublishedVm,
   type RefuseMessage,
 } from "@rosemarytiller/link";
-import { createFleetExchange, type FleetView } from "@rosemarytiller/platform";
+import {
+  createFleetExchange,
+  type FleetView,
+  isUpstreamOpen,
+} from "@rosemarytiller/platform";
 import {
   CallOutcome,
   type Clock,
@@ -224,6 +228,7 @@
     async ask(call, poolName, { avoid, retry, signal }) {
       const pool = formatPool(poolName);
       const deadlineMs = call.arrivedMs + call.requestClass.queueMs;
+      const closed: string[] = [];
       while (!signal.aborted) {
         const queueMs = deadlineMs - clock.now();
         if (queueMs <= 0) break;
@@ -232,7 +237,7 @@
           await sleep(clock, ASK_AGAIN_MS);
           continue;
         }
-        const rest = { pool, avoid, retry, queueMs };
+        const rest = { pool, avoid: [...avoid, ...closed], retry, queueMs };
         const answer = await askOnce(link, call, rest, signal);
         if (!answer) continue;
         if (answer.kind === MessageKind.Refuse) {
@@ -246,6 +251,12 @@
           giveBack(answer, link);
           continue;
         }
+        // Whoever hears first that an upstream is out keeps the call away.
+        if (!isUpstreamOpen(view, poolName.service, upstream)) {
+          giveBack(answer, link);
+          closed.push(upstream);
+          continue;
+        }
         const { name: className } = call.requestClass;
         const { client, fingerprint } = call;
         live.set(permit, {
--- a/packages/platform/src/create_fleet_view.ts
+++ b/packages/platform/src/create_fleet_view.ts
@@ -47,6 +47,10 @@
   documentOf(service: string): ServiceDocument | undefined;
   /** VM list in force. */
   vms(): readonly PublishedVm[];
+  /** A VM of the list in force. */
+  findVm(name: string): PublishedVm | undefined;
+  /** Whether the list in force names any VM of an upstream. */
+  listsUpstreamVms(): boolean;
   /** Revision of the VM list; 0 before the first. */
   listRevision(): number;
   /** Highest revision of a document in force; 0 before the first. */
@@ -95,6 +99,8 @@
   const refused = new Set<string>();
   const changes = createSubject<FleetChange>();
   let vms: readonly PublishedVm[] = [];
+  let vmsByName = new Map<string, PublishedVm>();
+  let listsUpstreamVms = false;
   let listRevision = 0;
   let confirmedAtMs = -Infinity;
   let platformAtMs = clock.now();
@@ -157,6 +163,8 @@
       return found?.document;
     },
     vms: () => vms,
+    findVm: (name) => vmsByName.get(name),
+    listsUpstreamVms: () => listsUpstreamVms,
     listRevision: () => listRevision,
     revision() {
       let highest = 0;
@@ -193,6 +201,8 @@
       if (list.revision === listRevision) return false;
       listRevision = list.revision;
       vms = list.vms;
+      vmsByName = new Map(vms.map((vm) => [vm.name, vm]));
+      listsUpstreamVms = vms.some((vm) => vm.kind === "upstream");
       const kind = FleetChangeKind.VmList;
       announce({ kind, key: "vms", revision: listRevision, detail: "" });
       return true;
--- a/packages/platform/src/is_upstream_open.ts
+++ b/packages/platform/src/is_upstream_open.ts
@@ -17,11 +17,8 @@
 }
 
 function isVmLive(view: FleetView, name: string): boolean {
-  let listsUpstreamVms = false;
-  for (const vm of view.vms()) {
-    if (vm.name === name) return vm.state === VmState.Live;
-    if (vm.kind === "upstream") listsUpstreamVms = true;
-  }
+  const vm = view.findVm(name);
+  if (vm) return vm.state === VmState.Live;
   // A list without any upstream VM says nothing of upstreams.
-  return !listsUpstreamVms;
+  return !view.listsUpstreamVms();
 }
