Adapt the limit of an upstream and probe it after a failure

Cause: the limit doubled after as many answers as itself, so a cold engine that needs more to warm fell over, was taken for cold and fell over again for ever; late reports, slow engines and failed connections did not count.

Growth by slow answers left the cold limit early, since a decrease switched the doubling, and with it the warm-up, off: the warm-up is a count of its own now. A load report asked before a crash and read after it passed for proof that the engine runs on: a report's age counts from the question.

Change: declared warm-up (warmAfterCalls in the document), adaptive limit by first-token times, load of others from the reports, probes with exponential delay, cold starts seen by a jump of the first token.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -252,9 +252,10 @@
     const upstream = upstreams.find(message.upstream);
     const live = upstream?.live.get(permit);
     if (!upstream || !live) return;
+    const targetMs = findClass(live.className)?.firstTokenMs;
+    upstream.limit.onFinished({ ...message, targetMs }, clock.now());
     upstream.live.delete(permit);
     timeline.record(EventKind.PermitReturned, "", { permit, outcome });
-    upstream.limit.onFinished(message, clock.now());
     admission.onFirstToken(live.className, firstTokenMs);
     pump();
   }
@@ -263,7 +264,7 @@
     return upstreams.current().map((upstream) => ({
       name: upstream.name,
       address: upstream.entry.address,
-      limit: upstream.limit.current(),
+      limit: upstream.limit.current(clock.now()),
       live: upstream.live.size,
     }));
   }
--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -12,6 +12,7 @@
   type UpstreamCandidate,
   type UpstreamLimit,
 } from "@rosemarytiller/policy";
+import type { Clock } from "@rosemarytiller/shared";
 
 /** An upstream as the leader of its pool sees it. */
 export interface PoolUpstream {
@@ -42,6 +43,7 @@
 /** What the upstreams of a pool need. */
 export interface PoolUpstreamsOptions {
   view: FleetView;
+  clock: Clock;
   /** Part of an upstream's limit that this leader may use now. */
   shareOf(upstream: string, limit: number): number;
 }
@@ -49,7 +51,7 @@
 /** Creates the list of a pool's upstreams. */
 export function createPoolUpstreams(
   pool: PoolName,
-  { view, shareOf }: PoolUpstreamsOptions,
+  { view, clock, shareOf }: PoolUpstreamsOptions,
 ): PoolUpstreams {
   const known = new Map<string, PoolUpstream>();
 
@@ -57,8 +59,9 @@
   function update(name: string, entry: UpstreamEntry): PoolUpstream {
     let upstream = known.get(name);
     if (!upstream) {
-      const limit = createUpstreamLimit(entry);
-      upstream = { name, entry, limit, isOpen: true, live: new Map() };
+      const live = new Map<string, LivePermit>();
+      const limit = newLimit(entry, live);
+      upstream = { name, entry, limit, isOpen: true, live };
       known.set(name, upstream);
     }
     if (upstream.entry !== entry) {
@@ -67,7 +70,9 @@
     }
     const isOpen = isUpstreamOpen(view, pool.service, name);
     // It may have been restarted while it was out of service.
-    if (isOpen && !upstream.isOpen) upstream.limit = createUpstreamLimit(entry);
+    if (isOpen && !upstream.isOpen) {
+      upstream.limit = newLimit(entry, upstream.live);
+    }
     upstream.isOpen = isOpen;
     return upstream;
   }
@@ -84,7 +89,7 @@
   }
 
   function usableLimit(upstream: PoolUpstream): number {
-    return shareOf(upstream.name, upstream.limit.current());
+    return shareOf(upstream.name, upstream.limit.current(clock.now()));
   }
 
   return {
@@ -122,3 +127,10 @@
   }
   return [];
 }
+
+function newLimit(
+  entry: UpstreamEntry,
+  live: ReadonlyMap<string, LivePermit>,
+): UpstreamLimit {
+  return createUpstreamLimit(entry, { outstanding: () => live.size });
+}
--- a/packages/broker/src/poll_load.ts
+++ b/packages/broker/src/poll_load.ts
@@ -62,7 +62,9 @@
       limit,
     };
     leadership.onLoad(first.name, name, load);
-    for (const pool of upstream.pools) pool.report(name, report);
+    // The numbers may be as old as the question: a crash may lie between.
+    const ageMs = report.ageMs + clock.now() - load.askedMs;
+    for (const pool of upstream.pools) pool.report(name, { ...report, ageMs });
   }
 
   function listUpstreams(): Iterable<PolledUpstream> {
--- a/packages/document/src/document_schema.ts
+++ b/packages/document/src/document_schema.ts
@@ -39,6 +39,10 @@
     unit: "calls",
     description: "Most calls at once in cold start.",
   }),
+  warmAfterCalls: z.int().min(1).max(100_000).default(8).meta({
+    unit: "calls",
+    description: "Whole answers after which it is warm.",
+  }),
 });
 
 const classSchema = z.strictObject({
