--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -18,6 +18,8 @@
    * when the call may no longer start; then nothing is sent.
    */
   beforeSend(): void;
+  /** Called when a broken stream goes on from token `next`. */
+  noteResumed(next: number): void;
 }
 
 /** How an attempt ended. */
--- a/packages/entry/src/serve_call.ts
+++ b/packages/entry/src/serve_call.ts
@@ -140,6 +140,12 @@
       response,
       signal,
       beforeSend: () => run.noteSent(),
+      noteResumed: (from) =>
+        timeline.record(EventKind.AttemptResumed, call.request, {
+          attempt,
+          upstream,
+          from,
+        }),
     });
     if (result.outcome === CallOutcome.Refused) run.noteRefused();
     if (result.outcome === CallOutcome.Complete) run.noteRan();
--- a/packages/sessions/src/call_fleet.ts
+++ b/packages/sessions/src/call_fleet.ts
@@ -24,9 +24,9 @@
 /** Sends a request as a caller would. */
 export async function callFleet(
   url: string,
-  options: RequestInit & { key?: string } = {},
+  options: RequestInit & { key?: string; onText?: () => void } = {},
 ): Promise<CallerAnswer> {
-  const { key = TEST_KEY, headers, ...rest } = options;
+  const { key = TEST_KEY, headers, onText, ...rest } = options;
   const startedMs = performance.now();
   const response = await fetch(url, {
     ...rest,
@@ -40,6 +40,7 @@
     for await (const chunk of response.body ?? []) {
       if (firstByteMs < 0) firstByteMs = performance.now() - startedMs;
       text += decoder.decode(chunk, { stream: true });
+      onText?.();
     }
   } catch {
     broken = true;
--- a/packages/sessions/src/record_session.ts
+++ b/packages/sessions/src/record_session.ts
@@ -24,7 +24,7 @@
   call(
     url: string,
     request: SessionRequest,
-    options?: { beforeTimeline?: Promise<unknown> },
+    options?: { beforeTimeline?: Promise<unknown>; onText?: () => void },
   ): Promise<CallerAnswer>;
   /**
    * Sends a request and closes the connection at the first data of the answer;
@@ -81,6 +81,7 @@
       const answer = await callFleet(`${url}${request.path}`, {
         ...init,
         ...key ? { key } : {},
+        onText: options.onText,
       });
       recordHead(answer.status, answer.headers);
       for (const line of answer.text.trimEnd().split("\n")) {
--- a/packages/shared/src/enums.ts
+++ b/packages/shared/src/enums.ts
@@ -87,6 +87,7 @@
   PermitRefused = "permit-refused",
   PermitReturned = "permit-returned",
   AttemptStarted = "attempt-started",
+  AttemptResumed = "attempt-resumed",
   AttemptEnded = "attempt-ended",
   LeaseGranted = "lease-granted",
   LeaseExpired = "lease-expired",
