Choose upstreams by load, first-token time and prefix

Cause: the choice looked at the used share of the limit alone: slow engines got as much as fast ones, and prompts with the same beginning were spread over all caches.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -17,6 +17,7 @@
 import {
   chooseUpstream,
   createAdmission,
+  createPlacements,
   createRequestQueue,
   type LoadReport,
   MAX_WAITING,
@@ -24,6 +25,7 @@
   type UpstreamCandidate,
 } from "@rosemarytiller/policy";
 import {
+  CallOutcome,
   type CancelTimer,
   type Clock,
   createId,
@@ -90,6 +92,7 @@
   const queue = createRequestQueue();
   const admission = createAdmission({ queue, random: options.random });
   const upstreams = createPoolUpstreams(name, options);
+  const placements = createPlacements();
   const waiting = new Map<string, WaitingAsk>();
   const classesSeen = new Set<string>();
   let timer: { dueMs: number; cancel: CancelTimer } | undefined;
@@ -103,7 +106,9 @@
     request: QueuedRequest,
     among: readonly PoolUpstream[],
   ): UpstreamCandidate | undefined {
-    return chooseUpstream(upstreams.candidatesFor(request, among));
+    return chooseUpstream(upstreams.candidatesFor(request, among), {
+      preferred: placements.find(request.prefix),
+    });
   }
 
   function refuse(
@@ -141,6 +146,7 @@
       fingerprint: ask.fingerprint,
     };
     upstreams.find(upstreamName)!.live.set(permit, live);
+    placements.note(ask.prefix, upstreamName);
     options.onGranted?.(live, link);
     link.send({
       kind: MessageKind.Grant,
@@ -256,6 +262,7 @@
     upstream.limit.onFinished({ ...message, targetMs }, clock.now());
     upstream.live.delete(permit);
     timeline.record(EventKind.PermitReturned, "", { permit, outcome });
+    if (outcome === CallOutcome.Crashed) placements.forget(upstream.name);
     admission.onFirstToken(live.className, firstTokenMs);
     pump();
   }
--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -103,7 +103,9 @@
         if (request.avoid.includes(name)) continue;
         if (allowed.length > 0 && !allowed.includes(name)) continue;
         const limit = usableLimit(upstream);
-        candidates.push({ name, outstanding: live.size, limit });
+        const firstTokenMs = upstream.limit.firstTokenMs();
+        const outstanding = live.size;
+        candidates.push({ name, outstanding, limit, firstTokenMs });
       }
       return candidates;
     },
--- a/packages/policy/src/create_first_token_trend.ts
+++ b/packages/policy/src/create_first_token_trend.ts
@@ -29,6 +29,8 @@
 export interface FirstTokenTrend {
   /** Takes a time and the class's target, both in milliseconds. */
   add(firstTokenMs: number, targetMs: number): FirstTokenPace;
+  /** Usual time of late, in milliseconds; 0 before the first answer. */
+  recentMs(): number;
 }
 
 /** Creates the trend of an upstream that has answered nothing yet. */
@@ -61,5 +63,6 @@
       if (firstTokenMs > slowMs) return FirstTokenPace.Slow;
       return FirstTokenPace.Normal;
     },
+    recentMs: () => recentMs,
   };
 }
--- a/packages/policy/src/create_upstream_limit.ts
+++ b/packages/policy/src/create_upstream_limit.ts
@@ -33,6 +33,8 @@
 export interface UpstreamLimit {
   /** Calls that it may have now. */
   current(nowMs: number): number;
+  /** Usual first-token time of late; 0 before the first answer. */
+  firstTokenMs(): number;
   /** Notes a call that ended, while it still counts as in flight. */
   onFinished(call: FinishedCall, nowMs: number): void;
   onReport(report: LoadReport, nowMs: number): void;
@@ -166,6 +168,7 @@
       const left = bounded - foreign.calls();
       return Math.max(isCold() ? 0 : 1, left);
     },
+    firstTokenMs: trend.recentMs,
     onFinished(call, nowMs) {
       if (outstanding) foreign.note(outstanding(), nowMs);
       const startedMs = nowMs - call.totalMs;
