Serve what the balancer still sends during a planned stop

Cause: an entry that was told to stop refused every further request at once, while the balancer still sent them; it held its listener open, kept callers on connections that were about to end, and counted a request as over when its answer was written, though a slow caller had not yet read it.

--- a/packages/bench/src/start_local_fleet.ts
+++ b/packages/bench/src/start_local_fleet.ts
@@ -44,6 +44,7 @@
         dataCentre,
         platform: [platform.url],
         linkKey: "a link key for measurements",
+        balancerLagMs: 0,
         entry: { port: 0 },
         entryAdmin: { port: 0 },
         broker: { port: await freePort() },
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -10,6 +10,7 @@
   EventKind,
   LogPart,
   Role,
+  sleep,
   TillerError,
   toTillerError,
   UpstreamKind,
@@ -25,6 +26,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Agent } from "undici";
+import { createOpenRequests } from "./create_open_requests.ts";
 import {
   createPermitClient,
   type PermitClient,
@@ -49,7 +51,10 @@
   readonly adminAddress: string;
   /** Resolves when the entry serves callers. */
   readonly ready: Promise<void>;
-  /** Refuses new requests, lets those in progress end, then stops. */
+  /**
+   * Stops as planned: no longer ready, serves what the balancer still sends,
+   * closes the listener, lets requests in progress end, then returns permits.
+   */
   stop(): Promise<void>;
 }
 
@@ -106,16 +111,16 @@
       [UpstreamKind.PlainService]: createServiceAttempt(attemptOptions),
     },
   };
+  const open = createOpenRequests();
   let stopping = false;
-  let active = 0;
-  let onIdle = () => {};
+  let stopped = false;
 
   function isEntryReady(): boolean {
     return view.isReady() && permits.isReady() && !stopping;
   }
 
   function checkOpen(): void {
-    if (stopping) {
+    if (stopped) {
       throw new TillerError(ErrorKind.Stopping, "this process is stopping");
     }
     if (!view.isReady()) {
@@ -129,7 +134,6 @@
   ): Promise<void> {
     let id = createId("request");
     metrics.count(MetricName.RequestsReceived, 1);
-    active++;
     try {
       checkOpen();
       if (request.url?.split("?")[0] === MODELS_PATH) {
@@ -162,9 +166,6 @@
       });
       metrics.count(MetricName.RequestsRefused, 1, { error: error.kind });
       writeProblem(response, error, id);
-    } finally {
-      active--;
-      if (active === 0) onIdle();
     }
   }
 
@@ -187,7 +188,9 @@
     maxHeaderSize: MAX_HEADER_BYTES,
     requestTimeout: settings.bodyTimeoutMs,
     headersTimeout: settings.bodyTimeoutMs,
-  }, (request, response) => void serveRequest(request, response));
+  }, (request, response) => {
+    void open.track(response, () => serveRequest(request, response));
+  });
   const admin = createServer((request, response) =>
     handleAdminRequest(request, response, {
       isReady: isEntryReady,
@@ -200,7 +203,7 @@
         revisions: view.revisions(),
         listRevision: view.listRevision(),
         members: view.vms().map(({ name, state }) => ({ name, state })),
-        entry: { requests: active, permits: permits.liveCount() },
+        entry: { requests: open.count(), permits: permits.liveCount() },
       }),
       timeline,
     })
@@ -217,17 +220,19 @@
     async stop() {
       stopping = true;
       timeline.record(EventKind.ProcessStopping, "");
-      const idle = active === 0
-        ? Promise.resolve()
-        : new Promise<void>((resolve) => onIdle = resolve);
-      const grace = new Promise<void>((resolve) =>
-        clock.after(settings.stopGraceMs, resolve)
-      );
-      await Promise.race([idle, grace]);
+      open.drain();
+      // The balancer goes on sending until it has seen that this is not ready.
+      await sleep(clock, settings.balancerLagMs);
+      server.close();
+      server.closeIdleConnections();
+      await Promise.race([open.idle(), sleep(clock, settings.stopGraceMs)]);
+      stopped = true;
+      if (open.count() > 0) {
+        log.warn(`The grace is over; ${open.count()} requests are cut off.`);
+      }
       permits.close();
       metrics.close();
       server.closeAllConnections();
-      server.close();
       admin.closeAllConnections();
       admin.close();
       await dispatcher.destroy();
--- a/packages/sessions/src/golden_fleet.ts
+++ b/packages/sessions/src/golden_fleet.ts
@@ -40,6 +40,7 @@
       "orders-vm": "north",
     },
     document: write(),
+    settings: { balancerLagMs: 300 },
   });
   await fleet.ready();
   await warmUp(fleet);
--- /dev/null
+++ b/packages/sessions/src/stop_processes_test.ts
@@ -0,0 +1,163 @@
+import { createStandInEngine } from "@rosemarytiller/standins";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { test, type TestContext } from "node:test";
+import { hashKey, TEST_KEY } from "./call_fleet.ts";
+import { callStream, runLoad } from "./run_load.ts";
+import { type FleetVm, startFleet, waitUntil } from "./start_fleet.ts";
+
+const BALANCER_LAG_MS = 600;
+const POLL_MS = 100;
+
+/** A fleet before two engines. */
+async function startStopFleet(t: TestContext) {
+  const engines = [
+    await createStandInEngine({ capacity: 16 }),
+    await createStandInEngine({ capacity: 16 }),
+  ];
+  const upstreams = engines.map((engine, index) => [`runner-${index}`, {
+    kind: "model-runner",
+    serves: ["small"],
+    dataCentre: "north",
+    vm: `runner-vm-${index}`,
+    address: engine.url,
+    maxConcurrent: 16,
+    coldConcurrent: 4,
+  }]);
+  const fleet = await startFleet({
+    dataCentres: ["north", "north", "north"],
+    upstreamVms: { "runner-vm-0": "north", "runner-vm-1": "north" },
+    document: JSON.stringify({
+      service: "test",
+      dataCentres: { north: { region: "r" } },
+      clients: { counter: { keys: [hashKey(TEST_KEY)] } },
+      upstreams: Object.fromEntries(upstreams),
+      classes: [{ name: "all", tier: 1, firstTokenMs: 430, queueMs: 20_000 }],
+    }),
+    settings: { balancerLagMs: BALANCER_LAG_MS, stopGraceMs: 30_000 },
+  });
+  t.after(async () => {
+    await fleet.stop();
+    for (const engine of engines) await engine.close();
+  });
+  await fleet.ready();
+  return fleet;
+}
+
+/** Sends callers to the VMs whose entries said ready when last asked. */
+function createBalancer(t: TestContext, vms: readonly FleetVm[]) {
+  const ready = new Set(vms);
+  let turn = 0;
+  async function poll(vm: FleetVm): Promise<void> {
+    const signal = AbortSignal.timeout(POLL_MS);
+    const answer = await fetch(`http://${vm.entryAdmin}/ready`, { signal })
+      .catch(() => undefined);
+    if (answer?.status === 200) ready.add(vm);
+    else ready.delete(vm);
+  }
+  const timer = setInterval(() => vms.forEach((vm) => void poll(vm)), POLL_MS);
+  t.after(() => clearInterval(timer));
+  return {
+    has: (vm: FleetVm) => ready.has(vm),
+    nextUrl() {
+      const list = [...ready];
+      return list[turn++ % list.length].url;
+    },
+  };
+}
+
+function startStreams(vm: FleetVm, count: number) {
+  return Promise.all(
+    Array.from({ length: count }, (_, index) =>
+      callStream(vm.url, {
+        model: "small",
+        tokens: 400,
+        prompt: `long ${index}`,
+      })),
+  );
+}
+
+async function requestsAt(vm: FleetVm): Promise<number> {
+  const answer = await fetch(`http://${vm.entryAdmin}/status`);
+  const status = await answer.json() as { entry: { requests: number } };
+  return status.entry.requests;
+}
+
+test("VMs are replaced one by one under load and nothing is cut or lost", async (t) => {
+  const fleet = await startStopFleet(t);
+  const balancer = createBalancer(t, fleet.vms);
+  const load = runLoad({
+    callers: 6,
+    model: "small",
+    tokens: 10,
+    nextUrl: balancer.nextUrl,
+  });
+  t.after(() => load.stop());
+  await waitUntil(() => load.whole() > 100, "the load ran");
+  for (const vm of fleet.vms) {
+    const streams = startStreams(vm, 3);
+    await waitUntil(async () => await requestsAt(vm) >= 3, "streams began");
+    fleet.publishVms((listed) =>
+      listed.name === vm.name ? { ...listed, state: "leaving" } : listed
+    );
+    const entryEnd = once(vm.entry, "exit");
+    vm.entry.kill("SIGTERM");
+    await waitUntil(() => !balancer.has(vm), "the balancer saw it", {
+      timeoutMs: BALANCER_LAG_MS,
+    });
+    for (const stream of await streams) {
+      assert.ok(stream.isWhole, `${stream.status} ${stream.text}`);
+    }
+    assert.deepEqual(await entryEnd, [0, null]);
+    const brokerEnd = once(vm.broker, "exit");
+    vm.broker.kill("SIGTERM");
+    assert.deepEqual(await brokerEnd, [0, null]);
+    vm.restart("broker");
+    vm.restart("entry");
+    fleet.publishVms();
+    await waitUntil(() => balancer.has(vm), "it is ready again");
+  }
+  await load.stop();
+  t.diagnostic(`${load.whole()} calls whole, ${load.failed.length} failed`);
+  assert.deepEqual(load.failed, []);
+});
+
+test("a broker stopped under load cuts and loses nothing", async (t) => {
+  const fleet = await startStopFleet(t);
+  const [vm] = fleet.vms;
+  const load = runLoad({
+    callers: 6,
+    model: "small",
+    tokens: 10,
+    nextUrl: () => vm.url,
+  });
+  t.after(() => load.stop());
+  const streams = startStreams(vm, 3);
+  await waitUntil(() => load.whole() > 50, "the load ran");
+  for (const each of fleet.vms.slice(0, 2)) {
+    const end = once(each.broker, "exit");
+    each.broker.kill("SIGTERM");
+    assert.deepEqual(await end, [0, null]);
+  }
+  const before = load.whole();
+  await waitUntil(() => load.whole() > before + 50, "the load goes on");
+  for (const stream of await streams) assert.ok(stream.isWhole, stream.text);
+  await load.stop();
+  assert.deepEqual(load.failed, []);
+});
+
+test("a second signal ends an entry at once", async (t) => {
+  const fleet = await startStopFleet(t);
+  const [vm] = fleet.vms;
+  const streams = startStreams(vm, 2);
+  await waitUntil(async () => await requestsAt(vm) >= 2, "streams began");
+  const end = once(vm.entry, "exit");
+  vm.entry.kill("SIGTERM");
+  await waitUntil(async () => {
+    const answer = await fetch(`http://${vm.entryAdmin}/ready`);
+    return answer.status === 503;
+  }, "it is stopping");
+  vm.entry.kill("SIGTERM");
+  assert.deepEqual(await end, [1, null]);
+  for (const stream of await streams) assert.equal(stream.isWhole, false);
+});
