Contain requests that crash upstreams

Cause: a request that crashes each upstream was retried like any other, and its caller could send it again without end.

Ruled out: refusing all that was in flight (innocent neighbours lose their answers), rerunning suspects in halves (an innocent may share the second crash), and a plain count of crashes handed on between brokers: a count that one broker had cleared came back from another and quarantined an innocent fingerprint. Crashes and clearings are sets of identifiers now.

Change: a quarantine of fingerprints shared by all brokers, and a containment in each pool that reruns suspects alone. The fingerprint takes in method and path, so that calls to a plain service without a body differ. A refusal with a time to come back tells it, also where the kind is not retryable. The list of asks that wait has its own file.

--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -17,6 +17,10 @@
   recordFleetChanges,
   watchPlatform,
 } from "@rosemarytiller/platform";
+import {
+  createQuarantine,
+  type FingerprintRecord,
+} from "@rosemarytiller/policy";
 import type { Settings } from "@rosemarytiller/settings";
 import {
   type Clock,
@@ -87,8 +91,23 @@
     clock,
     serve,
   });
+  const quarantine = createQuarantine({ now: clock.now, onChange: tellCrash });
   let stopping = false;
 
+  /** Hands a crash on; each broker does once, so that all hear of it. */
+  function tellCrash(record: FingerprintRecord): void {
+    const { fingerprint, crashes, cleared } = record;
+    timeline.record(EventKind.Quarantined, "", {
+      fingerprint,
+      crashes: crashes.length - cleared.length,
+    });
+    for (const link of links) {
+      if (link.role !== Role.Broker) continue;
+      link.send({ kind: MessageKind.Quarantine, ...record });
+    }
+    for (const pool of pools.values()) pool.recheck(fingerprint);
+  }
+
   function poolOf(name: string): Pool {
     let pool = pools.get(name);
     if (pool) return pool;
@@ -100,6 +119,7 @@
       shareOf: (upstream, limit) => leadership.shareOf(name, upstream, limit),
       stampOf: leadership.stampOf,
       onGranted: leadership.onGranted,
+      quarantine,
     });
     pools.set(name, pool);
     return pool;
@@ -119,6 +139,7 @@
       leadership.onDone(done.permit);
       poolOf(done.pool).done(done);
     },
+    [MessageKind.Quarantine]: (message) => quarantine.merge(message),
     [MessageKind.Back](back, link) {
       const { adopted, ended } = leadership.onBack(back, link);
       forget(ended);
@@ -135,6 +156,11 @@
 
   async function serve(link: Link): Promise<void> {
     links.add(link);
+    if (link.role === Role.Broker) {
+      for (const record of quarantine.records()) {
+        link.send({ kind: MessageKind.Quarantine, ...record });
+      }
+    }
     exchange.open(link);
     leadership.openLink(link);
     beats.tell(link);
--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -19,8 +19,10 @@
   createAdmission,
   createPlacements,
   createRequestQueue,
+  FingerprintState,
   type LoadReport,
   MAX_WAITING,
+  type Quarantine,
   type QueuedRequest,
   type UpstreamCandidate,
 } from "@rosemarytiller/policy";
@@ -33,21 +35,20 @@
   EventKind,
 } from "@rosemarytiller/shared";
 import type { Timeline } from "@rosemarytiller/timeline";
+import { createContainment } from "./create_containment.ts";
 import {
   createPoolUpstreams,
   type PoolUpstream,
 } from "./create_pool_upstreams.ts";
+import { createWaitingAsks, type WaitingAsk } from "./create_waiting_asks.ts";
 
 /** Number of tiers. */
 const TIERS = 4;
+/** What a caller is told of a quarantined request. */
+const QUARANTINED_DETAIL = "upstreams crashed with this request in flight";
 /** Longest wait that a summary tells, in milliseconds. */
 const MAX_SUMMARY_WAIT_MS = 600_000;
 
-interface WaitingAsk {
-  ask: AskMessage;
-  link: Link;
-}
-
 /** What a pool needs of its broker. */
 export interface PoolOptions {
   view: FleetView;
@@ -60,6 +61,8 @@
   stampOf(link: Link): number;
   /** Hears of each permit as it is granted. */
   onGranted?(permit: LivePermit, link: Link): void;
+  /** Fingerprints that were in flight at crashes, of all pools. */
+  quarantine: Quarantine;
   /** Numbers from 0 to 1 for the jitter of refusals. */
   random?: () => number;
 }
@@ -76,6 +79,8 @@
   forget(permit: string): void;
   /** Takes a load report of an upstream. */
   report(upstream: string, report: LoadReport): void;
+  /** Treats waiting requests by what is now held of a fingerprint. */
+  recheck(fingerprint: string): void;
   /** Drops the asks of a link that has ended. */
   dropLink(link: Link): void;
   /** Refuses what has waited too long and grants what can start. */
@@ -87,13 +92,15 @@
 
 /** Creates the decisions of one pool. */
 export function createPool(text: string, options: PoolOptions): Pool {
-  const { view, clock, timeline, metrics } = options;
+  const { view, clock, timeline, metrics, quarantine } = options;
   const name = parsePool(text);
   const queue = createRequestQueue();
   const admission = createAdmission({ queue, random: options.random });
   const upstreams = createPoolUpstreams(name, options);
   const placements = createPlacements();
-  const waiting = new Map<string, WaitingAsk>();
+  const containment = createContainment(quarantine);
+  const waiting = createWaitingAsks();
+  const isolated = new Map<string, QueuedRequest>();
   const classesSeen = new Set<string>();
   let timer: { dueMs: number; cancel: CancelTimer } | undefined;
 
@@ -106,9 +113,20 @@
     request: QueuedRequest,
     among: readonly PoolUpstream[],
   ): UpstreamCandidate | undefined {
-    return chooseUpstream(upstreams.candidatesFor(request, among), {
-      preferred: placements.find(request.prefix),
-    });
+    const candidates = upstreams.candidatesFor(request, among)
+      .filter(({ name }) =>
+        containment.allows(request, upstreams.find(name)!, among)
+      );
+    const preferred = placements.find(request.prefix);
+    return chooseUpstream(candidates, { preferred });
+  }
+
+  function usableFor(
+    request: QueuedRequest,
+    among: readonly PoolUpstream[],
+  ): PoolUpstream[] {
+    return upstreams.candidatesFor(request, among)
+      .map(({ name }) => upstreams.find(name)!);
   }
 
   function refuse(
@@ -116,11 +134,12 @@
     error: ErrorKind,
     detail: string,
   ): void {
-    const asked = waiting.get(request.id);
-    waiting.delete(request.id);
+    const asked = takeAsk(request.id);
     if (!asked) return;
     const { ask, link } = asked;
-    const retryAfterMs = admission.retryAfterMs(request, clock.now());
+    const retryAfterMs = error === ErrorKind.Quarantined
+      ? quarantine.remainingMs(request.fingerprint)
+      : admission.retryAfterMs(request, clock.now());
     const kind = MessageKind.Refuse;
     link.send({ kind, id: ask.id, error, detail, retryAfterMs });
     timeline.record(EventKind.PermitRefused, ask.request, {
@@ -131,8 +150,7 @@
   }
 
   function grant(request: QueuedRequest, upstreamName: string): void {
-    const asked = waiting.get(request.id);
-    waiting.delete(request.id);
+    const asked = takeAsk(request.id);
     if (!asked) return;
     const { ask, link } = asked;
     const pool = ask.pool;
@@ -147,6 +165,7 @@
     };
     upstreams.find(upstreamName)!.live.set(permit, live);
     placements.note(ask.prefix, upstreamName);
+    containment.onGranted(live, clock.now());
     options.onGranted?.(live, link);
     link.send({
       kind: MessageKind.Grant,
@@ -169,6 +188,10 @@
       refuse(request, ErrorKind.Overloaded, "the wait was too long");
     }
     const among = upstreams.current();
+    containment.reserve(isolated.values(), {
+      all: among,
+      usableFor: (request) => usableFor(request, among),
+    });
     const hasRoom = (request: QueuedRequest) => !!choose(request, among);
     while (true) {
       const request = queue.takeNext(hasRoom);
@@ -219,9 +242,14 @@
 
   function ask(message: AskMessage, link: Link): void {
     const request = queuedRequest(message);
-    classesSeen.add(message.className);
-    waiting.set(message.id, { ask: message, link });
     const among = upstreams.current();
+    classesSeen.add(message.className);
+    isolateTwins(request, among);
+    waiting.add({ ask: message, link, request });
+    if (isQuarantined(request)) {
+      refuse(request, ErrorKind.Quarantined, QUARANTINED_DETAIL);
+      return;
+    }
     if (upstreams.candidatesFor(request, among).length === 0) {
       refuse(request, ErrorKind.NoUpstream, "no upstream can serve it");
       return;
@@ -236,10 +264,50 @@
       return;
     }
     queue.add(request);
+    if (request.isolation) isolated.set(request.id, request);
     boundQueue();
     pump();
   }
 
+  function isQuarantined({ fingerprint }: QueuedRequest): boolean {
+    return quarantine.stateOf(fingerprint) === FingerprintState.Quarantined;
+  }
+
+  /** Isolates a suspect, and a request of which there are others here. */
+  function isolateTwins(
+    request: QueuedRequest,
+    among: readonly PoolUpstream[],
+  ): void {
+    const { fingerprint } = request;
+    const twins = waiting.withFingerprint(fingerprint);
+    for (const twin of twins) isolate(twin);
+    const isClear = quarantine.stateOf(fingerprint) === FingerprintState.Clear;
+    if (isClear && twins.length === 0 && !isRunning(fingerprint, among)) return;
+    request.isolation = fingerprint;
+  }
+
+  /** Moves a waiting request among those with a rule of their own. */
+  function isolate(request: QueuedRequest): void {
+    if (request.isolation || !queue.remove(request.id)) return;
+    request.isolation = request.fingerprint;
+    queue.add(request);
+    isolated.set(request.id, request);
+  }
+
+  function recheck(fingerprint: string): void {
+    for (const request of waiting.withFingerprint(fingerprint)) {
+      if (isQuarantined(request)) {
+        queue.remove(request.id);
+        refuse(request, ErrorKind.Quarantined, QUARANTINED_DETAIL);
+      } else isolate(request);
+    }
+  }
+
+  function takeAsk(id: string): WaitingAsk | undefined {
+    isolated.delete(id);
+    return waiting.take(id);
+  }
+
   function boundQueue(): void {
     while (queue.boundedSize() > MAX_WAITING) {
       const victim = queue.takeVictim();
@@ -250,7 +318,7 @@
 
   function remove(id: string): void {
     queue.remove(id);
-    waiting.delete(id);
+    takeAsk(id);
   }
 
   function finish(message: DoneMessage): void {
@@ -260,6 +328,7 @@
     if (!upstream || !live) return;
     const targetMs = findClass(live.className)?.firstTokenMs;
     upstream.limit.onFinished({ ...message, targetMs }, clock.now());
+    containment.onDone(upstream, live, { outcome, nowMs: clock.now() });
     upstream.live.delete(permit);
     timeline.record(EventKind.PermitReturned, "", { permit, outcome });
     if (outcome === CallOutcome.Crashed) placements.forget(upstream.name);
@@ -290,7 +359,7 @@
     const lengths: Record<string, number> = {};
     // A class whose queue is empty again is told with 0, not left out.
     for (const className of classesSeen) lengths[className] = 0;
-    for (const { ask: { className } } of waiting.values()) {
+    for (const { ask: { className } } of waiting.all()) {
       lengths[className]++;
     }
     return lengths;
@@ -307,14 +376,19 @@
     },
     forget(permit) {
       for (const upstream of upstreams.current()) upstream.live.delete(permit);
+      containment.forget(permit);
     },
-    report(upstream, report) {
-      upstreams.find(upstream)?.limit.onReport(report, clock.now());
+    report(upstreamName, report) {
+      const upstream = upstreams.find(upstreamName);
+      if (!upstream) return;
+      upstream.limit.onReport(report, clock.now());
+      containment.onReport(upstream, report, clock.now());
       pump();
     },
+    recheck,
     dropLink(link) {
-      for (const [id, asked] of waiting) {
-        if (asked.link === link) remove(id);
+      for (const asked of [...waiting.all()]) {
+        if (asked.link === link) remove(asked.request.id);
       }
     },
     pump,
@@ -327,3 +401,15 @@
     }),
   };
 }
+
+function isRunning(
+  fingerprint: string,
+  among: readonly PoolUpstream[],
+): boolean {
+  for (const { live } of among) {
+    for (const permit of live.values()) {
+      if (permit.fingerprint === fingerprint) return true;
+    }
+  }
+  return false;
+}
--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -8,7 +8,7 @@
 } from "@rosemarytiller/link";
 import { createMetrics } from "@rosemarytiller/metrics";
 import { createFleetView } from "@rosemarytiller/platform";
-import { MAX_WAITING } from "@rosemarytiller/policy";
+import { createQuarantine, MAX_WAITING } from "@rosemarytiller/policy";
 import {
   CallOutcome,
   createFakeClock,
@@ -55,6 +55,10 @@
   assert.ok(view.offerDocument({ key, revision: 1, text }, "test"));
   const sent: Message[] = [];
   const link = { send: (message: Message) => sent.push(message) };
+  const quarantine = createQuarantine({
+    now: clock.now,
+    onChange: ({ fingerprint }) => pool.recheck(fingerprint),
+  });
   const pool = createPool(POOL, {
     view,
     clock,
@@ -62,6 +66,7 @@
     metrics: createMetrics(undefined),
     shareOf: (_upstream, limit) => limit,
     stampOf: () => 0,
+    quarantine,
     random: () => 0.5,
   });
   let nextId = 0;
@@ -162,3 +167,83 @@
   assert.equal(waitMs[0], 0);
   assert.ok(waitMs[3] >= 10_000, `${waitMs}`);
 });
+
+test("a suspect runs alone, and nothing joins it", () => {
+  const model = createModel();
+  const asks = Array.from(
+    { length: 4 },
+    (_, index) => model.ask({ fingerprint: `f${index}` }),
+  );
+  model.finish(asks[0], CallOutcome.Crashed);
+  const { upstream } = model.grantOf(asks[0]);
+  const twin = asks.find((id) =>
+    id !== asks[0] && model.grantOf(id).upstream === upstream
+  )!;
+  const others = asks.filter((id) => id !== asks[0] && id !== twin);
+  model.finish(twin, CallOutcome.Crashed);
+  const again = model.ask({ fingerprint: "f0", avoid: [upstream] });
+  const innocent = model.ask({ fingerprint: "g", avoid: [upstream] });
+  model.finish(others[0], CallOutcome.Complete);
+  assert.equal(model.answerTo(again), undefined, "the upstream is not idle");
+  assert.equal(model.answerTo(innocent), undefined, "it is kept for f0");
+  model.finish(others[1], CallOutcome.Complete);
+  model.grantOf(again);
+  assert.equal(model.answerTo(innocent), undefined);
+  model.finish(again, CallOutcome.Complete);
+  model.grantOf(innocent);
+});
+
+test("the second crash refuses all that ask for the same", () => {
+  const model = createModel();
+  const fingerprint = "crasher";
+  const first = model.ask({ fingerprint });
+  model.finish(first, CallOutcome.Crashed);
+  const { upstream } = model.grantOf(first);
+  const second = model.ask({ fingerprint, avoid: [upstream] });
+  const waiting = model.ask({ fingerprint, avoid: [upstream] });
+  assert.equal(model.answerTo(waiting), undefined, "one at a time");
+  model.clock.advance(600);
+  model.finish(second, CallOutcome.Crashed);
+  for (const id of [waiting, model.ask({ fingerprint })]) {
+    const answer = model.answerTo(id) as RefuseMessage;
+    assert.equal(answer.error, ErrorKind.Quarantined);
+    assert.ok(answer.retryAfterMs > 0);
+  }
+});
+
+test("a crash told by calls and by a report counts once", () => {
+  const model = createModel();
+  const fingerprint = "f";
+  const report = { running: 0, waiting: 0, ageMs: 0 };
+  const first = model.ask({ fingerprint });
+  const { upstream } = model.grantOf(first);
+  model.pool.report(upstream, { ...report, running: 1, instance: "1" });
+  model.clock.advance(100);
+  model.finish(first, CallOutcome.Crashed);
+  model.clock.advance(300);
+  const again = model.ask({ fingerprint });
+  model.grantOf(again);
+  model.clock.advance(100);
+  for (const name of ["runner-1", "runner-2"]) {
+    model.pool.report(name, { ...report, instance: "2" });
+  }
+  model.finish(again, CallOutcome.Complete);
+  model.grantOf(model.ask({ fingerprint }));
+});
+
+test("a new instance number alone marks what was in flight", () => {
+  const model = createModel();
+  const report = { running: 1, waiting: 0, ageMs: 0 };
+  const first = model.ask({ fingerprint: "f" });
+  const { upstream } = model.grantOf(first);
+  model.pool.report(upstream, { ...report, instance: "1" });
+  model.clock.advance(250);
+  model.pool.report(upstream, { ...report, running: 0, instance: "2" });
+  model.finish(first, CallOutcome.Crashed);
+  model.clock.advance(600);
+  const other = upstream === "runner-1" ? "runner-2" : "runner-1";
+  const again = model.ask({ fingerprint: "f", avoid: [upstream] });
+  assert.equal(model.grantOf(again).upstream, other);
+  const beside = model.ask({ fingerprint: "g", avoid: [upstream] });
+  assert.equal(model.answerTo(beside), undefined, "the suspect runs alone");
+});
--- a/packages/entry/src/call.ts
+++ b/packages/entry/src/call.ts
@@ -25,7 +25,7 @@
   arrivedMs: number;
   /** Idempotency-Key of the caller, if any. */
   idempotencyKey: string | undefined;
-  /** Hash of client, target and body. */
+  /** Hash of client, target, method, path and body. */
   fingerprint: string;
   /** Hash of the prompt's beginning. */
   prefix: string;
--- a/packages/entry/src/read_call.ts
+++ b/packages/entry/src/read_call.ts
@@ -125,6 +125,8 @@
   });
   const name = model ?? target.service!;
   const kind = chat ? UpstreamKind.ModelRunner : UpstreamKind.PlainService;
+  const method = request.method ?? "GET";
+  const identity = `${caller.client}\n${name}\n${method} ${target.path}\n`;
   return {
     request: createId("request"),
     document: caller.document,
@@ -133,13 +135,13 @@
     kind,
     target: name,
     stream: chat?.stream ?? false,
-    method: request.method ?? "GET",
+    method,
     path: target.path,
     headers: passedHeaders(request, kind),
     body,
     arrivedMs,
     idempotencyKey: readIdempotencyKey(request),
-    fingerprint: hashText(`${caller.client}\n${name}\n${body.toString()}`),
+    fingerprint: hashText(identity + body.toString()),
     prefix: hashText(
       JSON.stringify(chat?.messages ?? []).slice(0, PREFIX_BYTES),
     ),
--- a/packages/entry/src/write_problem.ts
+++ b/packages/entry/src/write_problem.ts
@@ -38,8 +38,9 @@
     "content-type": "application/problem+json",
     "x-request-id": request,
   };
-  if (retryable) {
-    const delayMs = error.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
+  const defaultMs = retryable ? DEFAULT_RETRY_AFTER_MS : undefined;
+  const delayMs = error.retryAfterMs ?? defaultMs;
+  if (delayMs !== undefined) {
     headers["retry-after"] = String(Math.max(1, Math.ceil(delayMs / 1000)));
   }
   response.writeHead(status, headers);
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -313,8 +313,10 @@
 export interface QuarantineMessage {
   kind: MessageKind.Quarantine;
   fingerprint: string;
-  /** Upstreams crashed with it in flight so far. */
-  crashes: number;
+  /** Identifiers of the crashes with it in flight so far. */
+  crashes: string[];
+  /** Those of them after which a call of it was answered whole. */
+  cleared: string[];
   /** Remaining time in milliseconds. */
   remainingMs: number;
 }
--- /dev/null
+++ b/packages/policy/src/create_quarantine_test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  createQuarantine,
+  FingerprintState,
+  MAX_FINGERPRINTS,
+  type Quarantine,
+  QUARANTINE_MS,
+  SUSPECT_MS,
+} from "./create_quarantine.ts";
+
+function createBrokers(count: number) {
+  let nowMs = 0;
+  let told = 0;
+  const brokers: Quarantine[] = [];
+  for (let index = 0; index < count; index++) {
+    brokers.push(createQuarantine({
+      now: () => nowMs,
+      onChange(record) {
+        told++;
+        for (const other of brokers) other.merge(record);
+      },
+    }));
+  }
+  return {
+    brokers,
+    advance: (ms: number) => void (nowMs += ms),
+    told: () => told,
+  };
+}
+
+test("two crashes quarantine a fingerprint, on all brokers, for a time", () => {
+  const { brokers: [first, second, third], advance, told } = createBrokers(3);
+  first.onCrash("crash-1", ["a", "a", "b"]);
+  assert.equal(third.stateOf("a"), FingerprintState.Suspect);
+  second.onCrash("crash-2", ["a"]);
+  assert.equal(third.stateOf("a"), FingerprintState.Quarantined);
+  assert.equal(third.stateOf("b"), FingerprintState.Suspect);
+  assert.equal(told(), 3 * 3, "each broker hands each record on once");
+  advance(SUSPECT_MS);
+  assert.equal(first.stateOf("b"), FingerprintState.Clear);
+  advance(QUARANTINE_MS - SUSPECT_MS - 1);
+  assert.equal(first.stateOf("a"), FingerprintState.Quarantined);
+  advance(1);
+  assert.equal(first.stateOf("a"), FingerprintState.Clear);
+});
+
+test("an answer clears a suspect, and one crash counts once", () => {
+  const { brokers: [first, second] } = createBrokers(2);
+  first.onCrash("crash-1", ["a"]);
+  second.onCrash("crash-1", ["a"]);
+  assert.equal(first.stateOf("a"), FingerprintState.Suspect);
+  first.onAnswer("a");
+  assert.equal(second.stateOf("a"), FingerprintState.Clear);
+  second.onCrash("crash-2", ["a"]);
+  assert.equal(first.stateOf("a"), FingerprintState.Suspect);
+});
+
+test("the memory of fingerprints is bounded", () => {
+  const { brokers: [first] } = createBrokers(1);
+  for (let index = 0; index <= MAX_FINGERPRINTS; index++) {
+    first.onCrash(`crash-${index}`, [`fingerprint-${index}`]);
+  }
+  assert.equal(first.records().length, MAX_FINGERPRINTS);
+});
--- a/packages/policy/src/create_request_queue.ts
+++ b/packages/policy/src/create_request_queue.ts
@@ -21,7 +21,7 @@
   remove(id: string): QueuedRequest | undefined;
   /**
    * Removes and returns the next request that `canServe` accepts. It is asked
-   * once for all requests that share class, tier, avoid-list and `alone`.
+   * once for all requests that share class, tier, avoid-list and isolation.
    */
   takeNext(
     canServe: (request: QueuedRequest) => boolean,
@@ -185,8 +185,8 @@
 }
 
 function laneKey(request: QueuedRequest): string {
-  const { tier, className, avoid, alone } = request;
-  return [tier, className, alone ?? false, ...avoid].join(" ");
+  const { tier, className, avoid, isolation = "" } = request;
+  return [tier, className, isolation, ...avoid].join(" ");
 }
 
 function accountOf(tier: Tier, client: string): Account {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./create_foreign_load.ts";
 export * from "./create_placements.ts";
 export * from "./create_probe.ts";
+export * from "./create_quarantine.ts";
 export * from "./create_request_queue.ts";
 export * from "./create_retry_budget.ts";
 export * from "./create_upstream_limit.ts";
--- a/packages/policy/src/queued_request.ts
+++ b/packages/policy/src/queued_request.ts
@@ -15,8 +15,8 @@
   arrivedMs: number;
   /** Upstreams that may not serve it. */
   avoid: readonly string[];
-  /** Whether it needs an upstream with nothing else in flight. */
-  alone?: boolean;
+  /** Set for a request that starts by a rule of its own, one for each key. */
+  isolation?: string;
   prefix: string;
   promptTokens: number;
   fingerprint: string;
