Test that the demo fails when an answer is not whole

Only the good case ran as a process. A copy of the example with both data centres of the payments out of service is refused there, and the demo ends with 1.

--- a/packages/demo/src/demo_test.ts
+++ b/packages/demo/src/demo_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, readFile, rm } from "node:fs/promises";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -16,7 +16,7 @@
 function startDemo(page: string, ...flags: string[]): ChildProcess {
   return spawn(
     process.execPath,
-    [MAIN, "--document", DOCUMENT, "--page", page, ...flags],
+    [MAIN, "--page", page, ...flags],
     { stdio: ["ignore", "pipe", "inherit"] },
   );
 }
@@ -25,7 +25,7 @@
   const folder = await mkdtemp(join(tmpdir(), "demo-"));
   t.after(() => rm(folder, { recursive: true }));
   const page = join(folder, "timeline.html");
-  const demo = startDemo(page, "--exit");
+  const demo = startDemo(page, "--exit", "--document", DOCUMENT);
   let output = "";
   demo.stdout!.on("data", (chunk) => output += chunk);
   const [code] = await once(demo, "close");
@@ -36,10 +36,34 @@
   assert.match(await readFile(page, "utf8"), /attempt-started/);
 });
 
+test("the demo fails if an answer was not whole", async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), "demo-"));
+  t.after(() => rm(folder, { recursive: true }));
+  const document = join(folder, "out.jsonc");
+  // Both data centres that hold the payments are out of service.
+  const text = (await readFile(DOCUMENT, "utf8")).replaceAll(
+    /"(kottayam|alappuzha)": \{ "region": "kerala" \}/g,
+    '"$1": { "region": "kerala", "state": "out-of-service" }',
+  );
+  await writeFile(document, text);
+  const page = join(folder, "timeline.html");
+  const demo = startDemo(page, "--exit", "--document", document);
+  let output = "";
+  demo.stdout!.on("data", (chunk) => output += chunk);
+  const [code] = await once(demo, "close");
+  assert.equal(code, 1, output);
+  assert.match(output, /^payment-entries .* 503 .* NO$/m);
+  assert.match(output, /^member-accounts .* yes$/m);
+});
+
 test("an interrupt ends the demo and its processes", async (t) => {
   const folder = await mkdtemp(join(tmpdir(), "demo-"));
   t.after(() => rm(folder, { recursive: true }));
-  const demo = startDemo(join(folder, "timeline.html"));
+  const demo = startDemo(
+    join(folder, "timeline.html"),
+    "--document",
+    DOCUMENT,
+  );
   let output = "";
   for await (const chunk of demo.stdout!) {
     output += chunk;
