Run a non-idempotent request with a key at most once

Cause: an Idempotency-Key was passed on to the service and nothing else; the same key sent through another VM ran again.

Ruled out: one home for each key (its death or a list of another age makes two homes); a plain majority of holders (any one lost record makes two claims miss each other); fencing numbers (plain services do not check them). Fetching all records before any vote was ruled out as well: a list that loses a data centre would leave no holder that may vouch, so gaps are judged key by key.

Change: up to five brokers hold the first claim of each key in memory; a claim stands with 4 of 5, 3 of 4, or all of 3 or fewer. Holders vote only for the same set of holders that they see. A holder that started, or is new to a key, records and does not vouch until it has the records of enough others, asked for only after every claim in flight is decided. A claim is withdrawn when its call has not run, and no call starts under one older than half the horizon. Requests without a key, or that are idempotent, make no claim.

A fleet that starts whole refuses keys until the retry horizon has passed, so the demo sets a short horizon and comes back when asked to.

--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -1,4 +1,5 @@
 import { handleAdminRequest } from "@rosemarytiller/admin";
+import { createClaimHolder } from "@rosemarytiller/claims";
 import {
   handleMessage,
   type Link,
@@ -13,6 +14,7 @@
   createFleetView,
   createPeerLinks,
   FleetChangeKind,
+  listEntryVms,
   type PlatformPort,
   recordFleetChanges,
   watchPlatform,
@@ -41,6 +43,8 @@
 import { BEAT_MS, createBeats } from "./create_beats.ts";
 import { addLease } from "./add_lease.ts";
 import { pollLoad } from "./poll_load.ts";
+import { serveClaims } from "./serve_claims.ts";
+import { syncClaims } from "./sync_claims.ts";
 
 /** Time for the last messages of a stopping broker to leave. */
 export const RELEASE_FLUSH_MS = 100;
@@ -92,6 +96,17 @@
     serve,
   });
   const quarantine = createQuarantine({ now: clock.now, onChange: tellCrash });
+  const claims = createClaimHolder({
+    vm: settings.vm,
+    clock,
+    horizonMs: settings.retryHorizonMs,
+  });
+  const claimSync = syncClaims(claims, {
+    identity,
+    view,
+    clock,
+    linkAddresses: settings.linkAddresses,
+  });
   let stopping = false;
 
   /** Hands a crash on; each broker does once, so that all hear of it. */
@@ -155,6 +170,7 @@
   }
 
   async function serve(link: Link): Promise<void> {
+    if (link.role === Role.Claimer) return await serveClaims(link, claims);
     links.add(link);
     if (link.role === Role.Broker) {
       for (const record of quarantine.records()) {
@@ -178,6 +194,7 @@
   void view.changes.observe(({ kind }) => {
     if (kind === FleetChangeKind.VmList) {
       peers.update();
+      claims.setList(listEntryVms(view.vms()).map((vm) => vm.name));
       exchange.expectPeers(peers.vms());
     }
     for (const pool of pools.values()) pool.pump();
@@ -237,6 +254,7 @@
       polling.stop();
       watch.stop();
       exchange.stop();
+      claimSync.stop();
       peers.close();
       accepting.close();
       metrics.close();
--- /dev/null
+++ b/packages/claims/src/create_claim_holder_test.ts
@@ -0,0 +1,132 @@
+import {
+  type ClaimMessage,
+  ClaimState,
+  MessageKind,
+  Vote,
+} from "@rosemarytiller/link";
+import { createFakeClock, type FakeClock } from "@rosemarytiller/shared";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type ClaimHolder, createClaimHolder } from "./create_claim_holder.ts";
+import { SYNC_DELAY_MS } from "./create_holder_history.ts";
+import {
+  claimQuorum,
+  claimWitnesses,
+  listClaimHolders,
+} from "./list_claim_holders.ts";
+
+const HORIZON_MS = 60_000;
+const LIST = ["a", "b", "c", "d", "e"];
+
+function startHolders(clock: FakeClock): Map<string, ClaimHolder> {
+  const holders = new Map<string, ClaimHolder>();
+  for (const vm of LIST) holders.set(vm, startHolder(vm, clock));
+  clock.advance(HORIZON_MS);
+  return holders;
+}
+
+function startHolder(vm: string, clock: FakeClock): ClaimHolder {
+  const holder = createClaimHolder({ vm, clock, horizonMs: HORIZON_MS });
+  holder.setList(LIST);
+  return holder;
+}
+
+function claimOf(id: string, change: Partial<ClaimMessage> = {}): ClaimMessage {
+  const key = "key";
+  const kind = MessageKind.Claim as const;
+  return { kind, id, key, fingerprint: "body", holders: LIST, ...change };
+}
+
+function fetchRecords(to: ClaimHolder, from: ClaimHolder, vm: string): void {
+  for (const message of from.answer(to.wanted()!.sync)) to.take(message, vm);
+}
+
+test("quorums meet although one holder may lack a claim", () => {
+  assert.deepEqual([1, 2, 3, 4, 5].map(claimQuorum), [1, 2, 3, 3, 4]);
+  assert.deepEqual([1, 2, 3, 4, 5].map(claimWitnesses), [1, 1, 1, 2, 2]);
+  assert.equal(listClaimHolders("key", [...LIST, "f", "g"]).length, 5);
+});
+
+test("the first claim is granted and others see it taken", () => {
+  const holder = startHolders(createFakeClock()).get("a")!;
+  assert.equal(holder.vote(claimOf("one")).vote, Vote.Granted);
+  assert.equal(holder.vote(claimOf("one")).vote, Vote.Granted);
+  const vote = holder.vote(claimOf("two", { fingerprint: "other" }));
+  assert.equal(vote.vote, Vote.Taken);
+  assert.equal(vote.sameBody, false);
+  const { kind, key } = { kind: MessageKind.ClaimOutcome as const, key: "key" };
+  holder.settle({ kind, id: "one", key, state: ClaimState.Ran });
+  assert.equal(holder.vote(claimOf("two")).state, ClaimState.Ran);
+  holder.settle({ kind, id: "one", key, state: ClaimState.Withdrawn });
+  assert.equal(holder.vote(claimOf("two")).vote, Vote.Granted);
+});
+
+test("a claim by another list is refused", () => {
+  const holder = startHolders(createFakeClock()).get("a")!;
+  const holders = ["a", "b", "c", "d", "f"];
+  assert.equal(holder.vote(claimOf("one", { holders })).vote, Vote.OtherList);
+  assert.equal(holder.size(), 0);
+});
+
+test("a full holder refuses new claims and keeps the old", () => {
+  const clock = createFakeClock();
+  const options = { vm: "a", clock, horizonMs: HORIZON_MS, capacity: 1 };
+  const holder = createClaimHolder(options);
+  holder.setList(LIST);
+  clock.advance(HORIZON_MS);
+  assert.equal(holder.vote(claimOf("one")).vote, Vote.Granted);
+  const second = claimOf("two", { key: "second" });
+  assert.equal(holder.vote(second).vote, Vote.Full);
+  assert.equal(holder.vote(claimOf("three")).vote, Vote.Taken);
+  clock.advance(HORIZON_MS);
+  assert.equal(holder.vote(second).vote, Vote.Granted);
+});
+
+test("a restarted holder vouches once it has the others' records", () => {
+  const clock = createFakeClock();
+  const holders = startHolders(clock);
+  for (const vm of ["a", "b", "c", "d"]) holders.get(vm)!.vote(claimOf("one"));
+  const again = startHolder("a", clock);
+  assert.equal(again.vote(claimOf("x", { key: "x" })).vote, Vote.Young);
+  assert.equal(again.wanted(), undefined, "claims in flight are decided first");
+  clock.advance(SYNC_DELAY_MS);
+  assert.deepEqual(again.wanted()!.vms, ["b", "c", "d", "e"]);
+  for (const vm of ["e", "b"]) fetchRecords(again, holders.get(vm)!, vm);
+  assert.equal(again.vote(claimOf("y", { key: "y" })).vote, Vote.Young);
+  fetchRecords(again, holders.get("c")!, "c");
+  assert.equal(again.vote(claimOf("z", { key: "z" })).vote, Vote.Granted);
+  assert.equal(again.vote(claimOf("two")).vote, Vote.Taken);
+});
+
+test("records of a holder that is young itself prove nothing", () => {
+  const clock = createFakeClock();
+  const [first, second] = [startHolder("a", clock), startHolder("b", clock)];
+  clock.advance(SYNC_DELAY_MS);
+  fetchRecords(first, second, "b");
+  assert.deepEqual(first.wanted()!.vms, ["b", "c", "d", "e"]);
+  clock.advance(HORIZON_MS);
+  assert.equal(first.vote(claimOf("one")).vote, Vote.Granted);
+});
+
+test("a holder that is new to a key asks two of its former holders", () => {
+  const clock = createFakeClock();
+  const former = ["a", "b", "c", "d", "e"];
+  const next = ["a", "b", "f", "g", "h"];
+  const holders = new Map<string, ClaimHolder>();
+  for (const vm of [...former, ...next]) {
+    const holder = createClaimHolder({ vm, clock, horizonMs: HORIZON_MS });
+    holder.setList(former);
+    holders.set(vm, holder);
+  }
+  clock.advance(HORIZON_MS);
+  for (const vm of ["a", "c", "d", "e"]) holders.get(vm)!.vote(claimOf("one"));
+  for (const vm of next) holders.get(vm)!.setList(next);
+  clock.advance(SYNC_DELAY_MS);
+  const fresh = holders.get("f")!;
+  for (const vm of ["g", "h", "b"]) fetchRecords(fresh, holders.get(vm)!, vm);
+  const claim = claimOf("two", { holders: next });
+  assert.equal(fresh.vote({ ...claim, key: "x" }).vote, Vote.Young);
+  fetchRecords(fresh, holders.get("a")!, "a");
+  assert.equal(fresh.vote({ ...claim, key: "y" }).vote, Vote.Granted);
+  assert.equal(fresh.vote(claim).vote, Vote.Taken);
+});
--- a/packages/demo/src/run_demo.ts
+++ b/packages/demo/src/run_demo.ts
@@ -28,6 +28,10 @@
 
 /** VMs of the demo, over the first two data centres of the document. */
 const VM_COUNT = 4;
+/** How long the demo's VMs keep an idempotency key. */
+const DEMO_HORIZON_MS = 1000;
+/** Most times that a sample is sent while the fleet asks to come back. */
+const MAX_TRIES = 5;
 
 interface SampleResult {
   vm: string;
@@ -53,6 +57,8 @@
     ),
     document: JSON.stringify(document),
     upstreamVms,
+    // A fleet that has just started vouches for no key before this.
+    settings: { retryHorizonMs: DEMO_HORIZON_MS },
   });
   const stopped = nextStopSignal();
   try {
@@ -83,7 +89,12 @@
   for (const [index, sample] of sampleRequests(document).entries()) {
     const vm = fleet.vms[index % fleet.vms.length];
     const key = keys[sample.client];
-    const answer = await sendSample(vm.url, sample, { key });
+    let answer = await sendSample(vm.url, sample, { key });
+    for (let tries = 1; tries < MAX_TRIES && answer.status === 503; tries++) {
+      const delayMs = Number(answer.headers.get("retry-after")) * 1000;
+      await new Promise((resolve) => setTimeout(resolve, delayMs));
+      answer = await sendSample(vm.url, sample, { key });
+    }
     results.push({
       vm: vm.name,
       sample,
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -26,6 +26,7 @@
 } from "node:http";
 import type { AddressInfo } from "node:net";
 import { Agent } from "undici";
+import { createClaimClient } from "./create_claim_client.ts";
 import { createOpenRequests } from "./create_open_requests.ts";
 import {
   createPermitClient,
@@ -88,6 +89,14 @@
     ownBroker: `${settings.broker.host}:${settings.broker.port}`,
     linkAddresses: settings.linkAddresses,
   });
+  const claims = createClaimClient({
+    identity,
+    view,
+    clock,
+    timeline,
+    horizonMs: settings.retryHorizonMs,
+    linkAddresses: settings.linkAddresses,
+  });
   const dispatcher = new Agent({
     pipelining: 1,
     connect: { timeout: UPSTREAM_CONNECT_TIMEOUT_MS },
@@ -106,6 +115,7 @@
     timeline,
     metrics,
     permits,
+    claims,
     runners: {
       [UpstreamKind.ModelRunner]: createModelAttempt(attemptOptions),
       [UpstreamKind.PlainService]: createServiceAttempt(attemptOptions),
@@ -231,6 +241,7 @@
         log.warn(`The grace is over; ${open.count()} requests are cut off.`);
       }
       permits.close();
+      claims.close();
       metrics.close();
       server.closeAllConnections();
       admin.closeAllConnections();
--- a/packages/entry/src/serve_call.ts
+++ b/packages/entry/src/serve_call.ts
@@ -1,3 +1,4 @@
+import type { Claim } from "@rosemarytiller/claims";
 import type { Metrics } from "@rosemarytiller/metrics";
 import type { FleetView } from "@rosemarytiller/platform";
 import type { Settings } from "@rosemarytiller/settings";
@@ -16,6 +17,7 @@
 import type { AttemptResult, AttemptRunner } from "./attempt.ts";
 import type { Call } from "./call.ts";
 import { countAttempt } from "./count_attempt.ts";
+import type { ClaimClient } from "./create_claim_client.ts";
 import type { Permit, PermitClient } from "./create_permit_client.ts";
 import { createRunRecord, type RunRecord } from "./create_run_record.ts";
 import { finalError } from "./final_error.ts";
@@ -32,12 +34,14 @@
   timeline: Timeline;
   metrics: Metrics;
   permits: PermitClient;
+  claims: ClaimClient;
   runners: Record<UpstreamKind, AttemptRunner>;
 }
 
 interface ServeState extends ServeOptions {
   signal: AbortSignal;
   run: RunRecord;
+  claim: Claim | undefined;
 }
 
 /** Outcomes after which nothing of the attempt has run. */
@@ -58,7 +62,13 @@
   const watch = watchCall(call, response, options.clock);
   const { signal } = watch;
   try {
-    await runUntilAnswered(call, response, { ...options, signal, run });
+    const claim = await options.claims.claim(call);
+    try {
+      const state = { ...options, signal, run, claim };
+      await runUntilAnswered(call, response, state);
+    } finally {
+      claim?.finish(run.state());
+    }
   } catch (cause) {
     throw finalError(cause, { call, run, signal });
   } finally {
@@ -139,7 +149,10 @@
       address: addressOf(call, upstream, state.view),
       response,
       signal,
-      beforeSend: () => run.noteSent(),
+      beforeSend() {
+        checkClaim(state.claim);
+        run.noteSent();
+      },
       noteResumed: (from) =>
         timeline.record(EventKind.AttemptResumed, call.request, {
           attempt,
@@ -173,6 +186,15 @@
   tokens: 0,
 };
 
+/** A process that wakes up late must not send under an old claim. */
+function checkClaim(claim: Claim | undefined): void {
+  if (!claim || claim.isValid()) return;
+  throw new TillerError(
+    ErrorKind.ClaimUnavailable,
+    "the claim on the idempotency key ran out before the call began",
+  );
+}
+
 function addressOf(call: Call, upstream: string, view: FleetView): string {
   const document = view.documentOf(call.document.service) ?? call.document;
   const entry = document.upstreams[upstream] ??
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -203,10 +203,22 @@
   Granted = "granted",
   /** Another claim holds the key. */
   Taken = "taken",
-  /** The holder has no record but can't vouch that there was none. */
+  /** Recorded, but the holder can't vouch that there was none before. */
   Young = "young",
-  /** The holder's list differs too much from the claimer's. */
+  /** The holder reckons with other holders than the claimer. */
   OtherList = "other-list",
+  /** The holder's memory is full. */
+  Full = "full",
+}
+
+/** What is known of the request behind a claim. */
+export enum ClaimState {
+  /** It may run or have run. */
+  Open = "open",
+  /** An upstream has answered it. */
+  Ran = "ran",
+  /** It has not run and never will under this claim. */
+  Withdrawn = "withdrawn",
 }
 
 /** A holder's answer to a claim. */
@@ -214,8 +226,8 @@
   kind: MessageKind.ClaimVote;
   id: string;
   vote: Vote;
-  /** Outcome of the claim that holds the key, if known. */
-  outcome: string;
+  /** State of the claim that holds the key. */
+  state: ClaimState;
   /** Whether the holding claim has the same body. */
   sameBody: boolean;
 }
@@ -225,33 +237,38 @@
   kind: MessageKind.ClaimOutcome;
   id: string;
   key: string;
-  outcome: string;
+  state: ClaimState;
 }
 
-/** A restarted or new holder asks for the records it must hold. */
+/** A restarted or new holder asks for the records that it must hold. */
 export interface ClaimSyncMessage {
   kind: MessageKind.ClaimSync;
-  id: string;
   /** VM whose records are wanted. */
   vm: string;
-  /** VMs of the asker's list. */
-  list: string[];
+  /** Hash of the asker's list of entry VMs. */
+  list: string;
 }
 
-/** Answer to a sync; the last part has `last` set. */
+/** Answer to a sync, in parts. */
 export interface ClaimRecordsMessage {
   kind: MessageKind.ClaimRecords;
-  id: string;
+  /** Hash of the list for which the records were chosen. */
+  list: string;
   records: ClaimRecord[];
   last: boolean;
+  /** Whether the sender's own records had no gap under its former list. */
+  whole: boolean;
+  /** VMs that the sender's list has just lost and not yet made up for. */
+  lost: number;
 }
 
-/** What a holder keeps for a key. */
+/** What a holder keeps of a claim. */
 export interface ClaimRecord {
   key: string;
+  /** Identifier of the claim. */
   claim: string;
   fingerprint: string;
-  outcome: string;
+  state: ClaimState;
   /** Age of the record in milliseconds. */
   ageMs: number;
 }
--- /dev/null
+++ b/packages/sessions/src/claim_fleet_test.ts
@@ -0,0 +1,231 @@
+import { createStandInService } from "@rosemarytiller/standins";
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import {
+  type CallerAnswer,
+  callFleet,
+  hashKey,
+  TEST_KEY,
+} from "./call_fleet.ts";
+import { type Fleet, startFleet, waitUntil } from "./start_fleet.ts";
+
+/** How long the test's VMs keep a key; also their young time. */
+const HORIZON_MS = 4000;
+
+interface ClaimFleet {
+  fleet: Fleet;
+  service: Awaited<ReturnType<typeof createStandInService>>;
+  /** Sends an order under a key through a VM. */
+  order(
+    vm: number,
+    key: string,
+    options?: { body?: string; name?: string },
+  ): Promise<CallerAnswer>;
+}
+
+async function startClaimFleet(
+  t: TestContext,
+  vms: number,
+): Promise<ClaimFleet> {
+  const service = await createStandInService();
+  const fleet = await startFleet({
+    dataCentres: Array.from({ length: vms }, () => "north"),
+    upstreamVms: { "service-vm": "north" },
+    settings: { retryHorizonMs: HORIZON_MS },
+    relayed: true,
+    document: JSON.stringify({
+      service: "test",
+      dataCentres: { north: { region: "r" } },
+      clients: { counter: { keys: [hashKey(TEST_KEY)] } },
+      upstreams: {
+        "orders-1": {
+          kind: "plain-service",
+          serves: ["orders"],
+          dataCentre: "north",
+          vm: "service-vm",
+          address: service.url,
+          maxConcurrent: 8,
+          coldConcurrent: 8,
+        },
+        "tickets-1": {
+          kind: "plain-service",
+          serves: ["tickets"],
+          dataCentre: "north",
+          vm: "service-vm",
+          address: service.url,
+          maxConcurrent: 2,
+          coldConcurrent: 2,
+        },
+      },
+      classes: [{
+        name: "orders",
+        tier: 1,
+        firstTokenMs: 430,
+        queueMs: 20_000,
+        idempotent: false,
+      }],
+    }),
+  });
+  t.after(async () => {
+    await fleet.stop();
+    await service.close();
+  });
+  await fleet.ready();
+  function order(
+    vm: number,
+    key: string,
+    { body = "ten jars", name = "orders" } = {},
+  ) {
+    return callFleet(`${fleet.vms[vm].url}/v1/services/${name}/new`, {
+      method: "POST",
+      body,
+      headers: { "idempotency-key": key },
+    });
+  }
+  const claimFleet = { fleet, service, order };
+  await waitVouched(claimFleet);
+  return claimFleet;
+}
+
+/** Waits until every VM's entry can claim a fresh key. */
+async function waitVouched({ fleet, order }: ClaimFleet): Promise<void> {
+  for (const [place, vm] of fleet.vms.entries()) {
+    await waitUntil(async () => {
+      const answer = await order(place, `probe-${crypto.randomUUID()}`);
+      return answer.status === 200;
+    }, `${vm.name} can claim a key`);
+  }
+}
+
+function readProblem(answer: CallerAnswer): { kind: string; run: string } {
+  const { kind, run } = JSON.parse(answer.text);
+  return { kind, run };
+}
+
+test("a key sent again runs at most once", async (t) => {
+  const claimFleet = await startClaimFleet(t, 3);
+  const { fleet, service, order } = claimFleet;
+
+  await t.test("through two VMs at once", async () => {
+    service.set({ delayMs: 200 });
+    for (let round = 0; round < 5; round++) {
+      const key = `both-${round}`;
+      const answers = await Promise.all([order(0, key), order(1, key)]);
+      const runs = service.runs.get(key) ?? 0;
+      assert.ok(runs <= 1, `${key} ran ${runs} times`);
+      const statuses = answers.map((answer) => answer.status);
+      assert.equal(statuses.filter((one) => one === 200).length, runs);
+      for (const answer of answers) {
+        if (answer.status === 200) continue;
+        const { kind, run } = readProblem(answer);
+        if (kind === "claim-unavailable") assert.equal(run, "not-run");
+        else assert.deepEqual([kind, run], ["duplicate-key", "may-have-run"]);
+      }
+    }
+  });
+
+  await t.test("after its answer, and with another body", async () => {
+    service.set({ delayMs: 0 });
+    assert.equal((await order(0, "later")).status, 200);
+    assert.deepEqual(readProblem(await order(2, "later")), {
+      kind: "duplicate-key",
+      run: "ran",
+    });
+    assert.deepEqual(
+      readProblem(await order(1, "later", { body: "nine jars" })),
+      {
+        kind: "key-mismatch",
+        run: "not-run",
+      },
+    );
+    assert.equal(service.runs.get("later"), 1);
+  });
+
+  await t.test("after the entry is killed in mid-call", async () => {
+    service.set({ delayMs: 1000 });
+    const first = order(0, "killed").catch(() => undefined);
+    await waitUntil(() => service.runs.has("killed"), "the call runs");
+    fleet.vms[0].entry.kill("SIGKILL");
+    assert.equal(await first, undefined, "the caller saw a broken connection");
+    assert.deepEqual(readProblem(await order(1, "killed")), {
+      kind: "duplicate-key",
+      run: "may-have-run",
+    });
+    assert.equal(service.runs.get("killed"), 1);
+    fleet.vms[0].restart("entry");
+    await fleet.ready();
+  });
+
+  await t.test("by an entry that was paused beyond the horizon", async () => {
+    // Both places are taken, so that the claim waits for its permit; the
+    // paused entry may be given one of them later.
+    const tickets = { name: "tickets" };
+    service.set({ delayMs: 2 * HORIZON_MS });
+    const blocking = Promise.all([
+      order(0, "blocking-1", tickets),
+      order(0, "blocking-2", tickets),
+    ]);
+    await waitUntil(
+      () => service.runs.has("blocking-1") && service.runs.has("blocking-2"),
+      "the places are taken",
+    );
+    service.set({ delayMs: 0 });
+    const { entry, entryAdmin } = fleet.vms[1];
+    const first = order(1, "paused", tickets);
+    await waitUntil(async () => {
+      const answer = await fetch(`http://${entryAdmin}/timeline`);
+      const { events } = await answer.json() as {
+        events: { kind: string }[];
+      };
+      return events.at(-1)?.kind === "permit-asked";
+    }, "the claim waits for a permit");
+    entry.kill("SIGSTOP");
+    // Holders forget the claim after the horizon, whatever the entry does.
+    await waitUntil(
+      async () => (await order(2, "paused", tickets)).status === 200,
+      "the key is free after the horizon",
+    );
+    entry.kill("SIGCONT");
+    await blocking;
+    const late = await first;
+    assert.equal(readProblem(late).run, "not-run", late.text);
+    assert.equal(service.runs.get("paused"), 1);
+  });
+
+  await t.test("in a partition", async () => {
+    fleet.betweenGroups(["vm-1"], ["vm-2", "vm-3"], "cut");
+    const alone = readProblem(await order(0, "cut"));
+    assert.deepEqual(alone, { kind: "claim-unavailable", run: "not-run" });
+    assert.equal(service.runs.get("cut"), undefined);
+    fleet.betweenGroups(["vm-1"], ["vm-2", "vm-3"], "heal");
+    await waitUntil(
+      async () => (await order(0, "cut")).status === 200,
+      "the same caller succeeds once the partition has healed",
+    );
+    assert.equal(service.runs.get("cut"), 1);
+  });
+
+  await t.test("after a holder has restarted", async () => {
+    assert.equal((await order(0, "restart")).status, 200);
+    fleet.vms[1].broker.kill("SIGKILL");
+    fleet.vms[1].restart("broker");
+    const again = await order(2, "restart");
+    assert.notEqual(again.status, 200, again.text);
+    await waitUntil(
+      async () =>
+        (await order(0, `fresh-${crypto.randomUUID()}`)).status === 200,
+      "the restarted holder vouches again",
+    );
+    assert.equal((await order(2, "restart")).status, 409);
+    assert.equal(service.runs.get("restart"), 1);
+  });
+});
+
+test("a key is free again when its call reached no upstream", async (t) => {
+  const { service, order } = await startClaimFleet(t, 3);
+  await service.close();
+  const failed = await order(0, "unreached");
+  assert.equal(readProblem(failed).run, "not-run", failed.text);
+  const again = await order(1, "unreached");
+  assert.notEqual(readProblem(again).kind, "duplicate-key", again.text);
+});
--- a/packages/sessions/src/start_call_server.ts
+++ b/packages/sessions/src/start_call_server.ts
@@ -137,6 +137,7 @@
       liveCount: () => live.size,
       close() {},
     } as ServeOptions["permits"],
+    claims: { claim: () => Promise.resolve(undefined), close() {} },
     runners: {
       [UpstreamKind.ModelRunner]: createModelAttempt(attemptOptions),
       [UpstreamKind.PlainService]: createServiceAttempt(attemptOptions),
--- a/packages/shared/src/enums.ts
+++ b/packages/shared/src/enums.ts
@@ -17,6 +17,7 @@
   NoUpstream = "no-upstream",
   Quarantined = "quarantined",
   DuplicateKey = "duplicate-key",
+  KeyMismatch = "key-mismatch",
   ClaimUnavailable = "claim-unavailable",
   OutcomeUnknown = "outcome-unknown",
   UpstreamFailed = "upstream-failed",
@@ -33,10 +34,12 @@
   Ran = "ran",
 }
 
-/** The two roles a process of the system can have. */
+/** The two roles a process can have, and that of a link for claims. */
 export enum Role {
   Entry = "entry",
   Broker = "broker",
+  /** A link of either, for claims on idempotency keys only. */
+  Claimer = "claimer",
 }
 
 /** Kinds of upstream: a model engine or a plain HTTP service. */
--- a/packages/shared/src/error_kinds.ts
+++ b/packages/shared/src/error_kinds.ts
@@ -37,6 +37,10 @@
   [ErrorKind.NoUpstream]: answer(503, "No upstream is in service", true),
   [ErrorKind.Quarantined]: answer(422, "The request crashed upstreams"),
   [ErrorKind.DuplicateKey]: answer(409, "The idempotency key was used"),
+  [ErrorKind.KeyMismatch]: answer(
+    422,
+    "The idempotency key was used for another request",
+  ),
   [ErrorKind.ClaimUnavailable]: answer(
     503,
     "The idempotency key cannot be checked now",
