Read what came during a pause before calling an upstream silent

An entry that was stopped for longer than the silence limit ended its streams on waking, though their bytes waited in its sockets: timers come due before sockets are read. Seen in a trial of the pause test (an error event 'the upstream stayed silent' after SIGCONT). The guard now waits 20 ms more once it comes due. The new test failed on the old guard.

--- a/packages/entry/src/create_silence_guard.ts
+++ b/packages/entry/src/create_silence_guard.ts
@@ -1,5 +1,8 @@
 import type { Clock } from "@rosemarytiller/shared";
 
+/** Time in which a process that slept reads what came meanwhile. */
+export const WAKE_GRACE_MS = 20;
+
 /** Aborts a call to an upstream that stays silent for too long. */
 export interface SilenceGuard {
   /** Aborted on silence, or together with the call's own signal. */
@@ -25,6 +28,7 @@
   let timerDueMs = Infinity;
   let cancel = () => {};
   let fired = false;
+  let isGrace = false;
 
   // One timer serves many tokens: it is only moved when it comes due.
   function schedule(): void {
@@ -40,6 +44,12 @@
       schedule();
       return;
     }
+    if (!isGrace) {
+      isGrace = true;
+      deadlineMs = clock.now() + WAKE_GRACE_MS;
+      schedule();
+      return;
+    }
     fired = true;
     controller.abort(new Error("the upstream stayed silent"));
   }
@@ -48,6 +58,7 @@
     signal: AbortSignal.any([signal, controller.signal]),
     hasFired: () => fired,
     arm(limitMs) {
+      isGrace = false;
       deadlineMs = clock.now() + limitMs;
       if (deadlineMs < timerDueMs) schedule();
     },
