--- a/packages/broker/src/create_leadership.ts
+++ b/packages/broker/src/create_leadership.ts
@@ -37,7 +37,7 @@
 export const ACTIVE_MS = 60_000;
 /** Shortest time between two hand-overs of a lease to a preferred broker. */
 export const HANDOVER_INTERVAL_MS = 30_000;
-/** How long an entry without a link may stay away with its permits. */
+/** How long an entry may be silent before its calls count as unseen. */
 export const GONE_MS = 2 * LEASE_MS;
 /** Longest time that any class may set for a call. */
 export const CALL_MAX_MS = 3_600_000;
@@ -120,7 +120,9 @@
   link: Link | undefined;
   incarnation: number;
   stamp: number;
-  goneMs: number;
+  heardMs: number;
+  /** Whether the calls of the silent entry were counted as unseen. */
+  isLost: boolean;
   terms: readonly [lease: string, term: number][];
   prefers: ReadonlySet<string>;
 }
@@ -205,7 +207,8 @@
       link: undefined,
       incarnation,
       stamp: 0,
-      goneMs: Infinity,
+      heardMs: clock.now(),
+      isLost: false,
       terms: [],
       prefers: new Set(),
     };
@@ -215,7 +218,10 @@
 
   function noteStamp(link: Link, stamp: number): EntryState | undefined {
     const entry = entryOf(link);
-    if (entry) entry.stamp = Math.max(entry.stamp, stamp);
+    if (!entry) return undefined;
+    entry.stamp = Math.max(entry.stamp, stamp);
+    entry.heardMs = clock.now();
+    entry.isLost = false;
     return entry;
   }
 
@@ -303,17 +309,24 @@
     return lost;
   }
 
-  function loseGone(): string[] {
+  /** Permits of entries that are silent although they should answer. */
+  function loseSilent(): string[] {
     const lost: string[] = [];
+    if (isIdle()) return lost;
     for (const [vm, entry] of entries) {
-      if (entry.link || clock.now() - entry.goneMs < GONE_MS) continue;
-      entry.goneMs = Infinity;
+      if (entry.isLost || clock.now() - entry.heardMs < GONE_MS) continue;
+      entry.isLost = true;
+      // It must tell of all its calls again before it counts.
       for (const { tenure } of leases.values()) lost.push(...tenure.lose(vm));
     }
     for (const permit of lost) drop(permit);
     return lost;
   }
 
+  function isIdle(): boolean {
+    return ![...leases.values()].some(isWanted);
+  }
+
   function noteLeading(lease: Lease): void {
     const isLed = lease.tenure.backers().length > 0;
     if (isLed === lease.isLed) return;
@@ -330,13 +343,11 @@
       entry.link = link;
       entry.terms = [];
       entry.prefers = new Set();
-      entry.goneMs = Infinity;
     },
     closeLink(link) {
       const entry = entries.get(link.vm);
       if (entry?.link !== link) return;
       entry.link = undefined;
-      entry.goneMs = clock.now();
     },
     onAsk(pool, stamp, link) {
       noteStamp(link, stamp);
@@ -385,7 +396,7 @@
     wants: () => [...leases.values()].filter(isWanted).map(({ name }) => name),
     leads: () =>
       [...leases.values()].filter(({ isLed }) => isLed).map(({ name }) => name),
-    isIdle: () => ![...leases.values()].some(isWanted),
+    isIdle,
     check() {
       const nowMs = clock.now();
       for (const lease of leases.values()) {
@@ -395,7 +406,7 @@
         lease.handedOverMs = nowMs;
         release(lease, false);
       }
-      return loseGone();
+      return loseSilent();
     },
     releaseAll() {
       for (const lease of leases.values()) release(lease, true);
--- a/packages/lease/src/create_leader_tenure.ts
+++ b/packages/lease/src/create_leader_tenure.ts
@@ -46,7 +46,10 @@
     echo: number,
     permits: readonly { permit: string; upstream: string }[],
   ): string[];
-  /** Counts the calls of an entry that is gone as unseen; returns permits. */
+  /**
+   * Counts the calls of an entry that is silent as unseen; returns their
+   * permits. The entry is released, so that it tells of its calls anew.
+   */
   lose(vm: string): string[];
   /** Lets one backer go for good under its present term. */
   release(vm: string): void;
@@ -86,7 +89,7 @@
 export const RECOUNT_AFTER_MS = 1000;
 /** Longest hold of grants for a recount. */
 export const RECOUNT_HOLD_MS = 2000;
-/** Shortest time between two holds. */
+/** Time from a hold that did not help to the next. */
 export const RECOUNT_INTERVAL_MS = 10_000;
 
 interface Backer extends AccountBacker {
@@ -103,7 +106,8 @@
   const known = new Map<string, Backer>();
   const released = new Map<string, { incarnation: number; term: number }>();
   const accounts = new Map<string, UpstreamAccount>();
-  const holds = new Map<string, number>();
+  /** Since when each upstream has needed a better count. */
+  const needs = new Map<string, number>();
   const processes = new Map<string, number>();
   /** Basis by upstream under which its calls were last counted. */
   const admitted = new Map<string, MembershipBasis>();
@@ -201,19 +205,19 @@
   function isHeld(upstream: string): boolean {
     if (!options.reportsLoad(upstream)) return false;
     const nowMs = clock.now();
-    const { counts } = account(upstream);
-    const backers = present();
-    const oldestMs = nowMs - RECOUNT_AFTER_MS;
-    const overdue =
-      backers.some((backer) =>
-        !counts(backer) && backer.arrivedMs <= oldestMs
-      ) || (seenAtMs <= oldestMs && isBasisPending(upstream, backers.length));
-    if (!overdue) return false;
-    const heldAtMs = holds.get(upstream) ?? -Infinity;
-    if (nowMs < heldAtMs + RECOUNT_HOLD_MS) return true;
-    if (nowMs < heldAtMs + RECOUNT_INTERVAL_MS) return false;
-    holds.set(upstream, nowMs);
-    return true;
+    const isNeeded = needsCount(upstream, present()) ||
+      account(upstream).isUncertain();
+    if (!isNeeded) {
+      needs.delete(upstream);
+      return false;
+    }
+    const holdMs = (needs.get(upstream) ?? nowMs) + RECOUNT_AFTER_MS;
+    needs.set(upstream, holdMs - RECOUNT_AFTER_MS);
+    if (nowMs < holdMs) return false;
+    if (nowMs < holdMs + RECOUNT_HOLD_MS) return true;
+    // It did not help; the next try comes after a while.
+    needs.set(upstream, nowMs + RECOUNT_INTERVAL_MS);
+    return false;
   }
 
   /** Whether the first backers have come but more may follow at once. */
@@ -237,6 +241,13 @@
     return lost;
   }
 
+  function release(vm: string): void {
+    const backer = known.get(vm);
+    if (!backer) return;
+    known.delete(vm);
+    released.set(vm, backer);
+  }
+
   return {
     noteProcess(vm, incarnation) {
       const former = processes.get(vm) ?? incarnation;
@@ -261,7 +272,10 @@
       }
       return ended;
     },
-    lose,
+    lose(vm) {
+      release(vm);
+      return lose(vm);
+    },
     back(backing) {
       const { vm, incarnation, term, stamp, vouches } = backing;
       if (incarnation < (processes.get(vm) ?? incarnation)) return;
@@ -287,12 +301,7 @@
         vouches,
       });
     },
-    release(vm) {
-      const backer = known.get(vm);
-      if (!backer) return;
-      known.delete(vm);
-      released.set(vm, backer);
-    },
+    release,
     isReleased(backing) {
       const gone = released.get(backing.vm);
       return gone !== undefined && !isNewer(backing, gone);
@@ -326,7 +335,8 @@
       const oldestMs = clock.now() - START_MS;
       const backers = present()
         .filter((backer) => backer.arrivedMs <= oldestMs);
-      return backers.length > 0 && needsCount(upstream, backers);
+      if (backers.length === 0) return false;
+      return account(upstream).unseen() > 0 || needsCount(upstream, backers);
     },
     share,
   };
--- a/packages/lease/src/create_upstream_account.ts
+++ b/packages/lease/src/create_upstream_account.ts
@@ -60,6 +60,8 @@
   counts(backer: AccountBacker): boolean;
   /** Upper bound of the calls that this leader has no permit for. */
   unseen(): number;
+  /** Whether a count without own calls under way might lower `unseen`. */
+  isUncertain(): boolean;
   /** Permits in progress. */
   live(): number;
 }
@@ -84,6 +86,8 @@
   /** By then every unseen call has run out of time. */
   let unseenEndMs = Infinity;
   let basisMs = -Infinity;
+  /** Calls of others that the newest report shows for sure. */
+  let surelyUnseen = 0;
 
   function take(load: CountedLoad): void {
     unseen = boundOf(load);
@@ -156,6 +160,7 @@
     report(load, backers, shares) {
       const { measuredMs } = load;
       if (measuredMs < basisMs) return false;
+      surelyUnseen = Math.max(0, load.calls - live.size);
       const isPast = (atMs: number) => atMs + START_MS <= measuredMs;
       const before = backers.filter(counts);
       const arrived = backers.filter((backer) =>
@@ -184,6 +189,7 @@
     },
     counts,
     unseen: unseenNow,
+    isUncertain: () => unseenNow() > surelyUnseen,
     live: () => live.size,
   };
 }
--- a/packages/lease/src/share_of_limit.ts
+++ b/packages/lease/src/share_of_limit.ts
@@ -8,10 +8,13 @@
 export function shareOfLimit(limit: number, share: number): number {
   if (share <= 0) return 0;
   if (share >= 1) return limit;
-  // Guards against 0.1 * 30 and its like, which come out just above or below.
   const others = Math.floor(limit * (1 - share) + ROUNDING);
   if (share > 0.5) return limit - others;
-  return Math.floor(limit * share - ROUNDING);
+  return Math.floor(limit * share + ROUNDING);
 }
 
+/**
+ * Shares are fractions of at most a few hundred members: a product this close
+ * to a whole number is one.
+ */
 const ROUNDING = 1e-9;
--- a/packages/sessions/src/run_lease_model.ts
+++ b/packages/sessions/src/run_lease_model.ts
@@ -615,8 +615,8 @@
         publishedMs: NaN,
         asks: [] as { vm: number; id: string }[],
         stamps: new Map<number, { incarnation: number; stamp: number }>(),
-        gone: new Map<number, number>(),
-        live: new Map<string, string>(),
+        /** Time of the last message of each entry. */
+        heard: new Map<number, number>(),
         nextPermit: 0,
         polling: false,
       };
@@ -634,6 +634,7 @@
       if (known?.incarnation === process && known.stamp >= stamp) return;
       state.tenure.noteProcess(names[from], process);
       state.stamps.set(from, { incarnation: process, stamp });
+      state.heard.set(from, self.process.clock.now());
     }
 
     function pump(): void {
@@ -657,9 +658,9 @@
       for (const to of entries.keys()) {
         sendToEntry(vm, to, (entry) => entry.onBeat(vm, message));
       }
-      for (const [to, sinceMs] of state.gone) {
-        if (process.clock.now() - sinceMs < 2 * LEASE_MS) continue;
-        state.gone.delete(to);
+      for (const [to, heardMs] of state.heard) {
+        if (process.clock.now() - heardMs < 2 * LEASE_MS) continue;
+        state.heard.delete(to);
         state.tenure.lose(names[to]);
       }
       pump();
@@ -724,14 +725,19 @@
         noteStamp(from, back.incarnation, back.stamp);
         const known = state.stamps.get(from)!;
         if (known.incarnation !== back.incarnation) return;
-        state.gone.delete(from);
         if (back.term === undefined || back.leader !== leader()) return;
-        state.tenure.back({ ...back, vm: names[from], term: back.term });
+        const backing = { ...back, vm: names[from], term: back.term };
         const held = back.permits?.map((permit) => ({
           permit,
           upstream: "upstream",
         }));
         if (held) state.tenure.adopt(names[from], back.echo, held);
+        if (state.tenure.isReleased(backing)) {
+          const granter = leader();
+          sendToEntry(vm, from, (entry) => entry.onRelease(granter));
+        } else {
+          state.tenure.back(backing);
+        }
         pump();
       },
       onAsk(from: number, process: number, id: string, stamp: number): void {
@@ -748,7 +754,6 @@
         state.tenure.backers().length > 0 ? account().live() : 0,
       linkEnded(from: number): void {
         state.asks = state.asks.filter((ask) => ask.vm !== from);
-        state.gone.set(from, process.clock.now());
       },
       kill(): void {
         process.alive = false;
