Test two tiers at three times the capacity with real processes

Two VMs and two engines, calls at a fixed rate. The top tier at 0.75 of the capacity is not refused while the lower floods; the lowest class gets its floor of a tenth while the top tier floods at 2.5.

--- /dev/null
+++ b/packages/sessions/src/overload_tiers_test.ts
@@ -0,0 +1,167 @@
+import {
+  createStandInEngine,
+  type StandInEngine,
+} from "@rosemarytiller/standins";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { callChat, hashKey, TEST_KEY } from "./call_fleet.ts";
+import { startFleet } from "./start_fleet.ts";
+
+const ENGINES = 2;
+const CAPACITY = 4;
+const FIRST_TOKEN_MS = 20;
+const TOKEN_MS = 6;
+const TOKENS = 30;
+const CALL_MS = FIRST_TOKEN_MS + TOKENS * TOKEN_MS;
+/** Calls in a second that the engines can bear. */
+const RATE = ENGINES * CAPACITY / (CALL_MS / 1000);
+const OVERLOAD = 3;
+const FLOOR = 0.1;
+const QUEUE_MS = 1000;
+const LOAD_MS = 3000;
+
+interface Outcome {
+  served: number;
+  refused: number;
+  /** Times from the request to its refusal. */
+  refusalMs: number[];
+  problems: Set<string>;
+}
+
+/** Calls in a second by class, as shares of what the engines can bear. */
+type Demand = Record<"high" | "low", number>;
+
+function classOf(name: string, tier: number, floorShare: number) {
+  return {
+    name,
+    tier,
+    match: { header: { name: "x-class", value: name } },
+    firstTokenMs: 200,
+    queueMs: QUEUE_MS,
+    floorShare,
+  };
+}
+
+function documentFor(engines: readonly StandInEngine[]): string {
+  return JSON.stringify({
+    service: "test",
+    dataCentres: { north: { region: "r" } },
+    clients: { counter: { keys: [hashKey(TEST_KEY)] } },
+    upstreams: Object.fromEntries(
+      engines.map((engine, index) => [`runner-${index}`, {
+        kind: "model-runner",
+        serves: ["small"],
+        dataCentre: "north",
+        vm: "runner-vm",
+        address: engine.url,
+        maxConcurrent: CAPACITY,
+        coldConcurrent: CAPACITY,
+      }]),
+    ),
+    classes: [classOf("high", 1, 0), classOf("low", 4, FLOOR)],
+  });
+}
+
+/** Calls a fleet of real processes at a fixed rate for each class. */
+async function runOverload(
+  t: { after(action: () => Promise<void>): void },
+  demand: Demand,
+): Promise<{ high: Outcome; low: Outcome; peak: number }> {
+  const engines: StandInEngine[] = [];
+  for (let index = 0; index < ENGINES; index++) {
+    engines.push(
+      await createStandInEngine({
+        capacity: CAPACITY,
+        firstTokenMs: FIRST_TOKEN_MS,
+        tokenMs: TOKEN_MS,
+      }),
+    );
+  }
+  const fleet = await startFleet({
+    dataCentres: ["north", "north"],
+    upstreamVms: { "runner-vm": "north" },
+    document: documentFor(engines),
+  });
+  t.after(async () => {
+    await fleet.stop();
+    for (const engine of engines) await engine.close();
+  });
+  await fleet.ready();
+
+  const newOutcome = (): Outcome => ({
+    served: 0,
+    refused: 0,
+    refusalMs: [],
+    problems: new Set(),
+  });
+  const outcomes = { high: newOutcome(), low: newOutcome() };
+  async function call(className: "high" | "low", count: number) {
+    const outcome = outcomes[className];
+    const answer = await callChat(fleet.vms[count % 2].url, {
+      model: "small",
+      messages: [{ role: "user", content: `${className} ${count}` }],
+      max_tokens: TOKENS,
+    }, { headers: { "x-class": className } });
+    if (answer.status === 200) {
+      outcome.served++;
+      return;
+    }
+    const { kind, run } = JSON.parse(answer.text);
+    outcome.refused++;
+    outcome.refusalMs.push(answer.totalMs);
+    outcome.problems.add(`${answer.status} ${kind} ${run}`);
+    assert.ok(Number(answer.headers.get("retry-after")) >= 1);
+  }
+
+  const calls: Promise<void>[] = [];
+  const sent = { high: 0, low: 0 };
+  const startMs = performance.now();
+  for (let ms = 0; ms < LOAD_MS; ms = performance.now() - startMs) {
+    for (const className of ["high", "low"] as const) {
+      const due = ms / 1000 * RATE * demand[className];
+      while (sent[className] < due) {
+        calls.push(call(className, sent[className]++));
+      }
+    }
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  await Promise.all(calls);
+  const peak = Math.max(...engines.map(({ counts }) => counts.peak));
+  return { ...outcomes, peak };
+}
+
+function describe({ high, low }: { high: Outcome; low: Outcome }): string {
+  const early = [...high.refusalMs, ...low.refusalMs]
+    .sort((left, right) => left - right);
+  const median = early[Math.floor(early.length / 2)] ?? 0;
+  return `high ${high.served} served ${high.refused} refused, ` +
+    `low ${low.served} served ${low.refused} refused, ` +
+    `median refusal after ${median.toFixed(0)} ms`;
+}
+
+test("the top tier is not refused while the lower gets beyond its floor", async (t) => {
+  const outcome = await runOverload(t, { high: 0.75, low: OVERLOAD - 0.75 });
+  t.diagnostic(describe(outcome));
+  const { high, low, peak } = outcome;
+  assert.equal(high.refused, 0);
+  assert.ok(low.served > FLOOR * (high.served + low.served));
+  assert.deepEqual([...low.problems], ["429 overloaded not-run"]);
+  assert.ok(peak <= CAPACITY);
+  const median =
+    low.refusalMs.sort((left, right) =>
+      left - right
+    )[Math.floor(low.refusalMs.length / 2)];
+  assert.ok(median < QUEUE_MS / 2, "refused early, not after the wait");
+});
+
+test("the lowest class gets its floor under a flood of the top tier", async (t) => {
+  const outcome = await runOverload(t, { high: OVERLOAD - 0.5, low: 0.5 });
+  t.diagnostic(describe(outcome));
+  const { high, low, peak } = outcome;
+  const served = high.served + low.served;
+  assert.ok(low.served >= Math.floor(FLOOR * served) - 2, describe(outcome));
+  // Before the engines were full, the first calls of both went at once.
+  const most = FLOOR * served + ENGINES * CAPACITY + 2;
+  assert.ok(low.served <= most, describe(outcome));
+  assert.ok(peak <= CAPACITY);
+});
