Record a crashing prompt as a golden session

The prompt crashes two engines, then it is refused, and refused as not run when its caller sends it again. Events now stand by process, since two brokers took part and their order differed in two of three runs; asks and refusals of permits are left out of this session's first request, since which broker refuses it depends on how fast a crash is told.

--- a/packages/sessions/src/golden_sessions_test.ts
+++ b/packages/sessions/src/golden_sessions_test.ts
@@ -1,4 +1,6 @@
 import type { ProcessStatus } from "@rosemarytiller/admin";
+import { EventKind } from "@rosemarytiller/shared";
+import { CRASH_MARK } from "@rosemarytiller/standins";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { readFile, writeFile } from "node:fs/promises";
@@ -157,6 +159,19 @@
     const [code] = await exit;
     record.note(`told to stop in the stream, the entry ended with ${code}`);
   },
+
+  async "crashing prompt"(record, { fleet, engines }) {
+    const messages = [{ role: "user", content: CRASH_MARK }];
+    record.note("the prompt crashes each engine that runs it");
+    // How soon a broker hears of a crash at another decides which one refuses.
+    const hidden = [EventKind.PermitAsked, EventKind.PermitRefused];
+    await record.call(fleet.vms[1].url, chat({ messages }), { hidden });
+    record.note("its caller sends it again");
+    await record.call(fleet.vms[1].url, chat({ messages }));
+    const { north, south } = engines;
+    const crashes = north.counts.crashes + south.counts.crashes;
+    record.note(`engines crashed: ${crashes}`);
+  },
 };
 
 const NORTH = { "content-type": "application/json", "x-task": "north" };
--- a/packages/sessions/src/record_session.ts
+++ b/packages/sessions/src/record_session.ts
@@ -18,13 +18,23 @@
   body?: unknown;
 }
 
+/** How a call of a session is sent and shown. */
+export interface CallOptions {
+  /** Awaited before the request's events are read. */
+  beforeTimeline?: Promise<unknown>;
+  /** Called whenever data of the answer comes. */
+  onText?: () => void;
+  /** Kinds of event whose number may differ from run to run. */
+  hidden?: readonly EventKind[];
+}
+
 /** Writes down what a caller and the fleet say to each other. */
 export interface SessionRecord {
   /** Sends a request to a VM and records it with its answer. */
   call(
     url: string,
     request: SessionRequest,
-    options?: { beforeTimeline?: Promise<unknown>; onText?: () => void },
+    options?: CallOptions,
   ): Promise<CallerAnswer>;
   /**
    * Sends a request and closes the connection at the first data of the answer;
@@ -63,15 +73,13 @@
     }
   }
 
-  async function recordTimeline(request: string): Promise<void> {
+  async function recordTimeline(
+    request: string,
+    hidden: readonly EventKind[] = [],
+  ): Promise<void> {
     const events = await settledEvents(fleet, request);
-    for (const role of ["entry", "broker"]) {
-      const own = events.filter(({ process }) => process.endsWith(`/${role}`));
-      for (const { kind, detail } of own) {
-        lines.push(`${role}: ${kind}${formatShown(detail)}`);
-      }
-    }
-    lines.push("");
+    const shown = events.filter(({ kind }) => !hidden.includes(kind));
+    lines.push(...formatLanes(shown), "");
   }
 
   return {
@@ -90,7 +98,7 @@
       if (answer.broken) lines.push("(the connection broke)");
       await options.beforeTimeline;
       const id = answer.headers.get("x-request-id");
-      if (id) await recordTimeline(id);
+      if (id) await recordTimeline(id, options.hidden);
       else lines.push("");
       return answer;
     },
@@ -141,6 +149,21 @@
   return own;
 }
 
+/**
+ * Writes the events of each process together, entries first: the order between
+ * processes, and which broker leads, may differ from run to run.
+ */
+function formatLanes(events: readonly OrderedEvent[]): string[] {
+  const lanes = new Map<string, string>();
+  for (const { process, kind, detail } of events) {
+    const role = process.split("/")[1];
+    const line = `${role}: ${kind}${formatShown(detail)}\n`;
+    lanes.set(process, (lanes.get(process) ?? "") + line);
+  }
+  const texts = [...lanes.values()].sort();
+  return texts.reverse().map((text) => text.trimEnd());
+}
+
 /** Details that are the same in each run. */
 const SHOWN_DETAILS = ["class", "upstream", "outcome", "error", "run"];
 
