Record a repeated idempotency key as a golden session

The same key through another VM is refused as run, another body under it as not run, and the service counts one run.

--- a/packages/sessions/src/golden_fleet.ts
+++ b/packages/sessions/src/golden_fleet.ts
@@ -4,7 +4,7 @@
   type StandInEngine,
   type StandInService,
 } from "@rosemarytiller/standins";
-import { callChat, hashKey, TEST_KEY } from "./call_fleet.ts";
+import { callChat, callFleet, hashKey, TEST_KEY } from "./call_fleet.ts";
 import { type Fleet, startFleet, waitUntil } from "./start_fleet.ts";
 
 /** API key of a client that no class matches. */
@@ -13,6 +13,9 @@
 /** Time between two tokens of an engine, in milliseconds. */
 export const TOKEN_MS = 5;
 
+/** How long the fleet keeps an idempotency key; no key is vouched for before. */
+const HORIZON_MS = 2000;
+
 /** A fleet for recorded sessions, with its stand-ins. */
 export interface GoldenFleet {
   fleet: Fleet;
@@ -40,7 +43,7 @@
       "orders-vm": "north",
     },
     document: write(),
-    settings: { balancerLagMs: 300 },
+    settings: { balancerLagMs: 300, retryHorizonMs: HORIZON_MS },
   });
   await fleet.ready();
   await warmUp(fleet);
@@ -70,6 +73,13 @@
       });
       return answer.status === 200;
     }, `${vm.name} serves`);
+    await waitUntil(async () => {
+      const answer = await callFleet(`${vm.url}/v1/services/orders/warm-up`, {
+        method: "POST",
+        headers: { "idempotency-key": crypto.randomUUID() },
+      });
+      return answer.status === 200;
+    }, `${vm.name} can claim a key`);
   }
 }
 
--- a/packages/sessions/src/golden_sessions_test.ts
+++ b/packages/sessions/src/golden_sessions_test.ts
@@ -92,6 +92,21 @@
     });
   },
 
+  async "repeated idempotency key"(record, { fleet, service }) {
+    const order = (body: string): SessionRequest => ({
+      path: "/v1/services/orders/jars",
+      key: TEST_KEY,
+      headers: { "content-type": "text/plain", "idempotency-key": "order-17" },
+      body,
+    });
+    await record.call(fleet.vms[0].url, order("ten jars"));
+    record.note("its caller sends it again, through another VM");
+    await record.call(fleet.vms[1].url, order("ten jars"));
+    record.note("another order under the same key");
+    await record.call(fleet.vms[1].url, order("two jars"));
+    record.note(`runs counted by the service: ${service.runs.get("order-17")}`);
+  },
+
   async "overloaded"(record, { fleet, engines }) {
     record.note("two long answers fill the only upstream allowed");
     const leaving = new AbortController();
