Keep a broker alive when a lease runs out during a pump

Cause: room was seen for the head of a lane, then the upstream was chosen by a second reading; shares follow leases and the clock, so a lease that ran out between the two left nothing to choose. Random choice and containment were ruled out: both give the same answer for the same state. The request now goes back into the queue until the next pump. The new test lets the share run out after each number of readings; it failed with the same error before the change.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -195,8 +195,14 @@
     while (true) {
       const request = queue.takeNext(hasRoom);
       if (!request) break;
+      const chosen = choose(request, among);
+      if (!chosen) {
+        // A backer's lease ran out since the room was seen.
+        queue.add(request);
+        break;
+      }
       admission.onGranted(clock.now());
-      grant(request, choose(request, among)!.name);
+      grant(request, chosen.name);
     }
     admission.onQueueChanged(clock.now());
     wakeAtDeadline();
--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -47,7 +47,9 @@
   ],
 };
 
-function createModel() {
+type ShareOf = (upstream: string, limit: number) => number;
+
+function createModel(shareOf: ShareOf = (_upstream, limit) => limit) {
   const clock = createFakeClock(1000);
   const view = createFleetView({ clock });
   const text = JSON.stringify(DOCUMENT);
@@ -64,7 +66,7 @@
     clock,
     timeline: createTimeline({ process: "test", clock }),
     metrics: createMetrics(undefined),
-    shareOf: (_upstream, limit) => limit,
+    shareOf,
     stampOf: () => 0,
     quarantine,
     random: () => 0.5,
@@ -247,3 +249,19 @@
   const beside = model.ask({ fingerprint: "g", avoid: [upstream] });
   assert.equal(model.answerTo(beside), undefined, "the suspect runs alone");
 });
+
+test("a share that runs out during a pump keeps the request waiting", () => {
+  for (let readings = 0; readings < 12; readings++) {
+    let left = Infinity;
+    const { pool, ask, answerTo, finish } = createModel((_upstream, limit) =>
+      left-- > 0 ? limit : 0
+    );
+    const running = Array.from({ length: 4 }, () => ask({ className: "low" }));
+    const waiting = ask();
+    left = readings;
+    finish(running[0], CallOutcome.Complete);
+    left = Infinity;
+    pool.pump();
+    assert.equal(answerTo(waiting)?.kind, MessageKind.Grant, `${readings}`);
+  }
+});
