--- a/packages/admin/src/process_status.ts
+++ b/packages/admin/src/process_status.ts
@@ -12,6 +12,8 @@
   stopping: boolean;
   /** Revision in force by document key. */
   revisions: Record<string, number>;
+  /** Hash of the text in force by document key. */
+  digests?: Record<string, string>;
   /** Revision of the VM list in force. */
   listRevision: number;
   /** VMs of the list in force, live or leaving. */
--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -211,6 +211,7 @@
         ready: view.isReady() && !stopping,
         stopping,
         revisions: view.revisions(),
+        digests: view.digests(),
         listRevision: view.listRevision(),
         members: view.vms().map(({ name, state }) => ({ name, state })),
         broker: {
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -211,6 +211,7 @@
         ready: isEntryReady(),
         stopping,
         revisions: view.revisions(),
+        digests: view.digests(),
         listRevision: view.listRevision(),
         members: view.vms().map(({ name, state }) => ({ name, state })),
         entry: { requests: open.count(), permits: permits.liveCount() },
--- a/packages/platform/src/create_fleet_view.ts
+++ b/packages/platform/src/create_fleet_view.ts
@@ -57,6 +57,8 @@
   revision(): number;
   /** Revision in force by document key. */
   revisions(): Record<string, number>;
+  /** Hash of the text in force by document key. */
+  digests(): Record<string, string>;
   /** Takes a document if it is newer and valid; tells whether it did. */
   offerDocument(published: PublishedDocument, source: string): boolean;
   /** Takes a VM list if it is newer; tells whether it did. */
@@ -180,6 +182,11 @@
       }
       return revisions;
     },
+    digests() {
+      const digests: Record<string, string> = {};
+      for (const { key, digest } of accepted.values()) digests[key] = digest;
+      return digests;
+    },
     offerDocument(published, source) {
       const { key, revision, text } = published;
       const digest = hashText(text);
--- a/packages/platform/src/watch_platform.ts
+++ b/packages/platform/src/watch_platform.ts
@@ -9,6 +9,11 @@
 /** Age of the fleet's news after which any process watches for itself. */
 export const PLATFORM_SILENCE_MS = 15_000;
 
+/** Longest delay before one of the watchers tries a failed watch again. */
+export const WATCHER_RETRY_MAX_MS = 2000;
+/** The same for all other processes, which are many. */
+export const OTHER_RETRY_MAX_MS = 8000;
+
 /** What a watch of the platform needs. */
 export interface WatchPlatformOptions {
   platform: PlatformPort;
@@ -41,6 +46,8 @@
       clock,
       isWanted,
       isStopped: () => stopped,
+      retryMaxMs: () =>
+        isWatcher(view, options) ? WATCHER_RETRY_MAX_MS : OTHER_RETRY_MAX_MS,
       random,
     });
   }
--- a/packages/platform/src/watch_replica.ts
+++ b/packages/platform/src/watch_replica.ts
@@ -6,8 +6,6 @@
 export const WATCH_WAIT_MS = 5000;
 /** First delay before a failed or empty watch is tried again. */
 export const WATCH_RETRY_MS = 500;
-/** Longest delay before a failed watch is tried again. */
-export const WATCH_RETRY_MAX_MS = 8000;
 /** Time between two looks at whether this process should watch. */
 export const WATCH_CHECK_MS = 500;
 
@@ -17,6 +15,8 @@
   /** Whether this process should hold watches now. */
   isWanted(): boolean;
   isStopped(): boolean;
+  /** Longest delay before a failed watch is tried again, in milliseconds. */
+  retryMaxMs(): number;
   /** Random number from 0 to 1, for jitter. */
   random(): number;
 }
@@ -60,7 +60,7 @@
       );
       // Jitter keeps a fleet from reading in step when the platform returns.
       await sleep(clock, retryMs * (0.5 + random()));
-      retryMs = Math.min(retryMs * 2, WATCH_RETRY_MAX_MS);
+      retryMs = Math.min(retryMs * 2, options.retryMaxMs());
     }
   }
 }
--- a/packages/platform/src/watch_replica_test.ts
+++ b/packages/platform/src/watch_replica_test.ts
@@ -4,7 +4,9 @@
 import { setImmediate } from "node:timers/promises";
 import { createFleetView } from "./create_fleet_view.ts";
 import type { PlatformReplica } from "./platform_port.ts";
-import { WATCH_RETRY_MAX_MS, watchReplica } from "./watch_replica.ts";
+import { watchReplica } from "./watch_replica.ts";
+
+const RETRY_MAX_MS = 8000;
 
 /** Moves the clock in steps and lets waiting tasks run in between. */
 async function run(clock: FakeClock, totalMs: number): Promise<void> {
@@ -64,6 +66,7 @@
     clock,
     isWanted: () => true,
     isStopped: () => stopped,
+    retryMaxMs: () => RETRY_MAX_MS,
     random: () => 0.5,
   });
   await run(clock, 2000);
@@ -95,11 +98,12 @@
     clock,
     isWanted: () => true,
     isStopped: () => stopped,
+    retryMaxMs: () => RETRY_MAX_MS,
     random: () => 0.5,
   });
   await run(clock, 16_000);
   state.reads = 0;
-  await run(clock, 10 * WATCH_RETRY_MAX_MS);
+  await run(clock, 10 * RETRY_MAX_MS);
   assert.ok(state.reads <= 2 * 11, `${state.reads} reads`);
   stopped = true;
 });
--- a/packages/sessions/src/start_fleet.ts
+++ b/packages/sessions/src/start_fleet.ts
@@ -56,6 +56,10 @@
   document: string;
   /** VMs of upstreams by name, with their data centre. */
   upstreamVms?: Record<string, string>;
+  /** Replicas of the platform; one unless said. */
+  replicas?: number;
+  /** Replicas that a VM is told of; all unless said. */
+  replicasOf?: (vm: string) => number[];
   /** Settings beside the addresses. */
   settings?: Record<string, unknown>;
   /** Takes what the processes write, in place of this process's output. */
@@ -89,7 +93,9 @@
 
 /** Starts a fleet; its processes end with `stop`. */
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
-  const platform = await createStandInPlatform();
+  const platform = await createStandInPlatform({
+    replicas: options.replicas,
+  });
   const folder = await mkdtemp(join(tmpdir(), "rosemarytiller-"));
   const children = new Set<ChildProcess>();
 
@@ -129,7 +135,8 @@
     const settings = {
       vm: name,
       dataCentre,
-      platform: [platform.url],
+      platform: options.replicasOf?.(name).map((at) => platform.urls[at]) ??
+        platform.urls,
       linkKey: "a link key for the test fleet",
       entry: { port: entry },
       entryAdmin: { port: entryAdmin },
