Choose test ports above one that fetch refuses

Cause: a test of the stand-ins failed once with 'bad port': the random choice from 10,000 up had hit 10,080, which the fetch standard blocks. The range now starts above it.

--- a/packages/sessions/src/start_fleet.ts
+++ b/packages/sessions/src/start_fleet.ts
@@ -72,7 +72,7 @@
   .replace(/index\.js$/, "main.js");
 
 /** Ports that the kernel hands to no outgoing connection. */
-const FIRST_PORT = 10_000;
+const FIRST_PORT = 10_100;
 const LAST_PORT = 32_000;
 
 /** Finds a port on which a process started next can listen. */
