--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -2,6 +2,7 @@
 import process from "node:process";
 import { measureDataPath } from "./measure_data_path.ts";
 import { measurePolicy } from "./measure_policy.ts";
+import { measurePropagation } from "./measure_propagation.ts";
 
 /** Options that every measurement takes. */
 export interface BenchFlags {
@@ -13,6 +14,7 @@
 const MEASUREMENTS: Record<string, (flags: BenchFlags) => Promise<void>> = {
   "data-path": measureDataPath,
   policy: measurePolicy,
+  propagation: measurePropagation,
 };
 
 const command = meow(
--- a/packages/platform/src/create_fleet_view.ts
+++ b/packages/platform/src/create_fleet_view.ts
@@ -90,7 +90,7 @@
 }
 
 /** Longest wait of a starting process for its peers, after its first data. */
-export const START_WAIT_MS = 1000;
+export const START_WAIT_MS = 2000;
 /** Refused texts that are remembered, so as not to ask for them again. */
 export const REFUSED_KEPT = 100;
 
--- a/packages/platform/src/select_peers.ts
+++ b/packages/platform/src/select_peers.ts
@@ -5,7 +5,8 @@
 /**
  * Chooses the VMs to which a broker opens links: inside its data centre those
  * at distances 1, 2, 4, ... on a ring of names, and one VM in each other data
- * centre. Each pair inside a data centre is opened from one side only.
+ * centre. It waits for nobody else to open one, so that a starting broker hears
+ * its peers at once; two that choose each other keep two links.
  */
 export function selectPeers(
   self: { vm: string; dataCentre: string },
@@ -32,10 +33,7 @@
   const start = ring.indexOf(self);
   const picked: string[] = [];
   for (let distance = 1; distance * 2 <= ring.length; distance *= 2) {
-    const name = ring[(start + distance) % ring.length];
-    // At half the ring both sides would open the same link.
-    const isOpposite = distance * 2 === ring.length;
-    if (!isOpposite || self < name) picked.push(name);
+    picked.push(ring[(start + distance) % ring.length]);
   }
   return picked;
 }
--- a/packages/platform/src/select_peers_test.ts
+++ b/packages/platform/src/select_peers_test.ts
@@ -51,6 +51,16 @@
   return { steps, reached: seen.size };
 }
 
+test("a broker opens a link itself wherever there is a peer", () => {
+  for (let count = 2; count <= 12; count++) {
+    const vms = listVms(count, 3);
+    for (const { name, dataCentre } of vms) {
+      const peers = selectPeers({ vm: name, dataCentre }, vms);
+      assert.ok(peers.length > 0, `${name} of ${count}`);
+    }
+  }
+});
+
 test("every size of fleet is connected", () => {
   for (let count = 1; count <= 40; count++) {
     for (const dataCentres of [1, 3, 4]) {
