Refuse nothing for slowness before a leader has a share

Cause: waiting for a leader's first share counted as time in which nothing drained, so a burst at a new leader was refused as too long a wait although capacity was free 150 ms later. Found by the capacity measurement: 400 asks a second at a fresh leader were refused after 57 ms. Ruled out: a larger first guess of the rate, which hides a dead pool. Change: waiting counts only while the leader has a share of some upstream. Seen failing first: 'refused after 57 ms' in the new test of the admission.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -204,7 +204,7 @@
       admission.onGranted(clock.now());
       grant(request, chosen.name);
     }
-    admission.onQueueChanged(clock.now());
+    admission.onQueueChanged(clock.now(), { canGrant: upstreams.hasShare() });
     wakeAtDeadline();
   }
 
--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -38,6 +38,8 @@
   ): UpstreamCandidate[];
   /** Calls that could start now. */
   free(): number;
+  /** Whether this leader has a share of any upstream. */
+  hasShare(): boolean;
 }
 
 /** What the upstreams of a pool need. */
@@ -109,6 +111,14 @@
       }
       return candidates;
     },
+    hasShare() {
+      for (const { name } of current()) {
+        if (shareOf(name, known.get(name)!.entry.maxConcurrent) > 0) {
+          return true;
+        }
+      }
+      return false;
+    },
     free() {
       let room = 0;
       for (const upstream of current()) {
--- a/packages/policy/src/create_admission.ts
+++ b/packages/policy/src/create_admission.ts
@@ -24,8 +24,8 @@
   ): string | undefined;
   /** Notes a grant, before the request has left the queue. */
   onGranted(nowMs: number): void;
-  /** Notes that requests have come to or left the queue. */
-  onQueueChanged(nowMs: number): void;
+  /** Notes that requests came or left, and whether calls may start at all. */
+  onQueueChanged(nowMs: number, options: { canGrant: boolean }): void;
   /** Notes the first-token time of a call that ended. */
   onFirstToken(className: string, firstTokenMs: number): void;
   /** Longest wait after which the answer can still be in time. */
@@ -80,7 +80,10 @@
       return undefined;
     },
     onGranted: (nowMs) => drain.onGranted(nowMs),
-    onQueueChanged: (nowMs) => drain.setWaiting(queue.size() > 0, nowMs),
+    onQueueChanged(nowMs, { canGrant }) {
+      // A leader that has no share yet says nothing of how fast calls end.
+      drain.setWaiting(canGrant && queue.size() > 0, nowMs);
+    },
     onFirstToken(className, firstTokenMs) {
       if (firstTokenMs < 0) return;
       const known = firstTokens.get(className) ?? firstTokenMs;
--- a/packages/policy/src/create_admission_test.ts
+++ b/packages/policy/src/create_admission_test.ts
@@ -22,6 +22,7 @@
   const admission = createAdmission({ queue, random });
   let nowMs = 0;
   let nextId = 0;
+  let canGrant = true;
   const counts: Record<string, { came: number; refused: number }> = {};
   const waits: Record<string, number[]> = {};
   function arrive(
@@ -52,7 +53,7 @@
     });
     if (refusal) count.refused++;
     else if (!hasRoom) queue.add(request);
-    admission.onQueueChanged(nowMs);
+    admission.onQueueChanged(nowMs, { canGrant });
     return !refusal;
   }
   function grant(): void {
@@ -61,11 +62,11 @@
     if (taken) {
       (waits[taken.className] ??= []).push(nowMs - taken.arrivedMs);
     }
-    admission.onQueueChanged(nowMs);
+    admission.onQueueChanged(nowMs, { canGrant });
   }
   function expire(): number {
     const count = queue.takeExpired(nowMs).length;
-    admission.onQueueChanged(nowMs);
+    admission.onQueueChanged(nowMs, { canGrant });
     return count;
   }
   return {
@@ -77,6 +78,7 @@
     waits,
     random,
     at: (ms: number) => void (nowMs = ms),
+    setCanGrant: (next: boolean) => void (canGrant = next),
     now: () => nowMs,
   };
 }
@@ -118,6 +120,15 @@
   }
 });
 
+test("waiting for a leader that may not grant yet is no measured rate", () => {
+  const model = createPoolModel();
+  model.setCanGrant(false);
+  for (let ms = 0; ms < 1000; ms += 3) {
+    model.at(ms);
+    assert.ok(model.arrive({ className: "high" }), `refused after ${ms} ms`);
+  }
+});
+
 test("a pool without grants keeps one request waiting as a probe", () => {
   const model = createPoolModel();
   let admitted = 0;
