Add the capacity measurement

Slopes of processor time, bytes and memory for permits, links, lists, documents, tokens, streams and connections, each over four sizes, with the real broker and entry processes.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 import meow from "meow";
 import process from "node:process";
+import { measureCapacity } from "./measure_capacity.ts";
 import { measureDataPath } from "./measure_data_path.ts";
 import { measurePolicy } from "./measure_policy.ts";
 import { measurePropagation } from "./measure_propagation.ts";
@@ -12,6 +13,7 @@
 }
 
 const MEASUREMENTS: Record<string, (flags: BenchFlags) => Promise<void>> = {
+  capacity: measureCapacity,
   "data-path": measureDataPath,
   policy: measurePolicy,
   propagation: measurePropagation,
--- a/packages/bench/src/measure_data_path.ts
+++ b/packages/bench/src/measure_data_path.ts
@@ -1,15 +1,13 @@
-import { hashKey, startFleet } from "@rosemarytiller/sessions";
+import { startFleet } from "@rosemarytiller/sessions";
 import { build } from "hdr-histogram-js";
 import type { Buffer } from "node:buffer";
-import { type ChildProcess, fork } from "node:child_process";
-import { once } from "node:events";
-import { fileURLToPath } from "node:url";
 import { Agent, request } from "undici";
+import { BENCH_KEY, formatBenchDocument } from "./bench_document.ts";
 import type { BenchFlags } from "./main.ts";
 import { readCpuMs, readMemoryBytes } from "./read_process.ts";
+import { startEngineProcess } from "./start_engine_process.ts";
 
 const STREAM_COUNTS = [1, 100, 1000];
-const KEY = "bench-key-of-data-path";
 const TOKEN_MS = 30;
 const MAX_ENGINE_CALLS = 1200;
 const SEQUENTIAL_CALLS = 300;
@@ -26,30 +24,28 @@
 
 /** Compares streams through one entry with streams from the engine itself. */
 export async function measureDataPath(flags: BenchFlags): Promise<void> {
-  const engine = await startEngineProcess();
+  const engine = await startEngineProcess({
+    capacity: MAX_ENGINE_CALLS,
+    tokenMs: TOKEN_MS,
+  });
   const fleet = await startFleet({
     dataCentres: ["north"],
     upstreamVms: { "engine-vm": "north" },
-    document: formatDocument(engine.url),
+    document: formatBenchDocument({
+      engine: engine.url,
+      maxConcurrent: MAX_ENGINE_CALLS,
+    }),
   });
   await fleet.ready();
   const [vm] = fleet.vms;
   await measureFirstToken(engine.url, vm.url);
   for (const streams of STREAM_COUNTS) {
     const tokens = Math.ceil(flags.seconds * 1000 / TOKEN_MS);
-    await runStreams(vm.url, { streams, tokens: 3, seconds: 1 });
-    const direct = await runStreams(engine.url, {
-      streams,
-      tokens,
-      seconds: flags.seconds,
-    });
+    await runStreams(vm.url, { streams, tokens: 3 });
+    const direct = await runStreams(engine.url, { streams, tokens });
     const before = readCpuMs(vm.entry);
     const memoryBefore = readMemoryBytes(vm.entry);
-    const routed = await runStreams(vm.url, {
-      streams,
-      tokens,
-      seconds: flags.seconds,
-    });
+    const routed = await runStreams(vm.url, { streams, tokens });
     const cpuMs = readCpuMs(vm.entry) - before;
     const frames = streams * tokens;
     console.log(JSON.stringify({
@@ -78,7 +74,7 @@
   const figures: Record<string, number[]> = { direct: [], routed: [] };
   for (let round = 0; round < SEQUENTIAL_CALLS; round++) {
     for (const [way, url] of Object.entries({ direct, routed })) {
-      const options = { streams: 1, tokens: 3, seconds: 1 };
+      const options = { streams: 1, tokens: 3 };
       const { firstTokenP50Ms } = await runStreams(url, options);
       if (round >= WARM_UP_CALLS) figures[way].push(firstTokenP50Ms);
     }
@@ -97,18 +93,10 @@
   return [...values].sort((left, right) => left - right)[values.length >> 1];
 }
 
-async function startEngineProcess(): Promise<
-  { url: string; child: ChildProcess }
-> {
-  const file = fileURLToPath(new URL("./engine_process.js", import.meta.url));
-  const child = fork(file, [String(MAX_ENGINE_CALLS), String(TOKEN_MS)]);
-  const [message] = await once(child, "message");
-  return { url: (message as { url: string }).url, child };
-}
-
-async function runStreams(
+/** Reads many streams at once from an engine or through an entry. */
+export async function runStreams(
   base: string,
-  options: { streams: number; tokens: number; seconds: number },
+  options: { streams: number; tokens: number },
 ): Promise<StreamFigures> {
   const dispatcher = new Agent({ pipelining: 1, connections: null });
   const firsts = build({ numberOfSignificantValueDigits: 3 });
@@ -125,7 +113,7 @@
       dispatcher,
       method: "POST",
       headers: {
-        authorization: `Bearer ${KEY}`,
+        authorization: `Bearer ${BENCH_KEY}`,
         "content-type": "application/json",
       },
       body: JSON.stringify({
@@ -162,26 +150,6 @@
   };
 }
 
-function formatDocument(address: string): string {
-  return JSON.stringify({
-    service: "bench",
-    dataCentres: { north: { region: "one" } },
-    clients: { caller: { keys: [hashKey(KEY)] } },
-    upstreams: {
-      engine: {
-        kind: "model-runner",
-        serves: ["small"],
-        dataCentre: "north",
-        vm: "engine-vm",
-        address,
-        maxConcurrent: MAX_ENGINE_CALLS,
-        coldConcurrent: MAX_ENGINE_CALLS,
-      },
-    },
-    classes: [{ name: "all", tier: 1, firstTokenMs: 430, queueMs: 10_000 }],
-  });
-}
-
 function round(value: number): number {
   return Math.round(value * 1000) / 1000;
 }
--- /dev/null
+++ b/packages/bench/src/start_permit_clients.ts
@@ -0,0 +1,130 @@
+import { documentSchema, type RequestClass } from "@rosemarytiller/document";
+import {
+  type Call,
+  createPermitClient,
+  type PermitClient,
+} from "@rosemarytiller/entry";
+import { createFleetView, type FleetView } from "@rosemarytiller/platform";
+import type { Fleet } from "@rosemarytiller/sessions";
+import {
+  CallOutcome,
+  createId,
+  createSystemClock,
+  Role,
+  UpstreamKind,
+} from "@rosemarytiller/shared";
+import { createRelay, type Relay } from "@rosemarytiller/standins";
+import { createTimeline } from "@rosemarytiller/timeline";
+import { Buffer } from "node:buffer";
+
+/** Pool that the measurements ask for. */
+export const BENCH_POOL = {
+  service: "test",
+  target: "small",
+  dataCentre: "north",
+};
+
+/** Permit clients of many entries in this process, before one real broker. */
+export interface PermitClients {
+  /** Asks for a permit and returns it at once; tells how long it took. */
+  exchange(index: number): Promise<number>;
+  /** Bytes between the clients and the broker so far. */
+  bytes(): number;
+  close(): Promise<void>;
+}
+
+/** Name of the VM of a client. */
+export function clientVm(index: number): string {
+  return `client-${index + 1}`;
+}
+
+/** Starts permit clients that reach the fleet's only broker by a relay. */
+export async function startPermitClients(
+  fleet: Fleet,
+  count: number,
+): Promise<PermitClients> {
+  const clock = createSystemClock();
+  const [vm] = fleet.vms;
+  const relay = await createRelay(vm.brokerAddress);
+  const clients: { permits: PermitClient; view: FleetView }[] = [];
+  for (let index = 0; index < count; index++) {
+    clients.push(startClient(clientVm(index), { relay, vm: vm.name }));
+  }
+  await Promise.all(clients.map(({ view }) => view.ready));
+  const signal = new AbortController().signal;
+  return {
+    async exchange(index) {
+      const { permits, view } = clients[index % count];
+      const call = sampleCall(view, clock.now());
+      const startedMs = clock.now();
+      const permit = await permits.ask(call, BENCH_POOL, {
+        avoid: [],
+        retry: false,
+        signal,
+      });
+      const elapsedMs = clock.now() - startedMs;
+      permits.finish(permit, {
+        outcome: CallOutcome.Complete,
+        firstTokenMs: 100,
+        totalMs: 1000,
+        tokens: 100,
+      });
+      return elapsedMs;
+    },
+    bytes: () => relay.bytes(),
+    async close() {
+      for (const { permits } of clients) permits.close();
+      await relay.close();
+    },
+  };
+}
+
+function startClient(
+  name: string,
+  options: { relay: Relay; vm: string },
+): { permits: PermitClient; view: FleetView } {
+  const clock = createSystemClock();
+  const view = createFleetView({ clock });
+  const permits = createPermitClient({
+    identity: {
+      vm: name,
+      role: Role.Entry,
+      incarnation: "1",
+      key: "a link key for the test fleet",
+    },
+    view,
+    clock,
+    timeline: createTimeline({ process: name, clock }),
+    ownBroker: options.relay.address,
+    linkAddresses: { [options.vm]: options.relay.address },
+  });
+  return { permits, view };
+}
+
+const SAMPLE_CLASS: RequestClass = documentSchema.shape.classes.parse([{
+  name: "all",
+  tier: 1,
+  firstTokenMs: 430,
+  queueMs: 5000,
+}])[0];
+
+function sampleCall(view: FleetView, arrivedMs: number): Call {
+  return {
+    request: createId("request"),
+    document: view.documentOf(BENCH_POOL.service)!,
+    requestClass: SAMPLE_CLASS,
+    client: "caller",
+    kind: UpstreamKind.ModelRunner,
+    target: BENCH_POOL.target,
+    stream: true,
+    method: "POST",
+    path: "/v1/chat/completions",
+    headers: {},
+    body: Buffer.alloc(0),
+    arrivedMs,
+    idempotencyKey: undefined,
+    fingerprint: createId("body"),
+    prefix: createId("prefix").slice(0, 16),
+    promptTokens: 500,
+  };
+}
