Search a document once for a pool's upstreams, and split the pool

Cause: each ask searched all upstreams of the document, several times.

Change: the pool's entries are kept with the document they came from. The pool's deadline timer, isolation and status have files of their own.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -28,7 +28,6 @@
 } from "@rosemarytiller/policy";
 import {
   CallOutcome,
-  type CancelTimer,
   type Clock,
   createId,
   ErrorKind,
@@ -36,19 +35,22 @@
 } from "@rosemarytiller/shared";
 import type { Timeline } from "@rosemarytiller/timeline";
 import { createContainment } from "./create_containment.ts";
+import { createDeadlineTimer } from "./create_deadline_timer.ts";
+import { createIsolation } from "./create_isolation.ts";
 import {
   createPoolUpstreams,
   type PoolUpstream,
 } from "./create_pool_upstreams.ts";
-import { createWaitingAsks, type WaitingAsk } from "./create_waiting_asks.ts";
+import { createWaitingAsks } from "./create_waiting_asks.ts";
+import {
+  countByClass,
+  describeUpstreams,
+  summarizePool,
+  TIERS,
+} from "./describe_pool.ts";
 
-/** Number of tiers. */
-const TIERS = 4;
 /** What a caller is told of a quarantined request. */
 const QUARANTINED_DETAIL = "upstreams crashed with this request in flight";
-/** Longest wait that a summary tells, in milliseconds. */
-const MAX_SUMMARY_WAIT_MS = 600_000;
-
 /** What a pool needs of its broker. */
 export interface PoolOptions {
   view: FleetView;
@@ -100,9 +102,9 @@
   const placements = createPlacements();
   const containment = createContainment(quarantine);
   const waiting = createWaitingAsks();
-  const isolated = new Map<string, QueuedRequest>();
+  const isolation = createIsolation({ queue, asks: waiting, quarantine });
   const classesSeen = new Set<string>();
-  let timer: { dueMs: number; cancel: CancelTimer } | undefined;
+  const deadlines = createDeadlineTimer(clock, pump);
 
   function findClass(className: string): RequestClass | undefined {
     return view.documentOf(name.service)?.classes
@@ -134,7 +136,7 @@
     error: ErrorKind,
     detail: string,
   ): void {
-    const asked = takeAsk(request.id);
+    const asked = waiting.take(request.id);
     if (!asked) return;
     const { ask, link } = asked;
     const retryAfterMs = error === ErrorKind.Quarantined
@@ -150,7 +152,7 @@
   }
 
   function grant(request: QueuedRequest, upstreamName: string): void {
-    const asked = takeAsk(request.id);
+    const asked = waiting.take(request.id);
     if (!asked) return;
     const { ask, link } = asked;
     const pool = ask.pool;
@@ -187,7 +189,7 @@
       refuse(request, ErrorKind.Overloaded, "the wait was too long");
     }
     const among = upstreams.current();
-    containment.reserve(isolated.values(), {
+    containment.reserve(isolation.waiting(), {
       all: among,
       usableFor: (request) => usableFor(request, among),
     });
@@ -205,21 +207,7 @@
       grant(request, chosen.name);
     }
     admission.onQueueChanged(clock.now(), { canGrant: upstreams.hasShare() });
-    wakeAtDeadline();
-  }
-
-  /** Sets the timer that refuses the next request whose wait ends. */
-  function wakeAtDeadline(): void {
-    const dueMs = queue.nextDeadlineMs();
-    if (dueMs === timer?.dueMs) return;
-    timer?.cancel();
-    timer = undefined;
-    if (dueMs === undefined) return;
-    const cancel = clock.after(Math.ceil(dueMs - clock.now()), () => {
-      timer = undefined;
-      pump();
-    });
-    timer = { dueMs, cancel };
+    deadlines.set(queue.nextDeadlineMs());
   }
 
   function queuedRequest(message: AskMessage): QueuedRequest {
@@ -249,7 +237,7 @@
     const request = queuedRequest(message);
     const among = upstreams.current();
     classesSeen.add(message.className);
-    isolateTwins(request, among);
+    isolation.onArrived(request, among);
     waiting.add({ ask: message, link, request });
     if (isQuarantined(request)) {
       refuse(request, ErrorKind.Quarantined, QUARANTINED_DETAIL);
@@ -269,7 +257,6 @@
       return;
     }
     queue.add(request);
-    if (request.isolation) isolated.set(request.id, request);
     boundQueue();
     pump();
   }
@@ -278,41 +265,15 @@
     return quarantine.stateOf(fingerprint) === FingerprintState.Quarantined;
   }
 
-  /** Isolates a suspect, and a request of which there are others here. */
-  function isolateTwins(
-    request: QueuedRequest,
-    among: readonly PoolUpstream[],
-  ): void {
-    const { fingerprint } = request;
-    const twins = waiting.withFingerprint(fingerprint);
-    for (const twin of twins) isolate(twin);
-    const isClear = quarantine.stateOf(fingerprint) === FingerprintState.Clear;
-    if (isClear && twins.length === 0 && !isRunning(fingerprint, among)) return;
-    request.isolation = fingerprint;
-  }
-
-  /** Moves a waiting request among those with a rule of their own. */
-  function isolate(request: QueuedRequest): void {
-    if (request.isolation || !queue.remove(request.id)) return;
-    request.isolation = request.fingerprint;
-    queue.add(request);
-    isolated.set(request.id, request);
-  }
-
   function recheck(fingerprint: string): void {
     for (const request of waiting.withFingerprint(fingerprint)) {
       if (isQuarantined(request)) {
         queue.remove(request.id);
         refuse(request, ErrorKind.Quarantined, QUARANTINED_DETAIL);
-      } else isolate(request);
+      } else isolation.isolate(request);
     }
   }
 
-  function takeAsk(id: string): WaitingAsk | undefined {
-    isolated.delete(id);
-    return waiting.take(id);
-  }
-
   function boundQueue(): void {
     while (queue.boundedSize() > MAX_WAITING) {
       const victim = queue.takeVictim();
@@ -323,7 +284,7 @@
 
   function remove(id: string): void {
     queue.remove(id);
-    takeAsk(id);
+    waiting.take(id);
   }
 
   function finish(message: DoneMessage): void {
@@ -342,32 +303,7 @@
   }
 
   function upstreamStatus(): UpstreamStatus[] {
-    return upstreams.current().map((upstream) => ({
-      name: upstream.name,
-      address: upstream.entry.address,
-      limit: upstream.limit.current(clock.now()),
-      live: upstream.live.size,
-    }));
-  }
-
-  function summary(): PoolSummary {
-    const nowMs = clock.now();
-    const waitMs: number[] = [];
-    for (let tier = 1; tier <= TIERS; tier++) {
-      const expectedMs = admission.waitMs({ tier }, nowMs);
-      waitMs.push(Math.min(MAX_SUMMARY_WAIT_MS, Math.round(expectedMs)));
-    }
-    return { pool: text, free: upstreams.free(), waitMs };
-  }
-
-  function queueByClass(): Record<string, number> {
-    const lengths: Record<string, number> = {};
-    // A class whose queue is empty again is told with 0, not left out.
-    for (const className of classesSeen) lengths[className] = 0;
-    for (const { ask: { className } } of waiting.all()) {
-      lengths[className]++;
-    }
-    return lengths;
+    return describeUpstreams(upstreams, clock.now());
   }
 
   return {
@@ -397,24 +333,13 @@
       }
     },
     pump,
-    summary,
+    summary: () =>
+      summarizePool(text, { upstreams, admission, nowMs: clock.now() }),
     upstreams: upstreamStatus,
     status: () => ({
       pool: text,
-      queue: queueByClass(),
+      queue: countByClass(waiting, classesSeen),
       upstreams: upstreamStatus(),
     }),
   };
 }
-
-function isRunning(
-  fingerprint: string,
-  among: readonly PoolUpstream[],
-): boolean {
-  for (const { live } of among) {
-    for (const permit of live.values()) {
-      if (permit.fingerprint === fingerprint) return true;
-    }
-  }
-  return false;
-}
--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -50,12 +50,26 @@
   shareOf(upstream: string, limit: number): number;
 }
 
+interface ListedUpstreams {
+  document: ServiceDocument;
+  entries: [string, UpstreamEntry][];
+}
+
 /** Creates the list of a pool's upstreams. */
 export function createPoolUpstreams(
   pool: PoolName,
   { view, clock, shareOf }: PoolUpstreamsOptions,
 ): PoolUpstreams {
   const known = new Map<string, PoolUpstream>();
+  let listed: ListedUpstreams | undefined;
+
+  /** The pool's entries; a document is searched once. */
+  function listEntries(document: ServiceDocument): [string, UpstreamEntry][] {
+    if (listed?.document !== document) {
+      listed = { document, entries: listPoolUpstreams(document, pool) };
+    }
+    return listed.entries;
+  }
 
   /** Brings an upstream in line with its entry in the document. */
   function update(name: string, entry: UpstreamEntry): PoolUpstream {
@@ -83,7 +97,7 @@
     const document = view.documentOf(pool.service);
     if (!document) return [];
     const upstreams: PoolUpstream[] = [];
-    for (const [name, entry] of listPoolUpstreams(document, pool)) {
+    for (const [name, entry] of listEntries(document)) {
       const upstream = update(name, entry);
       if (upstream.isOpen) upstreams.push(upstream);
     }
