Let a request whose call broke wait anew for its rerun

Cause: the wait for a rerun was counted from the request's arrival. A neighbour that had run for longer than its class may queue when another request crashed the upstream was refused: 429, may-have-run.

Ruled out: the class's queue time anew alone, since suspects run one at a time and several may wait for the same upstream.

Change: after a call that broke or timed out, a request may wait for the larger of its queue time and RERUN_WAIT_MS, within the time of its class.

--- a/packages/entry/src/ask_anywhere.ts
+++ b/packages/entry/src/ask_anywhere.ts
@@ -12,6 +12,8 @@
   avoid: string[];
   /** Whether this is a further try of the request. */
   retry: boolean;
+  /** Monotonic time until which the request may wait. */
+  waitUntilMs: number;
   signal: AbortSignal;
 }
 
@@ -23,7 +25,7 @@
   call: Call,
   options: AskOptions,
 ): Promise<Permit> {
-  const { permits, avoid, retry, signal } = options;
+  const { permits, avoid, retry, waitUntilMs, signal } = options;
   const pools = resolvePools(call.document, call.requestClass, {
     target: call.target,
     from: options.settings.dataCentre,
@@ -31,7 +33,12 @@
   const refusals: TillerError[] = [];
   for (const pool of pools) {
     try {
-      return await permits.ask(call, pool, { avoid, retry, signal });
+      return await permits.ask(call, pool, {
+        avoid,
+        retry,
+        waitUntilMs,
+        signal,
+      });
     } catch (error) {
       if (!(error instanceof TillerError)) throw error;
       if (signal.aborted || FINAL_KINDS.has(error.kind)) throw error;
--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -54,13 +54,24 @@
   upstream: string;
 }
 
+/** How an ask may wait. */
+export interface AskWait {
+  /** Upstreams that the request should not get again. */
+  avoid: string[];
+  /** Whether this is a further try of the request. */
+  retry: boolean;
+  /** Monotonic time until which it may wait. */
+  waitUntilMs: number;
+  signal: AbortSignal;
+}
+
 /** Asks leaders for permits and returns them. */
 export interface PermitClient {
   /** Waits for a permit; throws `TillerError` when refused. */
   ask(
     call: Call,
     pool: PoolName,
-    options: { avoid: string[]; retry: boolean; signal: AbortSignal },
+    options: AskWait,
   ): Promise<Permit>;
   /** Returns a permit. */
   finish(permit: Permit, report: CallReport): void;
@@ -225,12 +236,11 @@
   linkTo(identity.vm, ownBroker);
   const cancelMoves = repeat(clock, ASK_AGAIN_MS, moveAsks);
   return {
-    async ask(call, poolName, { avoid, retry, signal }) {
+    async ask(call, poolName, { avoid, retry, waitUntilMs, signal }) {
       const pool = formatPool(poolName);
-      const deadlineMs = call.arrivedMs + call.requestClass.queueMs;
       const closed: string[] = [];
       while (!signal.aborted) {
-        const queueMs = Math.ceil(deadlineMs - clock.now());
+        const queueMs = Math.ceil(waitUntilMs - clock.now());
         if (queueMs <= 0) break;
         const link = backing.leaderLink(pool);
         if (!link) {
--- a/packages/entry/src/serve_call.ts
+++ b/packages/entry/src/serve_call.ts
@@ -23,6 +23,8 @@
 import { finalError } from "./final_error.ts";
 import { isRepeatable } from "./is_repeatable.ts";
 
+/** Least time that a request may wait again after its call broke. */
+export const RERUN_WAIT_MS = 10_000;
 /** Most calls to upstreams for one request. */
 export const MAX_ATTEMPTS = 3;
 
@@ -110,11 +112,14 @@
   state: ServeState,
 ): Promise<void> {
   const avoid: string[] = [];
+  const { queueMs } = call.requestClass;
+  let waitUntilMs = call.arrivedMs + queueMs;
   for (let count = 1;; count++) {
     const permit = await askAnywhere(call, {
       ...state,
       avoid,
       retry: count > 1,
+      waitUntilMs,
     });
     const result = await runAttempt(call, permit, { ...state, response });
     if (!result.error) return;
@@ -122,6 +127,9 @@
       !mayRetry(call, result, response);
     if (final) throw result.error;
     avoid.push(permit.upstream);
+    if (RERUN_OUTCOMES.has(result.outcome)) {
+      waitUntilMs = state.clock.now() + Math.max(queueMs, RERUN_WAIT_MS);
+    }
   }
 }
 
--- a/packages/sessions/src/crash_requests_test.ts
+++ b/packages/sessions/src/crash_requests_test.ts
@@ -19,6 +19,8 @@
 const ENGINES = 4;
 const NEIGHBOURS = 12;
 const TOKENS = 60;
+/** Shorter than the neighbours have run when the crash comes. */
+const QUEUE_MS = 200;
 
 function documentFor(engines: readonly StandInEngine[]): string {
   return JSON.stringify({
@@ -33,10 +35,10 @@
         vm: "runner-vm",
         address: engine.url,
         maxConcurrent: 8,
-        coldConcurrent: 4,
+        coldConcurrent: 8,
       }]),
     ),
-    classes: [{ name: "all", tier: 1, firstTokenMs: 400, queueMs: 20_000 }],
+    classes: [{ name: "all", tier: 1, firstTokenMs: 400, queueMs: QUEUE_MS }],
   });
 }
 
@@ -51,7 +53,7 @@
 test("a request that crashes upstreams takes two of them at most", async (t) => {
   const engines: StandInEngine[] = [];
   for (let index = 0; index < ENGINES; index++) {
-    engines.push(await createStandInEngine({ tokenMs: 5 }));
+    engines.push(await createStandInEngine({ tokenMs: 10 }));
   }
   const fleet = await startFleet({
     dataCentres: ["north", "north", "north"],
@@ -68,6 +70,13 @@
   const crashes = () =>
     engines.reduce((sum, engine) => sum + engine.counts.crashes, 0);
 
+  for (const { url } of fleet.vms) {
+    const body = { model: "small", messages: messagesOf("first") };
+    await waitUntil(
+      async () => (await callChat(url, body)).status === 200,
+      "a leader has its share",
+    );
+  }
   const neighbours = Array.from(
     { length: NEIGHBOURS },
     (_, index) =>
@@ -78,6 +87,11 @@
       }),
   );
   await waitUntil(() => running() === NEIGHBOURS, "the neighbours run");
+  const runningMs = performance.now();
+  await waitUntil(
+    () => performance.now() - runningMs > QUEUE_MS,
+    "the neighbours have run for longer than they might have waited",
+  );
 
   const body = { model: "small", messages: messagesOf(CRASH_MARK) };
   const answers: CallerAnswer[] = [];
