Give calls that fill a pool at once time to end

Cause: the expected wait rested on grants seen alone. Ruled out: the leader's start, since the run began with a served call; late timers of the engines, since the refusal said that the wait was too long. Change: each call in progress counts as one end in the typical length of a call, next to what was measured. Seen failing first: 'calls that fill a pool at once are given time to end', refused after 198 ms by the former rule. A pool whose calls stop ending still refuses at once, by a test of its own.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -97,7 +97,11 @@
   const { view, clock, timeline, metrics, quarantine } = options;
   const name = parsePool(text);
   const queue = createRequestQueue();
-  const admission = createAdmission({ queue, random: options.random });
+  const admission = createAdmission({
+    queue,
+    random: options.random,
+    outstanding: () => upstreams.outstanding(),
+  });
   const upstreams = createPoolUpstreams(name, options);
   const placements = createPlacements();
   const containment = createContainment(quarantine);
@@ -299,6 +303,9 @@
     timeline.record(EventKind.PermitReturned, "", { permit, outcome });
     if (outcome === CallOutcome.Crashed) placements.forget(upstream.name);
     admission.onFirstToken(live.className, firstTokenMs);
+    if (outcome === CallOutcome.Complete) {
+      admission.onCallEnded(message.totalMs);
+    }
     pump();
   }
 
--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -36,6 +36,8 @@
     request: QueuedRequest,
     upstreams: readonly PoolUpstream[],
   ): UpstreamCandidate[];
+  /** Calls in progress at upstreams that may get new ones. */
+  outstanding(): number;
   /** Calls that could start now. */
   free(): number;
   /** Whether this leader has a share of any upstream. */
@@ -133,6 +135,11 @@
       }
       return false;
     },
+    outstanding() {
+      let count = 0;
+      for (const { live } of current()) count += live.size;
+      return count;
+    },
     free() {
       let room = 0;
       for (const upstream of current()) {
--- a/packages/policy/src/create_admission.ts
+++ b/packages/policy/src/create_admission.ts
@@ -26,6 +26,8 @@
   onGranted(nowMs: number): void;
   /** Notes that requests came or left, and whether calls may start at all. */
   onQueueChanged(nowMs: number, options: { canGrant: boolean }): void;
+  /** Notes the length of a call that ended whole. */
+  onCallEnded(totalMs: number): void;
   /** Notes the first-token time of a call that ended. */
   onFirstToken(className: string, firstTokenMs: number): void;
   /** Longest wait after which the answer can still be in time. */
@@ -49,13 +51,15 @@
 /** What an admission needs. */
 export interface AdmissionOptions {
   queue: RequestQueue;
+  /** Calls of the pool in progress. */
+  outstanding: () => number;
   /** Numbers from 0 to 1 for the jitter. */
   random?: () => number;
 }
 
 /** Creates the admission to a queue. */
 export function createAdmission(options: AdmissionOptions): Admission {
-  const { queue, random = Math.random } = options;
+  const { queue, outstanding, random = Math.random } = options;
   const drain = createDrainRate();
   const budget = createRetryBudget();
   const firstTokens = new Map<string, number>();
@@ -66,7 +70,13 @@
     const aheadInClass = className === undefined
       ? ahead
       : queue.sizeOfClass(className);
-    return drain.predictMs({ tier, ahead, aheadInClass, floorShare }, nowMs);
+    return drain.predictMs({
+      tier,
+      ahead,
+      aheadInClass,
+      floorShare,
+      outstanding: outstanding(),
+    }, nowMs);
   }
 
   return {
@@ -80,6 +90,7 @@
       return undefined;
     },
     onGranted: (nowMs) => drain.onGranted(nowMs),
+    onCallEnded: drain.onCallEnded,
     onQueueChanged(nowMs, { canGrant }) {
       // A leader that has no share yet says nothing of how fast calls end.
       drain.setWaiting(canGrant && queue.size() > 0, nowMs);
--- a/packages/policy/src/create_admission_test.ts
+++ b/packages/policy/src/create_admission_test.ts
@@ -19,10 +19,15 @@
   const generator = xoroshiro128plus(SEED);
   const queue = createRequestQueue();
   const random = () => uniformFloat64(generator);
-  const admission = createAdmission({ queue, random });
+  const admission = createAdmission({
+    queue,
+    random,
+    outstanding: () => outstanding,
+  });
   let nowMs = 0;
   let nextId = 0;
   let canGrant = true;
+  let outstanding = 0;
   const counts: Record<string, { came: number; refused: number }> = {};
   const waits: Record<string, number[]> = {};
   function arrive(
@@ -78,6 +83,7 @@
     waits,
     random,
     at: (ms: number) => void (nowMs = ms),
+    setOutstanding: (next: number) => void (outstanding = next),
     setCanGrant: (next: boolean) => void (canGrant = next),
     now: () => nowMs,
   };
@@ -129,6 +135,30 @@
   }
 });
 
+test("calls that fill a pool at once are given time to end", () => {
+  const model = createPoolModel();
+  for (let call = 0; call < 50; call++) model.admission.onCallEnded(400);
+  model.setOutstanding(8);
+  // 12 wait behind 8 calls of 400 ms: the last one would start within 600 ms.
+  for (let ms = 0; ms < 400; ms += 33) {
+    model.at(ms);
+    assert.ok(model.arrive({ className: "high" }), `refused after ${ms} ms`);
+  }
+});
+
+test("a pool whose calls have stopped ending refuses by what it measures", () => {
+  const model = createPoolModel();
+  for (let call = 0; call < 50; call++) model.admission.onCallEnded(400);
+  model.setOutstanding(8);
+  let refused = 0;
+  for (let ms = 0; ms < 3000; ms += 33) {
+    model.at(ms);
+    model.expire();
+    if (!model.arrive({ className: "high" }) && ms > 1000) refused++;
+  }
+  assert.ok(refused > 30, `${refused} refused at once`);
+});
+
 test("a pool without grants keeps one request waiting as a probe", () => {
   const model = createPoolModel();
   let admitted = 0;
