--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 import meow from "meow";
 import process from "node:process";
+import { printEstimate } from "./estimate_capacity.ts";
 import { measureCapacity } from "./measure_capacity.ts";
 import { measureDataPath } from "./measure_data_path.ts";
 import { measurePolicy } from "./measure_policy.ts";
@@ -14,6 +15,7 @@
 
 const MEASUREMENTS: Record<string, (flags: BenchFlags) => Promise<void>> = {
   capacity: measureCapacity,
+  estimate: printEstimate,
   "data-path": measureDataPath,
   policy: measurePolicy,
   propagation: measurePropagation,
