Ask for a leader's share over the upstreams already at hand

Cause: each pump listed a pool's upstreams twice, once for the grants and once to see whether the leader has a share; the second list is work on the hot path. Ruled out: caching the answer, which would need its own invalidation. Change: hasShare takes the list that the pump holds; outcome unchanged. A comment in the capacity estimate named the wrong quantity.

--- a/packages/bench/src/estimate_capacity.ts
+++ b/packages/bench/src/estimate_capacity.ts
@@ -14,7 +14,7 @@
 const DATA_CENTRES = 8;
 /** Links at a broker: the entries of its data centre. */
 const LINKS = Math.ceil(DAEMONS / DATA_CENTRES);
-/** Tokens of a mean request, and so the streams open at once. */
+/** Time between two tokens of a stream; it gives the streams open at once. */
 const TOKEN_GAP_SECONDS = 0.03;
 
 /** A worked-out cost of one daemon at the target size. */
--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -210,7 +210,8 @@
       admission.onGranted(clock.now());
       grant(request, chosen.name);
     }
-    admission.onQueueChanged(clock.now(), { canGrant: upstreams.hasShare() });
+    const canGrant = upstreams.hasShare(among);
+    admission.onQueueChanged(clock.now(), { canGrant });
     deadlines.set(queue.nextDeadlineMs());
   }
 
--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -40,8 +40,8 @@
   outstanding(): number;
   /** Calls that could start now. */
   free(): number;
-  /** Whether this leader has a share of any upstream. */
-  hasShare(): boolean;
+  /** Whether this leader has a share of any of `upstreams`. */
+  hasShare(upstreams: readonly PoolUpstream[]): boolean;
 }
 
 /** What the upstreams of a pool need. */
@@ -127,11 +127,9 @@
       }
       return candidates;
     },
-    hasShare() {
-      for (const { name } of current()) {
-        if (shareOf(name, known.get(name)!.entry.maxConcurrent) > 0) {
-          return true;
-        }
+    hasShare(upstreams) {
+      for (const { name, entry } of upstreams) {
+        if (shareOf(name, entry.maxConcurrent) > 0) return true;
       }
       return false;
     },
