Serve the users' platform from one process a VM

Cause: the product spoke only its own interface, with permits from brokers. The users' machines give no store to write and none for control.

--- /dev/null
+++ b/packages/peers/src/create_peer_network.ts
@@ -0,0 +1,252 @@
+import type { Clock } from "@rosemarytiller/shared";
+import { Packr } from "msgpackr";
+import { randomInt } from "node:crypto";
+import { createSocket, type Socket } from "node:dgram";
+import {
+  type Beat,
+  type LoadEvent,
+  type PeerMessage,
+  PeerMessageKind,
+} from "./peer_messages.ts";
+
+/** Time between two beats of a small fleet, in milliseconds. */
+export const BEAT_MS = 200;
+/** Additional time between beats for each member, bounds the datagram rate. */
+const BEAT_MS_PER_MEMBER = 4;
+/** Time without a beat after which a member counts as away, in beats. */
+const AWAY_BEATS = 5;
+/** Time for which a silent member still counts for shares, in ms. */
+export const FORGET_MS = 30_000;
+/** Time for which load events are gathered into one datagram, in ms. */
+const GATHER_MS = 3;
+/** Additional gathering time for each member, bounds the datagram rate. */
+const GATHER_MS_PER_MEMBER = 0.5;
+/** Size of a datagram that passes any link unsplit, in bytes. */
+const MAX_DATAGRAM_BYTES = 1300;
+/** Hosts named in a beat at most. */
+const MAX_NAMED_MEMBERS = 24;
+
+/** Another VM as this one knows it. */
+export interface Member {
+  host: string;
+  dataCentre: string;
+  /** Distinguishes the runs of the member's process. */
+  run: number;
+  heardMs: number;
+  beat: Beat;
+}
+
+/** What is heard from others. */
+export interface PeerListener {
+  onBeat(member: Member): void;
+  onLoad(member: Member, events: LoadEvent[]): void;
+  /** The member's process started anew: its earlier calls are gone. */
+  onRestart(host: string): void;
+  onMembership(
+    change: { host: string; present: boolean; members: number },
+  ): void;
+}
+
+/** Membership and load exchange between the VMs, by datagrams. */
+export interface PeerNetwork {
+  start(listener: PeerListener): Promise<void>;
+  /** Tells all members soon. */
+  tell(event: LoadEvent): void;
+  /** Tells what is gathered and beats at once. */
+  beatNow(): void;
+  /** VMs heard lately, this one included. */
+  presentCount(): number;
+  /** VMs heard within `FORGET_MS`, this one included. */
+  knownCount(): number;
+  present(): Member[];
+  close(): void;
+}
+
+/** What the network needs. */
+export interface PeerNetworkOptions {
+  clock: Clock;
+  host: string;
+  port: number;
+  dataCentre: string;
+  /** Hosts to begin with; they may be away. */
+  seeds: readonly string[];
+  /** State to tell in each beat. */
+  describe(): Pick<Beat, "revision" | "confirmedAgeMs" | "calls">;
+}
+
+const packr = new Packr({ useRecords: false });
+
+/** Creates the network; `start` binds its socket. */
+export function createPeerNetwork(options: PeerNetworkOptions): PeerNetwork {
+  const { clock, host, port, dataCentre, seeds, describe } = options;
+  const run = randomInt(2 ** 32);
+  const members = new Map<string, Member>();
+  const presentHosts = new Set<string>();
+  /** Hosts that were only named by others, with the time of the naming. */
+  const rumoured = new Map<string, number>();
+  let gathered: LoadEvent[] = [];
+  let gatherTimer: (() => void) | undefined;
+  let beatTimer: (() => void) | undefined;
+  let listener: PeerListener | undefined;
+  let socket: Socket | undefined;
+
+  const beatMs = () => BEAT_MS + BEAT_MS_PER_MEMBER * members.size;
+
+  function send(message: PeerMessage, hosts: Iterable<string>): void {
+    const bytes = packr.pack(message);
+    // A datagram that can't be sent is lost like one on the way.
+    for (const to of hosts) socket?.send(bytes, port, to, () => {});
+  }
+
+  function targets(): Set<string> {
+    const hosts = new Set<string>(members.keys());
+    for (const seed of seeds) hosts.add(seed);
+    for (const name of rumoured.keys()) hosts.add(name);
+    hosts.delete(host);
+    return hosts;
+  }
+
+  function beat(): void {
+    beatTimer?.();
+    beatTimer = clock.after(beatMs(), beat);
+    sweep();
+    const state = { dataCentre, members: [...presentHosts], ...describe() };
+    state.members.length = Math.min(state.members.length, MAX_NAMED_MEMBERS);
+    send([PeerMessageKind.Beat, run, state], targets());
+  }
+
+  function sweep(): void {
+    const nowMs = clock.now();
+    for (const [name, sinceMs] of rumoured) {
+      if (nowMs - sinceMs > FORGET_MS) rumoured.delete(name);
+    }
+    for (const member of members.values()) {
+      const silentMs = nowMs - member.heardMs;
+      if (silentMs > beatMs() * AWAY_BEATS) setPresent(member.host, false);
+      if (silentMs > FORGET_MS) members.delete(member.host);
+    }
+  }
+
+  function setPresent(name: string, present: boolean): void {
+    if (presentHosts.has(name) === present) return;
+    if (present) presentHosts.add(name);
+    else presentHosts.delete(name);
+    listener?.onMembership({
+      host: name,
+      present,
+      members: presentHosts.size + 1,
+    });
+  }
+
+  function flush(): void {
+    gatherTimer = undefined;
+    let batch: LoadEvent[] = [];
+    let bytes = 0;
+    for (const event of gathered) {
+      const size = packr.pack(event).length;
+      if (bytes + size > MAX_DATAGRAM_BYTES && batch.length > 0) {
+        send([PeerMessageKind.Load, run, batch], members.keys());
+        batch = [];
+        bytes = 0;
+      }
+      batch.push(event);
+      bytes += size;
+    }
+    gathered = [];
+    if (batch.length === 0) return;
+    send([PeerMessageKind.Load, run, batch], members.keys());
+  }
+
+  function meet(from: string, messageRun: number): Member {
+    let member = members.get(from);
+    if (!member || member.run !== messageRun) {
+      if (member) listener?.onRestart(from);
+      member = {
+        host: from,
+        dataCentre: "",
+        run: messageRun,
+        heardMs: clock.now(),
+        beat: {
+          dataCentre: "",
+          revision: 0,
+          confirmedAgeMs: Infinity,
+          members: [],
+          calls: [],
+        },
+      };
+      members.set(from, member);
+      rumoured.delete(from);
+      // A stranger learns of this VM at once, not at the next beat.
+      if (!presentHosts.has(from)) setImmediate(beat);
+    }
+    member.heardMs = clock.now();
+    setPresent(from, true);
+    return member;
+  }
+
+  function receive(bytes: Uint8Array, from: string): void {
+    if (from === host) return;
+    let message: PeerMessage;
+    try {
+      message = packr.unpack(bytes) as PeerMessage;
+    } catch {
+      return;
+    }
+    if (!Array.isArray(message)) return;
+    const [kind, messageRun, content] = message;
+    const member = meet(from, messageRun);
+    if (kind === PeerMessageKind.Load) {
+      listener?.onLoad(member, content);
+      return;
+    }
+    if (kind !== PeerMessageKind.Beat) return;
+    member.beat = content;
+    member.dataCentre = content.dataCentre;
+    for (const name of content.members) {
+      if (name === host || members.has(name) || rumoured.has(name)) continue;
+      rumoured.set(name, clock.now());
+    }
+    listener?.onBeat(member);
+  }
+
+  return {
+    async start(peerListener) {
+      listener = peerListener;
+      socket = createSocket("udp4");
+      socket.on("message", (bytes, { address }) => receive(bytes, address));
+      socket.on("error", () => {});
+      await new Promise<void>((resolve, reject) => {
+        socket!.once("error", reject);
+        socket!.bind(port, host, resolve);
+      });
+      beat();
+    },
+    tell(event) {
+      gathered.push(event);
+      gatherTimer ??= clock.after(
+        GATHER_MS + GATHER_MS_PER_MEMBER * members.size,
+        flush,
+      );
+    },
+    beatNow() {
+      flush();
+      beat();
+    },
+    presentCount: () => presentHosts.size + 1,
+    knownCount: () => members.size + 1,
+    present() {
+      const list: Member[] = [];
+      for (const name of presentHosts) {
+        const member = members.get(name);
+        if (member) list.push(member);
+      }
+      return list;
+    },
+    close() {
+      beatTimer?.();
+      gatherTimer?.();
+      socket?.close();
+      socket = undefined;
+    },
+  };
+}
--- /dev/null
+++ b/packages/peers/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./create_peer_network.ts";
+export * from "./create_published_items.ts";
+export * from "./exchange_published.ts";
+export * from "./peer_messages.ts";
--- /dev/null
+++ b/packages/router/src/create_configuration_index.ts
@@ -0,0 +1,61 @@
+import type {
+  Account,
+  Configuration,
+  Route,
+  ServiceDefinition,
+} from "./ports.ts";
+
+/** A configuration prepared for lookups. */
+export interface ConfigurationIndex {
+  configuration: Configuration;
+  /** The route of the longest prefix that begins the path. */
+  findRoute(host: string, path: string): Route | undefined;
+  findAccount(key: string): Account | undefined;
+  findService(name: string): ServiceDefinition | undefined;
+}
+
+/** Prepares a configuration for lookups. */
+export function createConfigurationIndex(
+  configuration: Configuration,
+): ConfigurationIndex {
+  const routesByHost = new Map<string, Map<string, Route>>();
+  for (const route of configuration.routes) {
+    const host = route.host.toLowerCase();
+    let routes = routesByHost.get(host);
+    if (!routes) routesByHost.set(host, routes = new Map());
+    routes.set(route.prefix, route);
+  }
+  const accounts = new Map<string, Account>();
+  for (const account of configuration.accounts ?? []) {
+    for (const key of account.keys) accounts.set(key, account);
+  }
+  const services = new Map<string, ServiceDefinition>();
+  for (const service of configuration.services) {
+    services.set(service.name, service);
+  }
+  return {
+    configuration,
+    findRoute(host, path) {
+      const routes = routesByHost.get(hostName(host));
+      if (!routes) return undefined;
+      // Prefixes end with a slash, so only the path's slashes can end one.
+      for (
+        let end = path.lastIndexOf("/");
+        end >= 0;
+        end = end > 0 ? path.lastIndexOf("/", end - 1) : -1
+      ) {
+        const route = routes.get(path.slice(0, end + 1));
+        if (route) return route;
+      }
+      return undefined;
+    },
+    findAccount: (key) => accounts.get(key),
+    findService: (name) => services.get(name),
+  };
+}
+
+/** Host without a port, in lower case. */
+function hostName(host: string): string {
+  const colon = host.indexOf(":");
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
+}
--- /dev/null
+++ b/packages/router/src/create_placer.ts
@@ -0,0 +1,336 @@
+import {
+  CallEnd,
+  LoadEventKind,
+  type PeerNetwork,
+} from "@rosemarytiller/peers";
+import {
+  chooseEngine,
+  type EngineCandidate,
+  type EngineChoice,
+} from "@rosemarytiller/policy";
+import {
+  type CancelTimer,
+  type Clock,
+  ErrorKind,
+  TillerError,
+} from "@rosemarytiller/shared";
+import type { Registry, Upstream } from "./create_registry.ts";
+import type { Prompt, ServiceDefinition } from "./ports.ts";
+
+/** A request that needs an upstream. */
+export interface PlaceJob {
+  service: ServiceDefinition;
+  /** Tier, 0 the most urgent. */
+  tier: number;
+  prompt: Prompt | undefined;
+  /** Longest pause between events that is still on time, in ms. */
+  maxPauseMs: number;
+  targetMs: number;
+  arrivedMs: number;
+  /** Time after which nobody waits for the answer. */
+  giveUpMs: number;
+  /** Upstreams that were tried. */
+  avoid: ReadonlySet<string>;
+}
+
+/** An upstream that was chosen for one call. */
+export interface Placement {
+  upstream: Upstream;
+  /** Number of the call, unique on this VM. */
+  call: number;
+  newTokens: number;
+  /** Predicted time to the first event, in milliseconds. */
+  predictedMs: number;
+  /** How long the request was held before, in milliseconds. */
+  heldMs: number;
+  onFirstEvent(): void;
+  /** Ends the call; later calls do nothing. */
+  release(end: CallEnd): void;
+}
+
+/** Chooses upstreams, and holds requests while none may take them. */
+export interface Placer {
+  /** Resolves with a place; rejects with a refusal. */
+  place(job: PlaceJob, signal: AbortSignal): Promise<Placement>;
+  /** Places a call at a given upstream at once. */
+  placeAt(upstream: Upstream, job: PlaceJob): Placement;
+  /** This VM's open calls by upstream. */
+  ownCalls(): [string, number[]][];
+  heldCount(): number;
+  /** Something changed that may give room. */
+  wake(): void;
+}
+
+/** What the placer needs. */
+export interface PlacerOptions {
+  clock: Clock;
+  registry: Registry;
+  network: Pick<PeerNetwork, "tell" | "knownCount">;
+  dataCentre: string;
+}
+
+/** Share of the target for which a request is held before it is refused. */
+const HOLD_SHARE = 0.4;
+/** Time between two looks for room while requests are held, in ms. */
+const LOOK_MS = 5;
+/** Calls that may wait at a plain service beyond its slots. */
+const SERVICE_QUEUE = 3;
+/** Cost of a failure that is certain, in calls at a plain service. */
+const SERVICE_FAILURE_CALLS = 12;
+/** Cost of another data centre, in calls at a plain service. */
+const SERVICE_REMOTE_CALLS = 0.4;
+/** Bounds of the time after which a refused caller may come back, in ms. */
+const RETRY_AFTER_RANGE_MS = [150, 1500] as const;
+
+interface HeldJob {
+  job: PlaceJob;
+  resolve(placement: Placement): void;
+  reject(error: TillerError): void;
+}
+
+interface Candidate extends EngineCandidate {
+  upstream: Upstream;
+}
+
+/** Creates a placer that holds nothing. */
+export function createPlacer(options: PlacerOptions): Placer {
+  const { clock, registry, network, dataCentre } = options;
+  /** Held requests, the most urgent and oldest first. */
+  const held: HeldJob[] = [];
+  const own = new Map<string, Set<number>>();
+  let nextCall = 1;
+  let cancelLook: CancelTimer | undefined;
+
+  function candidates(job: PlaceJob): Upstream[] {
+    const list: Upstream[] = [];
+    for (const upstream of registry.eligible(job.service.name)) {
+      if (job.avoid.has(upstream.entry.id)) continue;
+      if (!registry.admitsCold(upstream, network.knownCount())) continue;
+      list.push(upstream);
+    }
+    return list;
+  }
+
+  function choose(job: PlaceJob): EngineChoice<Candidate> | undefined {
+    const list = candidates(job);
+    const { engine } = job.service;
+    if (!engine || !job.prompt) return choosePlain(list);
+    const size = { slots: engine.slots, memoryTokens: engine.memoryTokens };
+    const nowMs = clock.now();
+    return chooseEngine(
+      {
+        tier: job.tier,
+        parts: job.prompt.parts,
+        promptTokens: job.prompt.promptTokens,
+        outputTokens: job.prompt.outputTokens,
+        targetMs: job.targetMs,
+        waitedMs: nowMs - job.arrivedMs,
+      },
+      list.map((upstream) => ({
+        upstream,
+        model: upstream.model,
+        size,
+        isRemote: upstream.entry.dataCentre !== dataCentre,
+        failureShare: registry.failureShare(upstream),
+      })),
+      { speed: registry.speedOf(job.service.name).speed, nowMs },
+    );
+  }
+
+  function choosePlain(
+    list: readonly Upstream[],
+  ): EngineChoice<Candidate> | undefined {
+    let best: Upstream | undefined;
+    let bestCost = Infinity;
+    for (const upstream of list) {
+      const calls = upstream.model.callCount();
+      if (calls >= upstream.entry.slots + SERVICE_QUEUE) continue;
+      const isRemote = upstream.entry.dataCentre !== dataCentre;
+      const cost = calls +
+        registry.failureShare(upstream) * SERVICE_FAILURE_CALLS +
+        (isRemote ? SERVICE_REMOTE_CALLS : 0);
+      if (cost >= bestCost) continue;
+      bestCost = cost;
+      best = upstream;
+    }
+    return best && chooseOnly(best);
+  }
+
+  function chooseOnly(upstream: Upstream): EngineChoice<Candidate> {
+    const candidate = {
+      upstream,
+      model: upstream.model,
+      size: { slots: upstream.entry.slots, memoryTokens: Infinity },
+      isRemote: false,
+      failureShare: 0,
+    };
+    return { candidate, newTokens: 0, predictedMs: 0 };
+  }
+
+  function grant(
+    job: PlaceJob,
+    choice: EngineChoice<Candidate>,
+  ): Placement {
+    const { upstream } = choice.candidate;
+    const { id } = upstream.entry;
+    const call = nextCall++;
+    const key = `own:${call}`;
+    const nowMs = clock.now();
+    const parts = job.prompt?.parts ?? [];
+    const speed = registry.speedOf(job.service.name);
+    const aheadTokens = job.prompt
+      ? upstream.model.waitingTokens(job.tier, nowMs)
+      : 0;
+    const work = {
+      tier: job.tier,
+      newTokens: choice.newTokens,
+      memoryTokens: (job.prompt?.promptTokens ?? 0) +
+        (job.prompt?.outputTokens ?? 0),
+      maxPauseMs: job.maxPauseMs,
+    };
+    upstream.model.start(key, work, nowMs);
+    upstream.model.remember(parts, nowMs);
+    registry.onSent(upstream, true);
+    let calls = own.get(id);
+    if (!calls) own.set(id, calls = new Set());
+    calls.add(call);
+    network.tell({
+      kind: LoadEventKind.Started,
+      call,
+      upstream: id,
+      ...work,
+      parts: parts.map((part) => [part.id, part.tokens]),
+    });
+    let isOpen = true;
+    let hasEvent = false;
+    return {
+      upstream,
+      call,
+      newTokens: choice.newTokens,
+      predictedMs: choice.predictedMs,
+      heldMs: nowMs - job.arrivedMs,
+      onFirstEvent() {
+        if (!isOpen || hasEvent) return;
+        hasEvent = true;
+        const eventMs = clock.now();
+        upstream.model.onFirstEvent(key, eventMs);
+        if (job.prompt) {
+          speed.observe(aheadTokens + choice.newTokens, eventMs - nowMs);
+        }
+        network.tell({ kind: LoadEventKind.FirstEvent, call, upstream: id });
+        wake();
+      },
+      release(end) {
+        if (!isOpen) return;
+        isOpen = false;
+        upstream.model.end(key, clock.now());
+        if (end !== CallEnd.Other) {
+          registry.onCallEnd(upstream, end === CallEnd.Failed, 1);
+        }
+        calls.delete(call);
+        if (calls.size === 0) own.delete(id);
+        network.tell({ kind: LoadEventKind.Ended, call, upstream: id, end });
+        wake();
+      },
+    };
+  }
+
+  function refusal(job: PlaceJob): TillerError {
+    const list = registry.eligible(job.service.name);
+    const kind = list.length === 0
+      ? ErrorKind.NoUpstream
+      : ErrorKind.Overloaded;
+    return new TillerError(kind, "no upstream has room in time", {
+      retryAfterMs: retryAfterMs(job, list),
+    });
+  }
+
+  /** Time in which what waits now will have been read, with jitter. */
+  function retryAfterMs(job: PlaceJob, list: readonly Upstream[]): number {
+    const { speed } = registry.speedOf(job.service.name);
+    const nowMs = clock.now();
+    let tokens = 0;
+    for (const { model } of list) {
+      tokens += model.waitingTokens(Infinity, nowMs);
+    }
+    for (const { job: other } of held) {
+      if (other.service.name !== job.service.name) continue;
+      if (other.tier > job.tier) continue;
+      tokens += (other.prompt?.promptTokens ?? 0) * network.knownCount();
+    }
+    const drainMs = tokens / speed.tokensPerMs / Math.max(1, list.length);
+    const [low, high] = RETRY_AFTER_RANGE_MS;
+    const bounded = Math.min(high, Math.max(low, drainMs * 2));
+    return bounded * (0.75 + Math.random() / 2);
+  }
+
+  function holdUntilMs(job: PlaceJob): number {
+    return Math.min(job.giveUpMs, job.arrivedMs + job.targetMs * HOLD_SHARE);
+  }
+
+  function look(): void {
+    cancelLook = undefined;
+    const nowMs = clock.now();
+    for (let place = 0; place < held.length;) {
+      const { job, resolve, reject } = held[place]!;
+      const choice = choose(job);
+      if (choice) {
+        held.splice(place, 1);
+        resolve(grant(job, choice));
+        continue;
+      }
+      if (nowMs >= holdUntilMs(job)) {
+        held.splice(place, 1);
+        reject(refusal(job));
+        continue;
+      }
+      place++;
+    }
+    if (held.length > 0) cancelLook = clock.after(LOOK_MS, look);
+  }
+
+  function wake(): void {
+    if (held.length === 0) return;
+    cancelLook?.();
+    look();
+  }
+
+  function insert(entry: HeldJob): void {
+    let place = held.length;
+    while (place > 0 && goesBefore(entry.job, held[place - 1]!.job)) place--;
+    held.splice(place, 0, entry);
+  }
+
+  return {
+    place(job, signal) {
+      return new Promise((resolve, reject) => {
+        const entry = { job, resolve, reject };
+        const isFirst = held.every((other) => !goesBefore(other.job, job));
+        const choice = isFirst ? choose(job) : undefined;
+        if (choice) {
+          resolve(grant(job, choice));
+          return;
+        }
+        insert(entry);
+        signal.addEventListener("abort", () => {
+          const place = held.indexOf(entry);
+          if (place < 0) return;
+          held.splice(place, 1);
+          reject(new TillerError(ErrorKind.DeadlineExceeded, "given up"));
+        }, { once: true });
+        cancelLook ??= clock.after(LOOK_MS, look);
+      });
+    },
+    placeAt: (upstream, job) => grant(job, chooseOnly(upstream)),
+    ownCalls: () => [...own].map(([id, calls]) => [id, [...calls]]),
+    heldCount: () => held.length,
+    wake,
+  };
+}
+
+/** Whether a request is placed before another of the same service. */
+function goesBefore(job: PlaceJob, other: PlaceJob): boolean {
+  if (job.service.name !== other.service.name) return false;
+  if (job.tier !== other.tier) return job.tier < other.tier;
+  return job.arrivedMs < other.arrivedMs;
+}
--- /dev/null
+++ b/packages/router/src/create_request_server.ts
@@ -0,0 +1,670 @@
+import {
+  CallEnd,
+  LoadEventKind,
+  type PeerNetwork,
+} from "@rosemarytiller/peers";
+import {
+  createRetryAllowance,
+  FingerprintState,
+  type Quarantine,
+  type RetryAllowance,
+  type RetryBounds,
+} from "@rosemarytiller/policy";
+import {
+  type Clock,
+  ErrorKind,
+  hashText,
+  repeat,
+  RunState,
+  TillerError,
+  toTillerError,
+} from "@rosemarytiller/shared";
+import type { Buffer } from "node:buffer";
+import type { CallerAnswer, CallerRequest } from "./caller_answer.ts";
+import type { ConfigurationIndex } from "./create_configuration_index.ts";
+import type { ConnectionPool } from "./create_connection_pool.ts";
+import type { Placement, Placer } from "./create_placer.ts";
+import type { Registry, Upstream } from "./create_registry.ts";
+import { AttemptResult, LogEvent, RouteKind } from "./enums.ts";
+import type { EventLog } from "./event_log.ts";
+import type {
+  Account,
+  Route,
+  ServiceDefinition,
+  WireProtocol,
+} from "./ports.ts";
+import { runAttempt, type StreamState } from "./run_attempt.ts";
+import type { RouterMetrics } from "./create_router_metrics.ts";
+
+/** What serving requests needs. */
+export interface RequestServerOptions {
+  clock: Clock;
+  log: EventLog;
+  metrics: RouterMetrics;
+  protocol: WireProtocol;
+  registry: Registry;
+  placer: Placer;
+  pool: ConnectionPool;
+  network: PeerNetwork;
+  quarantine: Quarantine;
+  retryBounds: RetryBounds;
+  vm: string;
+  configuration(): ConfigurationIndex | undefined;
+  /** Whether the configuration was confirmed lately. */
+  isCurrent(): boolean;
+}
+
+/** Serves callers' requests. */
+export interface RequestServer {
+  /** Serves one request to its final answer; never rejects. */
+  serve(request: CallerRequest, answer: CallerAnswer): Promise<void>;
+  openCount(): number;
+}
+
+/** A request on its way. */
+export interface RequestState {
+  id: string;
+  route: Route;
+  service: ServiceDefinition;
+  account: Account | undefined;
+  tier: number;
+  request: CallerRequest;
+  answer: CallerAnswer;
+  giveUpMs: number;
+  fingerprint: string;
+  signal: AbortSignal;
+  abort(): void;
+  /** Upstreams that the request was sent to or could not reach. */
+  tried: Set<string>;
+  /** Sends so far; each may have run. */
+  sends: number;
+  mayHaveRun: boolean;
+  stream: StreamState;
+  /** Upstream that keeps a copy of the running call, with its name. */
+  copy: { holder: Upstream; call: string } | undefined;
+}
+
+/** Connections that could not be made before a request is refused. */
+const MAX_UNSENT = 4;
+/** Time to come back after a refusal for want of configuration, in ms. */
+const NOT_READY_RETRY_MS = 400;
+/** Time to come back when an upstream said it was full, in ms. */
+const FULL_RETRY_MS = 250;
+/** Interval of looks at a call's silence, in milliseconds. */
+const SILENCE_LOOK_MS = 100;
+/** Shortest silence that marks a call as lost, in milliseconds. */
+const MIN_SILENCE_MS = 600;
+/** Silence that marks a call as lost, in longest pauses on time. */
+const SILENCE_PAUSES = 3;
+/** Largest copy of a call's memory that is worth its transfer, in bytes. */
+const MAX_COPY_BYTES = 64 * 1024 * 1024;
+/** Fewest output tokens for which a copy is kept. */
+const MIN_COPY_OUTPUT_TOKENS = 100;
+
+/** Creates the server of requests. */
+export function createRequestServer(
+  options: RequestServerOptions,
+): RequestServer {
+  const { clock, log, metrics, protocol, registry, placer, pool, network } =
+    options;
+  const { quarantine, retryBounds, vm, configuration, isCurrent } = options;
+  const allowances = new Map<string, RetryAllowance>();
+  let open = 0;
+
+  function allowanceOf(service: string): RetryAllowance {
+    let allowance = allowances.get(service);
+    if (!allowance) {
+      allowances.set(service, allowance = createRetryAllowance(retryBounds));
+    }
+    return allowance;
+  }
+
+  /** Finds route, service and account; throws the refusal. */
+  function classify(request: CallerRequest) {
+    const index = configuration();
+    if (!index) {
+      throw new TillerError(ErrorKind.NotReady, "no configuration is known", {
+        retryAfterMs: NOT_READY_RETRY_MS,
+      });
+    }
+    const { facts, host, target } = request;
+    const query = target.indexOf("?");
+    const path = query < 0 ? target : target.slice(0, query);
+    const route = index.findRoute(host, path);
+    if (!route) throw unknown(ErrorKind.UnknownRoute, "no route matches");
+    let account: Account | undefined;
+    if (index.configuration.accounts && !route.isOpen) {
+      account = facts.key ? index.findAccount(facts.key) : undefined;
+      if (!account) {
+        throw unknown(ErrorKind.Unauthenticated, "the key is not known");
+      }
+    }
+    const service = index.findService(chooseTarget(route));
+    if (!service) {
+      throw new TillerError(ErrorKind.NoUpstream, "the service is not known", {
+        retryAfterMs: NOT_READY_RETRY_MS,
+      });
+    }
+    return { route, account, service };
+  }
+
+  /** A VM that may be behind does not deny what it has not heard of. */
+  function unknown(kind: ErrorKind, detail: string): TillerError {
+    if (isCurrent()) return new TillerError(kind, detail);
+    return new TillerError(ErrorKind.NotReady, `${detail} here yet`, {
+      retryAfterMs: NOT_READY_RETRY_MS,
+    });
+  }
+
+  function isRepeatable(route: Route): boolean {
+    if (route.kind === RouteKind.Stream) return route.isResumable;
+    return route.kind === RouteKind.Idempotent;
+  }
+
+  function begin(request: CallerRequest, answer: CallerAnswer): RequestState {
+    const { route, account, service } = classify(request);
+    const { facts } = request;
+    const fingerprint = hashText(
+      `${request.target}\n${account?.name}\n${request.body.toString("latin1")}`,
+    );
+    if (quarantine.stateOf(fingerprint) === FingerprintState.Quarantined) {
+      throw new TillerError(
+        ErrorKind.Quarantined,
+        "the request crashed the upstreams that ran it",
+      );
+    }
+    const waitMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs);
+    const controller = new AbortController();
+    return {
+      id: facts.id ?? "",
+      route,
+      service,
+      account,
+      tier: account?.tier ?? route.tier,
+      request,
+      answer,
+      giveUpMs: request.arrivedMs + waitMs,
+      fingerprint,
+      signal: controller.signal,
+      abort: () => controller.abort(),
+      tried: new Set(),
+      sends: 0,
+      mayHaveRun: false,
+      stream: {
+        isStream: route.kind === RouteKind.Stream,
+        lastEventId: facts.lastEventId,
+        isBegun: false,
+        eventCount: 0,
+      },
+      copy: undefined,
+    };
+  }
+
+  function place(state: RequestState): Promise<Placement> {
+    return placer.place({
+      service: state.service,
+      tier: state.tier,
+      prompt: state.request.facts.prompt,
+      maxPauseMs: state.stream.isStream ? state.route.maxPauseMs : Infinity,
+      targetMs: state.route.targetMs,
+      arrivedMs: state.request.arrivedMs,
+      giveUpMs: state.giveUpMs,
+      avoid: state.tried,
+    }, state.signal);
+  }
+
+  /** Chooses who keeps a copy of a long, small stream that can't be resumed. */
+  function chooseCopyHolder(
+    state: RequestState,
+    upstream: Upstream,
+  ): Upstream | undefined {
+    const { engine } = state.service;
+    const { prompt } = state.request.facts;
+    if (!engine?.keepsCopies || !prompt || isRepeatable(state.route)) {
+      return undefined;
+    }
+    if (prompt.outputTokens < MIN_COPY_OUTPUT_TOKENS) return undefined;
+    const tokens = prompt.promptTokens + prompt.outputTokens;
+    if (tokens * engine.bytesPerToken > MAX_COPY_BYTES) return undefined;
+    let best: Upstream | undefined;
+    let bestCost = Infinity;
+    for (const other of registry.eligible(state.service.name)) {
+      if (other === upstream || other.coldUntilMs > clock.now()) continue;
+      const isFar = other.entry.dataCentre !== upstream.entry.dataCentre;
+      const cost = other.model.memoryTokens() / engine.memoryTokens +
+        (isFar ? 0.2 : 0);
+      if (cost >= bestCost) continue;
+      bestCost = cost;
+      best = other;
+    }
+    return best;
+  }
+
+  function addressOf({ entry }: Upstream): string {
+    return `${entry.host}:${entry.port}`;
+  }
+
+  async function attempt(
+    state: RequestState,
+    placement: Placement,
+    copyFrom?: string,
+  ) {
+    const { upstream } = placement;
+    const { entry } = upstream;
+    const { facts } = state.request;
+    const maxOpen = Math.max(
+      4,
+      Math.floor(state.service.maxConnections * 0.9 / network.knownCount()),
+    );
+    const connection = pool.take(entry, maxOpen);
+    if (!connection) {
+      placement.release(CallEnd.Other);
+      throw new TillerError(ErrorKind.Overloaded, "no connection is left", {
+        retryAfterMs: FULL_RETRY_MS,
+      });
+    }
+    const holder = copyFrom ? undefined : chooseCopyHolder(state, upstream);
+    const headers = [
+      ...facts.forwarded,
+      ...protocol.callHeaders({
+        deadlineMs: Math.max(1, Math.floor(state.giveUpMs - clock.now())),
+        upstreamId: entry.id,
+        account: state.account?.name,
+        tier: state.tier,
+        lastEventId: state.stream.lastEventId,
+        copyTo: holder && addressOf(holder),
+        copyFrom,
+      }),
+    ];
+    const startedMs = clock.now();
+    const isResume = state.stream.isBegun;
+    const running = runAttempt({
+      clock,
+      protocol,
+      connection,
+      requestId: state.id,
+      method: state.request.method,
+      path: state.request.target,
+      headers,
+      body: state.request.body,
+      stream: state.stream,
+      answer: state.answer,
+      onHeard: () => registry.onHeard(upstream),
+      onEvent: () => placement.onFirstEvent(),
+      onSent() {
+        if (state.sends === 0) {
+          allowanceOf(state.service.name).onFirstSend(clock.now());
+        }
+        state.sends++;
+        state.tried.add(entry.id);
+      },
+    });
+    const onAbort = () => running.abort(AttemptResult.Aborted);
+    state.signal.addEventListener("abort", onAbort, { once: true });
+    if (state.signal.aborted) onAbort();
+    if (holder) {
+      state.copy = { holder, call: `${addressOf(holder)}/${state.id}` };
+    }
+    const cancelWatch = watchSilence(state, placement, running);
+    const ended = await running.ended;
+    cancelWatch();
+    state.signal.removeEventListener("abort", onAbort);
+    if (ended.isReusable) {
+      if (ended.idleLimitMs !== undefined) {
+        connection.idleLimitMs = ended.idleLimitMs;
+      }
+      pool.giveBack(entry, connection);
+    } else {
+      pool.discard(entry, connection);
+    }
+    settle(state, placement, ended.result, ended.status);
+    if (ended.coldMs) {
+      upstream.coldUntilMs = Math.max(
+        upstream.coldUntilMs,
+        clock.now() + ended.coldMs,
+      );
+    }
+    const isOrdinary = ended.result === AttemptResult.Whole;
+    log[isOrdinary ? "info" : "warn"](LogEvent.AttemptEnded, {
+      id: state.id,
+      upstream: entry.id,
+      call: placement.call,
+      result: ended.result,
+      status: ended.status,
+      reason: ended.reason || undefined,
+      ms: Math.round(clock.now() - startedMs),
+      firstMs: ended.firstMs === undefined
+        ? undefined
+        : Math.round(ended.firstMs - startedMs),
+      predictedMs: Math.round(placement.predictedMs),
+      events: state.stream.isStream ? state.stream.eventCount : undefined,
+      resume: isResume || undefined,
+    });
+    metrics.onAttempt(state.service.name, ended.result);
+    if (ended.firstMs !== undefined) {
+      metrics.onFirstEvent(state.tier, ended.firstMs - startedMs);
+    }
+    return ended;
+  }
+
+  /** Notes an attempt's end with all who keep count. */
+  function settle(
+    state: RequestState,
+    placement: Placement,
+    result: AttemptResult,
+    status: number,
+  ): void {
+    const { upstream } = placement;
+    const isFailed = result === AttemptResult.Broken ||
+      result === AttemptResult.Silent || result === AttemptResult.NotRun ||
+      status >= 500;
+    const isOver = result === AttemptResult.Whole || isFailed;
+    placement.release(
+      isFailed ? CallEnd.Failed : isOver ? CallEnd.Whole : CallEnd.Other,
+    );
+    if (result === AttemptResult.Unsent) {
+      registry.onBroken(upstream, "no connection");
+      confirmCrashes(upstream);
+      state.tried.add(upstream.entry.id);
+    }
+    if (result === AttemptResult.Silent) registry.onBroken(upstream, "silent");
+    if (result === AttemptResult.Broken) {
+      noteCrash(state, placement);
+    }
+    if (result !== AttemptResult.Unsent && result !== AttemptResult.NotRun) {
+      state.mayHaveRun = true;
+    }
+  }
+
+  /** Breaks that count as a crash once the upstream proves to be down. */
+  const suspects = new Map<Upstream, SuspectedCrash[]>();
+
+  function noteCrash(state: RequestState, placement: Placement): void {
+    const { upstream, call } = placement;
+    const list = suspects.get(upstream) ?? [];
+    const nowMs = clock.now();
+    const recent = list.filter(({ atMs }) => nowMs - atMs < CRASH_SPAN_MS);
+    recent.push({
+      fingerprint: state.fingerprint,
+      crash: `${vm}/${call}`,
+      atMs: nowMs,
+    });
+    suspects.set(upstream, recent);
+    if (upstream.downUntilMs > nowMs) confirmCrashes(upstream);
+  }
+
+  function confirmCrashes(upstream: Upstream): void {
+    const nowMs = clock.now();
+    for (const { fingerprint, crash, atMs } of suspects.get(upstream) ?? []) {
+      if (nowMs - atMs > CRASH_SPAN_MS) continue;
+      quarantine.onCrash(crash, [fingerprint]);
+      network.tell({ kind: LoadEventKind.Crashed, fingerprint, crash });
+      log.warn(LogEvent.RequestCrashedUpstream, {
+        fingerprint,
+        crash,
+        upstream: upstream.entry.id,
+        state: quarantine.stateOf(fingerprint),
+      });
+    }
+    suspects.delete(upstream);
+  }
+
+  /** Gives up a call that was silent for too long, where that can be mended. */
+  function watchSilence(
+    state: RequestState,
+    placement: Placement,
+    running: ReturnType<typeof runAttempt>,
+  ): () => void {
+    const { route } = state;
+    const canRepeat = isRepeatable(route) && state.sends < route.maxAttempts;
+    if (!canRepeat && !state.copy) return () => {};
+    const { upstream } = placement;
+    const pauseMs = Math.max(
+      MIN_SILENCE_MS,
+      state.stream.isStream
+        ? SILENCE_PAUSES * route.maxPauseMs
+        : SILENCE_PAUSES * route.targetMs,
+    );
+    const firstMs = Math.max(pauseMs, placement.predictedMs + pauseMs);
+    return repeat(clock, SILENCE_LOOK_MS, () => {
+      const nowMs = clock.now();
+      const hasBegun = state.stream.isBegun;
+      if (!hasBegun && !isRepeatable(route)) return;
+      const limitMs = hasBegun ? pauseMs : firstMs;
+      if (nowMs - running.heardMs() < limitMs) return;
+      // An upstream that answers others is slow, not gone.
+      if (hasBegun && nowMs - upstream.heardMs < limitMs / 2) return;
+      running.abort(AttemptResult.Silent);
+    });
+  }
+
+  /** Runs attempts until the request has its final answer. */
+  async function run(state: RequestState): Promise<void> {
+    let unsent = 0;
+    for (;;) {
+      const placement = await place(state);
+      log.info(LogEvent.Placed, {
+        id: state.id,
+        upstream: placement.upstream.entry.id,
+        call: placement.call,
+        tier: state.tier,
+        heldMs: Math.round(placement.heldMs),
+        newTokens: placement.newTokens || undefined,
+        calls: placement.upstream.model.callCount(),
+        predictedMs: Math.round(placement.predictedMs),
+        revision: configuration()?.configuration.version,
+      });
+      const ended = await attempt(state, placement);
+      if (ended.result === AttemptResult.Whole) {
+        if (await isRetriedAfterError(state, ended.status)) continue;
+        deliver(state, ended);
+        return;
+      }
+      if (ended.result === AttemptResult.Aborted) return;
+      if (ended.result === AttemptResult.Unsent) {
+        if (++unsent >= MAX_UNSENT) throw unreachable(state);
+        continue;
+      }
+      if (ended.result === AttemptResult.NotRun) {
+        if (mayRepeat(state)) continue;
+        throw refusedByUpstream(state);
+      }
+      if (state.copy && state.stream.isBegun) {
+        if (await resumeFromCopy(state)) return;
+      }
+      if (isRepeatable(state.route) && mayRepeat(state)) {
+        log.info(LogEvent.Resumed, {
+          id: state.id,
+          from: placement.upstream.entry.id,
+          lastEventId: state.stream.lastEventId,
+        });
+        continue;
+      }
+      throw new TillerError(ErrorKind.OutcomeUnknown, ended.reason, {
+        run: RunState.MayHaveRun,
+      });
+    }
+  }
+
+  function mayRepeat(state: RequestState): boolean {
+    if (state.sends >= state.route.maxAttempts) return false;
+    return allowanceOf(state.service.name).spend(
+      clock.now(),
+      network.knownCount(),
+    );
+  }
+
+  /** An upstream's own failure is tried elsewhere where that is allowed. */
+  function isRetriedAfterError(state: RequestState, status: number): boolean {
+    if (status < 500 || state.stream.isBegun) return false;
+    return isRepeatable(state.route) && mayRepeat(state);
+  }
+
+  /** Goes on at the upstream that holds a copy; returns whether it ended. */
+  async function resumeFromCopy(state: RequestState): Promise<boolean> {
+    const { holder, call } = state.copy!;
+    state.copy = undefined;
+    if (!registry.find(holder.entry.id)) return false;
+    if (
+      !allowanceOf(state.service.name).spend(clock.now(), network.knownCount())
+    ) {
+      return false;
+    }
+    const placement = placer.placeAt(holder, {
+      service: state.service,
+      tier: state.tier,
+      prompt: undefined,
+      maxPauseMs: state.route.maxPauseMs,
+      targetMs: state.route.targetMs,
+      arrivedMs: clock.now(),
+      giveUpMs: state.giveUpMs,
+      avoid: state.tried,
+    });
+    log.info(LogEvent.Resumed, {
+      id: state.id,
+      at: holder.entry.id,
+      copy: call,
+      lastEventId: state.stream.lastEventId,
+    });
+    const ended = await attempt(state, placement, call);
+    if (ended.result === AttemptResult.Aborted) return true;
+    if (ended.result !== AttemptResult.Whole) return false;
+    deliver(state, ended);
+    return true;
+  }
+
+  function unreachable(state: RequestState): TillerError {
+    return new TillerError(
+      state.mayHaveRun ? ErrorKind.OutcomeUnknown : ErrorKind.NoUpstream,
+      "no upstream could be reached",
+      {
+        run: state.mayHaveRun ? RunState.MayHaveRun : RunState.NotRun,
+        retryAfterMs: FULL_RETRY_MS,
+      },
+    );
+  }
+
+  function refusedByUpstream(state: RequestState): TillerError {
+    return new TillerError(
+      state.mayHaveRun ? ErrorKind.OutcomeUnknown : ErrorKind.Overloaded,
+      "the upstream took no more requests",
+      {
+        run: state.mayHaveRun ? RunState.MayHaveRun : RunState.NotRun,
+        retryAfterMs: FULL_RETRY_MS * (0.5 + Math.random()),
+      },
+    );
+  }
+
+  function deliver(
+    state: RequestState,
+    ended: { status: number; headers: string[]; body: Buffer },
+  ): void {
+    const { answer, stream } = state;
+    if (stream.isBegun) answer.end();
+    else answer.whole(ended.status, ended.headers, ended.body);
+    report(state, ended.status);
+  }
+
+  function report(state: RequestState, status: number): void {
+    const ms = clock.now() - state.request.arrivedMs;
+    metrics.onAnswer(state.route.kind, status, ms);
+    log.info(LogEvent.Answered, {
+      id: state.id,
+      route: state.route.name,
+      status,
+      ms: Math.round(ms),
+      sends: state.sends,
+      events: state.stream.isStream ? state.stream.eventCount : undefined,
+    });
+  }
+
+  /** Gives the final answer to a request that has failed. */
+  function fail(
+    state: RequestState | undefined,
+    error: TillerError,
+    target: { answer: CallerAnswer; id: string },
+  ): void {
+    const { answer, id } = target;
+    if (answer.isGone()) return;
+    const isBegun = state?.stream.isBegun ?? false;
+    log.warn(isBegun ? LogEvent.Cut : LogEvent.Refused, {
+      id,
+      route: state?.route.name,
+      kind: error.kind,
+      run: error.run,
+      detail: error.message,
+      retryAfterMs: error.retryAfterMs && Math.round(error.retryAfterMs),
+      sends: state?.sends,
+      tier: state?.tier,
+      ms: state && Math.round(clock.now() - state.request.arrivedMs),
+    });
+    metrics.onRefusal(error.kind);
+    if (isBegun) answer.cut();
+    else answer.refuse(error);
+  }
+
+  return {
+    async serve(request, answer) {
+      const id = request.facts.id ?? "";
+      let state: RequestState | undefined;
+      open++;
+      let cancelGiveUp = () => {};
+      try {
+        state = begin(request, answer);
+        const current = state;
+        answer.onGone(() => {
+          log.info(LogEvent.CallerLeft, { id, sends: current.sends });
+          current.abort();
+        });
+        cancelGiveUp = clock.after(current.giveUpMs - clock.now(), () => {
+          if (answer.isGone()) return;
+          const sent = current.sends > 0;
+          fail(current, timeUp(sent), { answer, id });
+          current.abort();
+        });
+        await run(current);
+      } catch (error) {
+        if (!state?.signal.aborted) {
+          fail(state, toTillerError(error), { answer, id });
+        }
+      } finally {
+        cancelGiveUp();
+        open--;
+      }
+    },
+    openCount: () => open,
+  };
+}
+
+/** A broken call of which it is not known yet whether it broke the upstream. */
+interface SuspectedCrash {
+  fingerprint: string;
+  crash: string;
+  atMs: number;
+}
+
+/** Time within which an upstream that broke proves to be down, in ms. */
+const CRASH_SPAN_MS = 2000;
+
+function timeUp(wasSent: boolean): TillerError {
+  if (!wasSent) {
+    return new TillerError(ErrorKind.Overloaded, "no upstream in time", {
+      retryAfterMs: FULL_RETRY_MS,
+    });
+  }
+  return new TillerError(ErrorKind.DeadlineExceeded, "the time is up", {
+    run: RunState.MayHaveRun,
+  });
+}
+
+/** Draws one of a route's services by weight. */
+function chooseTarget(route: Route): string {
+  let sum = 0;
+  for (const { weight } of route.targets) sum += weight;
+  let drawn = Math.random() * sum;
+  for (const { service, weight } of route.targets) {
+    drawn -= weight;
+    if (drawn < 0) return service;
+  }
+  return route.targets.at(-1)?.service ?? "";
+}
--- /dev/null
+++ b/packages/router/src/create_router_metrics.ts
@@ -0,0 +1,100 @@
+import type { ErrorKind } from "@rosemarytiller/shared";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { AttemptResult, RouteKind } from "./enums.ts";
+
+/** Upper bounds of the latency histograms, in seconds. */
+const LATENCY_BUCKETS = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.2,
+  0.3,
+  0.4,
+  0.6,
+  0.8,
+  1.2,
+  2,
+  3,
+  5,
+  10,
+  20,
+];
+
+/** Values that are read when the metrics are asked for. */
+export interface RouterGauges {
+  openRequests(): number;
+  heldRequests(): number;
+  openConnections(): number;
+  presentVms(): number;
+  revision(): number;
+  droppedLines(): number;
+}
+
+/** Counters and histograms of a VM, in the Prometheus text format. */
+export interface RouterMetrics {
+  onAnswer(kind: RouteKind, status: number, ms: number): void;
+  onAttempt(service: string, result: AttemptResult): void;
+  onFirstEvent(tier: number, ms: number): void;
+  onRefusal(kind: ErrorKind): void;
+  text(): Promise<string>;
+}
+
+/** Creates the metrics; gauges are read on demand. */
+export function createRouterMetrics(gauges: RouterGauges): RouterMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const answers = new Histogram({
+    name: "rosemarytiller_answer_seconds",
+    help: "Time from a request's arrival to the end of its answer.",
+    labelNames: ["kind", "status"],
+    buckets: LATENCY_BUCKETS,
+    registers,
+  });
+  const attempts = new Counter({
+    name: "rosemarytiller_attempts_total",
+    help: "Calls to upstreams by service and result.",
+    labelNames: ["service", "result"],
+    registers,
+  });
+  const firstEvents = new Histogram({
+    name: "rosemarytiller_first_event_seconds",
+    help: "Time from the start of a call to its first event.",
+    labelNames: ["tier"],
+    buckets: LATENCY_BUCKETS,
+    registers,
+  });
+  const refusals = new Counter({
+    name: "rosemarytiller_refusals_total",
+    help: "Requests that ended with an error of this system by kind.",
+    labelNames: ["kind"],
+    registers,
+  });
+  const readings: [string, string, () => number][] = [
+    ["open_requests", "Requests in progress.", gauges.openRequests],
+    ["held_requests", "Requests that wait for room.", gauges.heldRequests],
+    ["connections", "Connections to upstreams.", gauges.openConnections],
+    ["present_vms", "VMs heard lately.", gauges.presentVms],
+    ["revision", "Highest published revision known.", gauges.revision],
+    ["log_lines_dropped", "Log lines left out.", gauges.droppedLines],
+  ];
+  for (const [name, help, read] of readings) {
+    new Gauge({
+      name: `rosemarytiller_${name}`,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+  return {
+    onAnswer(kind, status, ms) {
+      answers.observe({ kind, status: String(status) }, ms / 1000);
+    },
+    onAttempt: (service, result) => attempts.inc({ service, result }),
+    onFirstEvent: (tier, ms) => firstEvents.observe({ tier }, ms / 1000),
+    onRefusal: (kind) => refusals.inc({ kind }),
+    text: () => registry.metrics(),
+  };
+}
