--- a/packages/jsonc/src/describe_fields.ts
+++ b/packages/jsonc/src/describe_fields.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import { type $ZodType, toJSONSchema } from "zod/v4/core";
 
 /** A field of a schema, as a row of the table for operators. */
 export interface FieldDescription {
@@ -36,7 +36,7 @@
 }
 
 /** Lists every field of a schema in its order. */
-export function describeFields(schema: z.ZodType): FieldDescription[] {
+export function describeFields(schema: $ZodType): FieldDescription[] {
   const rows: FieldDescription[] = [];
   addFields(rows, toSchemaNode(schema), "");
   return rows;
@@ -44,7 +44,7 @@
 
 /** Names that a schema knows at the given path. */
 export function listKnownNames(
-  schema: z.ZodType,
+  schema: $ZodType,
   path: readonly PropertyKey[],
 ): string[] {
   let node: SchemaNode | undefined = toSchemaNode(schema);
@@ -52,8 +52,8 @@
   return Object.keys(node?.properties ?? {});
 }
 
-function toSchemaNode(schema: z.ZodType): SchemaNode {
-  return z.toJSONSchema(schema, {
+function toSchemaNode(schema: $ZodType): SchemaNode {
+  return toJSONSchema(schema, {
     io: "input",
     reused: "inline",
     unrepresentable: "any",
--- a/packages/jsonc/src/parse_checked.ts
+++ b/packages/jsonc/src/parse_checked.ts
@@ -7,6 +7,7 @@
   printParseErrorCode,
 } from "jsonc-parser";
 import type { z } from "zod";
+import { safeParse } from "zod/v4/core";
 import { listKnownNames } from "./describe_fields.ts";
 import { findDuplicateKeys } from "./find_duplicate_keys.ts";
 import { findNearestName } from "./find_nearest_name.ts";
@@ -49,7 +50,7 @@
 /** Parses JSON with comments and checks it; throws `CheckError`. */
 export function parseChecked<T>(
   text: string,
-  options: { file: string; schema: z.ZodType<T> },
+  options: { file: string; schema: z.core.$ZodType<T> },
 ): T {
   const { file, schema } = options;
   const errors: ParseError[] = [];
@@ -59,7 +60,7 @@
   }
   const context = { text, file, root, schema };
   const problems = duplicateProblems(context);
-  const result = schema.safeParse(getNodeValue(root), { reportInput: true });
+  const result = safeParse(schema, getNodeValue(root), { reportInput: true });
   for (const issue of result.error?.issues ?? []) {
     problems.push(...issueProblems(issue, context));
   }
@@ -114,7 +115,7 @@
   text: string;
   file: string;
   root: Node;
-  schema: z.ZodType;
+  schema: z.core.$ZodType;
 }
 
 function duplicateProblems(context: IssueContext): Problem[] {
--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -1,10 +1,12 @@
 import type { Clock } from "@rosemarytiller/shared";
 import { connect, type Socket } from "node:net";
-import { Client } from "undici";
+import type { Client as UndiciClient } from "undici";
+// The whole library takes three times as long to load as its client.
+import Client from "undici/lib/dispatcher/client.js";
 
 /** A connection to an upstream; it carries one call at a time. */
 export interface Connection {
-  client: Client;
+  client: UndiciClient;
   /** Whether the other side reset the connection. */
   wasReset: boolean;
   isClosed: boolean;
@@ -55,7 +57,7 @@
   function openConnection(address: UpstreamAddress): Connection {
     const name = nameOf(address);
     const connection: Connection = {
-      client: undefined as unknown as Client,
+      client: undefined as unknown as UndiciClient,
       wasReset: false,
       isClosed: false,
       callCount: 0,
@@ -85,6 +87,10 @@
           cancelLimit();
           callback(null, socket);
         });
+        socket.on("end", () => {
+          // A reset right behind data reads like an end, but leaves no peer.
+          if (socket.remoteAddress === undefined) connection.wasReset = true;
+        });
         socket.on("error", (error) => {
           cancelLimit();
           // Seen before the HTTP client, which takes a reset for an end.
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -13,13 +13,13 @@
 import {
   type Clock,
   ErrorKind,
-  hashText,
   repeat,
   RunState,
   TillerError,
   toTillerError,
 } from "@rosemarytiller/shared";
 import type { Buffer } from "node:buffer";
+import { createHash } from "node:crypto";
 import type { CallerAnswer, CallerRequest } from "./caller_answer.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
@@ -164,9 +164,8 @@
   function begin(request: CallerRequest, answer: CallerAnswer): RequestState {
     const { route, account, service } = classify(request);
     const { facts } = request;
-    const fingerprint = hashText(
-      `${request.target}\n${account?.name}\n${request.body.toString("latin1")}`,
-    );
+    const fingerprint = createHash("sha1").update(request.target)
+      .update(`\n${account?.name}\n`).update(request.body).digest("base64");
     if (quarantine.stateOf(fingerprint) === FingerprintState.Quarantined) {
       throw new TillerError(
         ErrorKind.Quarantined,
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -92,6 +92,8 @@
   close(): void;
 }
 
+/** Time after the start at which the metrics' library is loaded, in ms. */
+const METRICS_LOAD_MS = 3000;
 /** Interval of closing idle connections, in milliseconds. */
 const SWEEP_MS = 500;
 /** Lag of a peer's knowledge beyond which it is asked, in milliseconds. */
@@ -139,7 +141,7 @@
     presentVms: () => network.presentCount(),
     revision: () => published.head(),
     droppedLines: () => log.dropped(),
-  });
+  }, { loadAfterMs: METRICS_LOAD_MS });
   const requests = createRequestServer({
     clock,
     log,
--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -1,5 +1,4 @@
 import type { ErrorKind } from "@rosemarytiller/shared";
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { AttemptResult, RouteKind } from "./enums.ts";
 
 /** Upper bounds of the latency histograms, in seconds. */
@@ -40,8 +39,57 @@
   text(): Promise<string>;
 }
 
-/** Creates the metrics; gauges are read on demand. */
-export function createRouterMetrics(gauges: RouterGauges): RouterMetrics {
+/** The metrics once their library has been loaded. */
+type LoadedMetrics = Awaited<ReturnType<typeof loadMetrics>>;
+
+/** Observations that wait for the library at most. */
+const MAX_WAITING = 10_000;
+
+/**
+ * Creates the metrics; gauges are read on demand. Their library is loaded
+ * after the start, which a restarted VM's callers wait for.
+ */
+export function createRouterMetrics(
+  gauges: RouterGauges,
+  options: { loadAfterMs: number },
+): RouterMetrics {
+  let loaded: LoadedMetrics | undefined;
+  let loading: Promise<LoadedMetrics> | undefined;
+  let waiting: ((metrics: LoadedMetrics) => void)[] = [];
+
+  function load(): Promise<LoadedMetrics> {
+    return loading ??= loadMetrics(gauges).then((metrics) => {
+      loaded = metrics;
+      for (const observe of waiting) observe(metrics);
+      waiting = [];
+      return metrics;
+    });
+  }
+
+  function record(observe: (metrics: LoadedMetrics) => void): void {
+    if (loaded) observe(loaded);
+    else if (waiting.length < MAX_WAITING) waiting.push(observe);
+  }
+
+  setTimeout(load, options.loadAfterMs).unref();
+  return {
+    onAnswer(kind, status, ms) {
+      const labels = { kind, status: String(status) };
+      record(({ answers }) => answers.observe(labels, ms / 1000));
+    },
+    onAttempt(service, result) {
+      record(({ attempts }) => attempts.inc({ service, result }));
+    },
+    onFirstEvent(tier, ms) {
+      record(({ firstEvents }) => firstEvents.observe({ tier }, ms / 1000));
+    },
+    onRefusal: (kind) => record(({ refusals }) => refusals.inc({ kind })),
+    text: async () => (await load()).registry.metrics(),
+  };
+}
+
+async function loadMetrics(gauges: RouterGauges) {
+  const { Counter, Gauge, Histogram, Registry } = await import("prom-client");
   const registry = new Registry();
   const registers = [registry];
   const answers = new Histogram({
@@ -88,13 +136,5 @@
       },
     });
   }
-  return {
-    onAnswer(kind, status, ms) {
-      answers.observe({ kind, status: String(status) }, ms / 1000);
-    },
-    onAttempt: (service, result) => attempts.inc({ service, result }),
-    onFirstEvent: (tier, ms) => firstEvents.observe({ tier }, ms / 1000),
-    onRefusal: (kind) => refusals.inc({ kind }),
-    text: () => registry.metrics(),
-  };
+  return { registry, answers, attempts, firstEvents, refusals };
 }
--- /dev/null
+++ b/packages/router/src/send_attempt_test.ts
@@ -0,0 +1,97 @@
+import { createSystemClock } from "@rosemarytiller/shared";
+import assert from "node:assert/strict";
+import type { Buffer } from "node:buffer";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test } from "node:test";
+import { createConnectionPool } from "./create_connection_pool.ts";
+import { sendAttempt } from "./send_attempt.ts";
+
+/** Sends one call to an upstream that answers it with `answer`. */
+async function sendTo(answer: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => answer(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const address = { host: "127.0.0.1", port };
+  const pool = createConnectionPool({ clock: createSystemClock() });
+  const connection = pool.take(address, 1)!;
+  let body = "";
+  const end = await new Promise<{ isWhole: boolean; wasSent: boolean }>(
+    (resolve) => {
+      sendAttempt({
+        connection,
+        method: "GET",
+        path: "/",
+        headers: [],
+        body: undefined,
+      }, {
+        onSent() {},
+        onHead: () => true,
+        onData: (chunk: Buffer) => void (body += chunk.toString()),
+        onEnd: resolve,
+      });
+    },
+  );
+  pool.close();
+  server.close();
+  return { ...end, body };
+}
+
+const UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nhalf";
+
+test("an answer without a length that ends with its connection is whole", async () => {
+  const end = await sendTo((socket) => socket.end(UNFRAMED));
+  assert.deepEqual([end.isWhole, end.body], [true, "half"]);
+});
+
+test("an answer without a length that is reset is not whole", async () => {
+  const end = await sendTo((socket) => {
+    socket.write(UNFRAMED, () => setTimeout(() => socket.resetAndDestroy(), 20));
+  });
+  assert.equal(end.isWhole, false);
+});
+
+test("an answer without a length that is reset at once is not whole", async () => {
+  const end = await sendTo((socket) => {
+    socket.write(UNFRAMED, () => socket.resetAndDestroy());
+  });
+  assert.equal(end.isWhole, false);
+});
+
+test("an answer in chunks that ends early is not whole", async () => {
+  const end = await sendTo((socket) =>
+    socket.end(
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n" +
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    )
+  );
+  assert.equal(end.isWhole, false);
+});
+
+test("an answer that is shorter than its length is not whole", async () => {
+  const end = await sendTo((socket) =>
+    socket.end(
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9\r\n\r\nhalf",
+    )
+  );
+  assert.equal(end.isWhole, false);
+});
+
+test("a call to a closed port is not sent", async () => {
+  const pool = createConnectionPool({ clock: createSystemClock() });
+  const address = { host: "127.0.0.1", port: 9 };
+  const connection = pool.take(address, 1)!;
+  const end = await new Promise<{ wasSent: boolean }>((resolve) =>
+    sendAttempt({
+      connection,
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: undefined,
+    }, { onSent() {}, onHead: () => true, onData() {}, onEnd: resolve })
+  );
+  pool.close();
+  assert.equal(end.wasSent, false);
+});
--- /dev/null
+++ b/packages/router/src/undici_client.d.ts
@@ -0,0 +1,3 @@
+declare module "undici/lib/dispatcher/client.js" {
+  export { Client as default } from "undici";
+}
