Order calls by tier and tightness of target, and wait for cached prompts

Callers of a dark engine waited out 5 s.

Change: urgency is tier, then rank of the target against the tightest of the service; the cheapest engine is chosen first and a call waits outside while its bound is passed, until its last start in time; silence is told to all.

--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -13,6 +13,8 @@
   Ended = 3,
   /** An upstream broke while it ran a request with this fingerprint. */
   Crashed = 4,
+  /** An upstream is overdue with several answers and says nothing. */
+  Silent = 5,
 }
 
 /** How a call ended, as far as others need to know it. */
@@ -30,7 +32,7 @@
   /** Number of the call, unique within the sender's run. */
   call: number;
   upstream: string;
-  tier: number;
+  urgency: number;
   newTokens: number;
   memoryTokens: number;
   maxPauseMs: number;
@@ -61,12 +63,19 @@
   crash: string;
 }
 
+/** An upstream fell silent. */
+export interface SilentEvent {
+  kind: LoadEventKind.Silent;
+  upstream: string;
+}
+
 /** A change that the VMs tell each other. */
 export type LoadEvent =
   | StartedEvent
   | FirstEventEvent
   | EndedEvent
-  | CrashedEvent;
+  | CrashedEvent
+  | SilentEvent;
 
 /** Sign of life of a VM. */
 export interface Beat {
--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -5,17 +5,41 @@
 } from "./create_engine_model.ts";
 import type { PromptPart } from "./create_engine_model.ts";
 
+/** How tight a call's target is beside the others of its service. */
+export enum CallRank {
+  Tight = 0,
+  Middle = 1,
+  Loose = 2,
+}
+
+/** Targets up to this multiple of the tightest one are tight. */
+const TIGHT_RATIO = 1.25;
+/** Targets up to this multiple of the tightest one are in the middle. */
+const MIDDLE_RATIO = 2;
+
+/** Ranks a target against the tightest one of its service, both in ms. */
+export function rankTarget(targetMs: number, tightestMs: number): CallRank {
+  const ratio = targetMs / tightestMs;
+  if (ratio <= TIGHT_RATIO) return CallRank.Tight;
+  return ratio <= MIDDLE_RATIO ? CallRank.Middle : CallRank.Loose;
+}
+
+/** Urgencies between two tiers, one for each rank. */
+const RANKS = 3;
+
+/** Orders calls by tier, then by rank; 0 is the most urgent. */
+export function urgencyOf(tier: number, rank: CallRank): number {
+  return tier * RANKS + rank;
+}
+
 /** A call that is to be placed on an engine. */
 export interface EngineAsk {
-  /** Tier, 0 the most urgent. */
-  tier: number;
+  /** Order among calls, 0 the most urgent. */
+  urgency: number;
+  rank: CallRank;
   parts: readonly PromptPart[];
   promptTokens: number;
   outputTokens: number;
-  /** Time to the first event that earns full credit, in milliseconds. */
-  targetMs: number;
-  /** Time since the caller sent the request, in milliseconds. */
-  waitedMs: number;
 }
 
 /** An engine that may be chosen. */
@@ -34,6 +58,8 @@
   newTokens: number;
   /** Predicted time from now to the first event, in milliseconds. */
   predictedMs: number;
+  /** So much waits there that the call had better wait outside. */
+  mustWait: boolean;
 }
 
 /** Cost of another data centre, in milliseconds of delay. */
@@ -42,6 +68,8 @@
 const FAILURE_COST_MS = 1500;
 /** Share of its prompt time by which a call harms each stream beside it. */
 const HARM_SHARE = 0.25;
+/** Cost of each millisecond of less urgent prompts that wait there. */
+const WAITING_COST_SHARE = 0.5;
 /** Time that each call in the batch adds to a first event, in milliseconds. */
 const BATCH_COST_MS = 0.6;
 /** Share of an engine's memory beyond which calls would be preempted. */
@@ -49,19 +77,17 @@
 /** Cost of a call that is likely to be preempted, in milliseconds. */
 const MEMORY_COST_MS = 2000;
 
-/** Waiting prompt time beyond which a tier is held back, by tier, in ms. */
-const WAITING_BOUND_MS = [Infinity, 150, 60];
-
-/** Bound of a tier on the prompt time that waits at an engine, in ms. */
-export function waitingBoundMs(tier: number): number {
-  return WAITING_BOUND_MS[Math.min(tier, WAITING_BOUND_MS.length - 1)]!;
-}
+/** Prompt time that may wait at an engine before a call of a rank, in ms. */
+const WAITING_BOUND_MS: Record<CallRank, number> = {
+  [CallRank.Tight]: Infinity,
+  [CallRank.Middle]: 150,
+  [CallRank.Loose]: 80,
+};
 
 /**
  * Chooses the engine of least cost: predicted time to the first event, harm
  * to the streams beside it, distance and recent failures. Cached parts of the
- * prompt cost nothing. Returns nothing while each engine is full or has more
- * prompts waiting than the tier may add to.
+ * prompt cost nothing. Returns nothing while each engine is full.
  */
 export function chooseEngine<T extends EngineCandidate>(
   ask: EngineAsk,
@@ -71,26 +97,25 @@
   const { speed, nowMs } = options;
   let best: EngineChoice<T> | undefined;
   let bestCost = Infinity;
-  const boundMs = waitingBoundMs(ask.tier);
   for (const candidate of candidates) {
     const { model, size } = candidate;
     if (model.callCount() >= size.slots) continue;
     const waitingMs = model.waitingTokens(Infinity, nowMs) / speed.tokensPerMs;
-    if (waitingMs > boundMs) continue;
     const newTokens = ask.promptTokens - model.cachedTokens(ask.parts);
     const readMs = newTokens / speed.tokensPerMs;
-    const aheadMs = model.waitingTokens(ask.tier, nowMs) / speed.tokensPerMs;
+    const aheadMs = model.waitingTokens(ask.urgency, nowMs) / speed.tokensPerMs;
     const predictedMs = speed.baseMs + aheadMs + readMs +
       model.callCount() * BATCH_COST_MS;
     const memory = model.memoryTokens() + ask.promptTokens + ask.outputTokens;
-    let cost = predictedMs + waitingMs * 0.5;
-    cost += readMs * HARM_SHARE * model.streamWeight(ask.tier);
+    let cost = predictedMs + waitingMs * WAITING_COST_SHARE;
+    cost += readMs * HARM_SHARE * model.streamWeight(ask.urgency);
     cost += candidate.failureShare * FAILURE_COST_MS;
     if (candidate.isRemote) cost += REMOTE_COST_MS;
     if (memory > size.memoryTokens * MEMORY_SHARE) cost += MEMORY_COST_MS;
     if (cost >= bestCost) continue;
     bestCost = cost;
-    best = { candidate, newTokens, predictedMs };
+    const mustWait = waitingMs > WAITING_BOUND_MS[ask.rank];
+    best = { candidate, newTokens, predictedMs, mustWait };
   }
   return best;
 }
--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -6,8 +6,8 @@
 
 /** What a call asks of an engine. */
 export interface EngineWork {
-  /** Tier, 0 the most urgent. */
-  tier: number;
+  /** Order among calls, 0 the most urgent. */
+  urgency: number;
   /** Prompt tokens that the engine has to read. */
   newTokens: number;
   /** Tokens of memory that the call takes at its end. */
@@ -48,14 +48,14 @@
   reconcile(owner: string, keys: ReadonlySet<string>): void;
   /** Forgets calls and cache, as after a restart. */
   reset(): void;
-  /** Prompt tokens still to be read for tiers up to `tier`. */
-  waitingTokens(tier: number, nowMs: number): number;
+  /** Prompt tokens still to be read of calls as urgent or more. */
+  waitingTokens(urgency: number, nowMs: number): number;
   /** Calls that run or wait. */
   callCount(): number;
   /** Tokens of memory that are taken or promised. */
   memoryTokens(): number;
-  /** Calls whose pauses a long prompt of `tier` would lengthen, weighed. */
-  streamWeight(tier: number): number;
+  /** Calls whose pauses a long prompt would lengthen, weighed. */
+  streamWeight(urgency: number): number;
   /** Notes that the engine reads these parts. */
   remember(parts: readonly PromptPart[], nowMs: number): void;
   /** Tokens of the leading parts that are believed to be cached. */
@@ -63,7 +63,7 @@
 }
 
 /** Weight of a stream of a less or equally urgent call, against 1. */
-const SAME_TIER_WEIGHT = 0.4;
+const SAME_URGENCY_WEIGHT = 0.4;
 /** Pauses longer than this are hardly harmed by a prompt, in milliseconds. */
 const TIGHT_PAUSE_MS = 400;
 /** Share of an engine's memory that the cache is believed to reach. */
@@ -94,7 +94,7 @@
       if (call.remainingTokens > 0) waiting.push(call);
     }
     waiting.sort((left, right) =>
-      left.tier - right.tier || left.startedMs - right.startedMs
+      left.urgency - right.urgency || left.startedMs - right.startedMs
     );
     for (const call of waiting) {
       const read = Math.min(budget, call.remainingTokens);
@@ -151,21 +151,21 @@
       cacheTokens = 0;
       heldMemory = 0;
     },
-    waitingTokens(tier, nowMs) {
+    waitingTokens(urgency, nowMs) {
       drain(nowMs);
       let tokens = 0;
       for (const call of calls.values()) {
-        if (call.tier <= tier) tokens += call.remainingTokens;
+        if (call.urgency <= urgency) tokens += call.remainingTokens;
       }
       return tokens;
     },
     callCount: () => calls.size,
     memoryTokens: () => heldMemory,
-    streamWeight(tier) {
+    streamWeight(urgency) {
       let weight = 0;
       for (const call of calls.values()) {
         if (call.maxPauseMs > TIGHT_PAUSE_MS) continue;
-        weight += call.tier < tier ? 1 : SAME_TIER_WEIGHT;
+        weight += call.urgency < urgency ? 1 : SAME_URGENCY_WEIGHT;
       }
       return weight;
     },
--- a/packages/router/src/create_configuration_index.ts
+++ b/packages/router/src/create_configuration_index.ts
@@ -12,6 +12,8 @@
   findRoute(host: string, path: string): Route | undefined;
   findAccount(key: string): Account | undefined;
   findService(name: string): ServiceDefinition | undefined;
+  /** Tightest target of the requests that a service gets, in ms. */
+  tightestTargetMs(service: string): number;
 }
 
 /** Prepares a configuration for lookups. */
@@ -33,6 +35,13 @@
   for (const service of configuration.services) {
     services.set(service.name, service);
   }
+  const tightest = new Map<string, number>();
+  for (const { targets, targetMs } of configuration.routes) {
+    for (const { service } of targets) {
+      const held = tightest.get(service) ?? Infinity;
+      tightest.set(service, Math.min(held, targetMs));
+    }
+  }
   return {
     configuration,
     findRoute(host, path) {
@@ -51,6 +60,7 @@
     },
     findAccount: (key) => accounts.get(key),
     findService: (name) => services.get(name),
+    tightestTargetMs: (service) => tightest.get(service) ?? Infinity,
   };
 }
 
--- a/packages/router/src/create_placer.ts
+++ b/packages/router/src/create_placer.ts
@@ -4,6 +4,7 @@
   type PeerNetwork,
 } from "@rosemarytiller/peers";
 import {
+  type CallRank,
   chooseEngine,
   type EngineCandidate,
   type EngineChoice,
@@ -20,8 +21,9 @@
 /** A request that needs an upstream. */
 export interface PlaceJob {
   service: ServiceDefinition;
-  /** Tier, 0 the most urgent. */
-  tier: number;
+  /** Order among requests, 0 the most urgent. */
+  urgency: number;
+  rank: CallRank;
   prompt: Prompt | undefined;
   /** Longest pause between events that is still on time, in ms. */
   maxPauseMs: number;
@@ -71,6 +73,10 @@
 
 /** Share of the target for which a request is held before it is refused. */
 const HOLD_SHARE = 0.4;
+/** Share of the target that a held request uses up at most. */
+const ON_TIME_SHARE = 0.9;
+/** Share of the target by which a prediction may miss it. */
+const LATE_SHARE = 0.25;
 /** Time between two looks for room while requests are held, in ms. */
 const LOOK_MS = 5;
 /** Calls that may wait at a plain service beyond its slots. */
@@ -119,12 +125,11 @@
     const nowMs = clock.now();
     return chooseEngine(
       {
-        tier: job.tier,
+        urgency: job.urgency,
+        rank: job.rank,
         parts: job.prompt.parts,
         promptTokens: job.prompt.promptTokens,
         outputTokens: job.prompt.outputTokens,
-        targetMs: job.targetMs,
-        waitedMs: nowMs - job.arrivedMs,
       },
       list.map((upstream) => ({
         upstream,
@@ -164,7 +169,7 @@
       isRemote: false,
       failureShare: 0,
     };
-    return { candidate, newTokens: 0, predictedMs: 0 };
+    return { candidate, newTokens: 0, predictedMs: 0, mustWait: false };
   }
 
   function grant(
@@ -179,10 +184,10 @@
     const parts = job.prompt?.parts ?? [];
     const speed = registry.speedOf(job.service.name);
     const aheadTokens = job.prompt
-      ? upstream.model.waitingTokens(job.tier, nowMs)
+      ? upstream.model.waitingTokens(job.urgency, nowMs)
       : 0;
     const work = {
-      tier: job.tier,
+      urgency: job.urgency,
       newTokens: choice.newTokens,
       memoryTokens: (job.prompt?.promptTokens ?? 0) +
         (job.prompt?.outputTokens ?? 0),
@@ -255,7 +260,7 @@
     }
     for (const { job: other } of held) {
       if (other.service.name !== job.service.name) continue;
-      if (other.tier > job.tier) continue;
+      if (other.urgency > job.urgency) continue;
       tokens += (other.prompt?.promptTokens ?? 0) * network.knownCount();
     }
     const drainMs = tokens / speed.tokensPerMs / Math.max(1, list.length);
@@ -264,27 +269,40 @@
     return bounded * (0.75 + Math.random() / 2);
   }
 
-  function holdUntilMs(job: PlaceJob): number {
-    return Math.min(job.giveUpMs, job.arrivedMs + job.targetMs * HOLD_SHARE);
+  /** Whether a request that nobody can take yet is worth holding on. */
+  function isHoldOver(job: PlaceJob): boolean {
+    const untilMs = Math.min(
+      job.giveUpMs,
+      job.arrivedMs + job.targetMs * HOLD_SHARE,
+    );
+    return clock.now() >= untilMs;
+  }
+
+  /** Decides on one request: a place, a refusal, or nothing yet. */
+  function decide(job: PlaceJob): Placement | TillerError | undefined {
+    const choice = choose(job);
+    if (!choice) return isHoldOver(job) ? refusal(job) : undefined;
+    if (!choice.mustWait) return grant(job, choice);
+    // The latest time at which the first event would still be on time.
+    const startMs = job.arrivedMs + job.targetMs * ON_TIME_SHARE -
+      choice.predictedMs;
+    if (clock.now() < startMs) return undefined;
+    const isLate = clock.now() > startMs + job.targetMs * LATE_SHARE;
+    return isLate ? refusal(job) : grant(job, choice);
   }
 
   function look(): void {
     cancelLook = undefined;
-    const nowMs = clock.now();
     for (let place = 0; place < held.length;) {
       const { job, resolve, reject } = held[place]!;
-      const choice = choose(job);
-      if (choice) {
-        held.splice(place, 1);
-        resolve(grant(job, choice));
+      const decision = decide(job);
+      if (!decision) {
+        place++;
         continue;
       }
-      if (nowMs >= holdUntilMs(job)) {
-        held.splice(place, 1);
-        reject(refusal(job));
-        continue;
-      }
-      place++;
+      held.splice(place, 1);
+      if (decision instanceof TillerError) reject(decision);
+      else resolve(decision);
     }
     if (held.length > 0) cancelLook = clock.after(LOOK_MS, look);
   }
@@ -306,9 +324,13 @@
       return new Promise((resolve, reject) => {
         const entry = { job, resolve, reject };
         const isFirst = held.every((other) => !goesBefore(other.job, job));
-        const choice = isFirst ? choose(job) : undefined;
-        if (choice) {
-          resolve(grant(job, choice));
+        const decision = isFirst ? decide(job) : undefined;
+        if (decision instanceof TillerError) {
+          reject(decision);
+          return;
+        }
+        if (decision) {
+          resolve(decision);
           return;
         }
         insert(entry);
@@ -331,6 +353,6 @@
 /** Whether a request is placed before another of the same service. */
 function goesBefore(job: PlaceJob, other: PlaceJob): boolean {
   if (job.service.name !== other.service.name) return false;
-  if (job.tier !== other.tier) return job.tier < other.tier;
+  if (job.urgency !== other.urgency) return job.urgency < other.urgency;
   return job.arrivedMs < other.arrivedMs;
 }
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -4,11 +4,14 @@
   type PeerNetwork,
 } from "@rosemarytiller/peers";
 import {
+  type CallRank,
   createRetryAllowance,
   FingerprintState,
   type Quarantine,
+  rankTarget,
   type RetryAllowance,
   type RetryBounds,
+  urgencyOf,
 } from "@rosemarytiller/policy";
 import {
   type Clock,
@@ -67,7 +70,9 @@
   route: Route;
   service: ServiceDefinition;
   account: Account | undefined;
-  tier: number;
+  rank: CallRank;
+  /** Order among requests, 0 the most urgent. */
+  urgency: number;
   request: CallerRequest;
   answer: CallerAnswer;
   giveUpMs: number;
@@ -145,7 +150,11 @@
         retryAfterMs: NOT_READY_RETRY_MS,
       });
     }
-    return { route, account, service };
+    const rank = rankTarget(
+      route.targetMs,
+      index.tightestTargetMs(service.name),
+    );
+    return { route, account, service, rank };
   }
 
   /** A VM that may be behind does not deny what it has not heard of. */
@@ -162,7 +171,7 @@
   }
 
   function begin(request: CallerRequest, answer: CallerAnswer): RequestState {
-    const { route, account, service } = classify(request);
+    const { route, account, service, rank } = classify(request);
     const { facts } = request;
     const fingerprint = createHash("sha1").update(request.target)
       .update(`\n${account?.name}\n`).update(request.body).digest("base64");
@@ -179,7 +188,8 @@
       route,
       service,
       account,
-      tier: account?.tier ?? route.tier,
+      rank,
+      urgency: urgencyOf(account?.tier ?? route.tier, rank),
       request,
       answer,
       giveUpMs: request.arrivedMs + waitMs,
@@ -202,7 +212,8 @@
   function place(state: RequestState): Promise<Placement> {
     return placer.place({
       service: state.service,
-      tier: state.tier,
+      urgency: state.urgency,
+      rank: state.rank,
       prompt: state.request.facts.prompt,
       maxPauseMs: state.stream.isStream ? state.route.maxPauseMs : Infinity,
       targetMs: state.route.targetMs,
@@ -269,7 +280,7 @@
         deadlineMs: Math.max(1, Math.floor(state.giveUpMs - clock.now())),
         upstreamId: entry.id,
         account: state.account?.name,
-        tier: state.tier,
+        urgency: state.urgency,
         lastEventId: state.stream.lastEventId,
         copyTo: holder && addressOf(holder),
         copyFrom,
@@ -341,7 +352,7 @@
     });
     metrics.onAttempt(state.service.name, ended.result);
     if (ended.firstMs !== undefined) {
-      metrics.onFirstEvent(state.tier, ended.firstMs - startedMs);
+      metrics.onFirstEvent(state.urgency, ended.firstMs - startedMs);
     }
     return ended;
   }
@@ -366,7 +377,6 @@
       confirmCrashes(upstream);
       state.tried.add(upstream.entry.id);
     }
-    if (result === AttemptResult.Silent) registry.onBroken(upstream, "silent");
     if (result === AttemptResult.Broken) {
       noteCrash(state, placement);
     }
@@ -408,7 +418,10 @@
     suspects.delete(upstream);
   }
 
-  /** Gives up a call that was silent for too long, where that can be mended. */
+  /**
+   * Watches a call for silence: an upstream that says nothing at all gets no
+   * new calls, and a call that can be mended goes on elsewhere.
+   */
   function watchSilence(
     state: RequestState,
     placement: Placement,
@@ -416,7 +429,6 @@
   ): () => void {
     const { route } = state;
     const canRepeat = isRepeatable(route) && state.sends < route.maxAttempts;
-    if (!canRepeat && !state.copy) return () => {};
     const { upstream } = placement;
     const pauseMs = Math.max(
       MIN_SILENCE_MS,
@@ -428,11 +440,19 @@
     return repeat(clock, SILENCE_LOOK_MS, () => {
       const nowMs = clock.now();
       const hasBegun = state.stream.isBegun;
-      if (!hasBegun && !isRepeatable(route)) return;
       const limitMs = hasBegun ? pauseMs : firstMs;
       if (nowMs - running.heardMs() < limitMs) return;
       // An upstream that answers others is slow, not gone.
-      if (hasBegun && nowMs - upstream.heardMs < limitMs / 2) return;
+      const isQuiet = nowMs - upstream.heardMs >= limitMs / 2;
+      if (isQuiet && upstream.downUntilMs <= nowMs) {
+        registry.onBroken(upstream, "silent");
+        network.tell({
+          kind: LoadEventKind.Silent,
+          upstream: upstream.entry.id,
+        });
+      }
+      const canMend = canRepeat || (hasBegun && state.copy !== undefined);
+      if (!canMend || (hasBegun && !isQuiet)) return;
       running.abort(AttemptResult.Silent);
     });
   }
@@ -446,7 +466,7 @@
         id: state.id,
         upstream: placement.upstream.entry.id,
         call: placement.call,
-        tier: state.tier,
+        urgency: state.urgency,
         heldMs: Math.round(placement.heldMs),
         newTokens: placement.newTokens || undefined,
         calls: placement.upstream.model.callCount(),
@@ -511,7 +531,8 @@
     }
     const placement = placer.placeAt(holder, {
       service: state.service,
-      tier: state.tier,
+      urgency: state.urgency,
+      rank: state.rank,
       prompt: undefined,
       maxPauseMs: state.route.maxPauseMs,
       targetMs: state.route.targetMs,
@@ -594,7 +615,7 @@
       detail: error.message,
       retryAfterMs: error.retryAfterMs && Math.round(error.retryAfterMs),
       sends: state?.sends,
-      tier: state?.tier,
+      urgency: state?.urgency,
       ms: state && Math.round(clock.now() - state.request.arrivedMs),
     });
     metrics.onRefusal(error.kind);
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -100,6 +100,8 @@
 const PULL_DELAY_MS = 60;
 /** Weight of a failure that a VM of another data centre saw. */
 const REMOTE_FAILURE_WEIGHT = 0.3;
+/** Silence here that confirms another VM's word of it, in ms. */
+const SILENT_HERE_MS = 250;
 /** Interval of looks at whether a stopping router is done, in ms. */
 const STOP_LOOK_MS = 50;
 
@@ -283,6 +285,11 @@
       }
       const upstream = registry.find(event.upstream);
       if (!upstream) continue;
+      if (event.kind === LoadEventKind.Silent) {
+        const quietMs = nowMs - upstream.heardMs;
+        if (quietMs >= SILENT_HERE_MS) registry.onBroken(upstream, "silent");
+        continue;
+      }
       const key = `${member.host}:${event.call}`;
       if (event.kind === LoadEventKind.Started) {
         upstream.model.start(key, event, nowMs);
@@ -356,7 +363,10 @@
       ]);
       source.start(sink);
       timers.push(repeat(clock, SWEEP_MS, () => pool.sweep()));
-      log.info(LogEvent.Started, { settings });
+      log.info(LogEvent.Started, {
+        startupMs: Math.round(performance.now()),
+        settings,
+      });
     },
     async stop() {
       if (isStopping) return;
--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -34,7 +34,7 @@
 export interface RouterMetrics {
   onAnswer(kind: RouteKind, status: number, ms: number): void;
   onAttempt(service: string, result: AttemptResult): void;
-  onFirstEvent(tier: number, ms: number): void;
+  onFirstEvent(urgency: number, ms: number): void;
   onRefusal(kind: ErrorKind): void;
   text(): Promise<string>;
 }
@@ -80,8 +80,8 @@
     onAttempt(service, result) {
       record(({ attempts }) => attempts.inc({ service, result }));
     },
-    onFirstEvent(tier, ms) {
-      record(({ firstEvents }) => firstEvents.observe({ tier }, ms / 1000));
+    onFirstEvent(urgency, ms) {
+      record(({ firstEvents }) => firstEvents.observe({ urgency }, ms / 1000));
     },
     onRefusal: (kind) => record(({ refusals }) => refusals.inc({ kind })),
     text: async () => (await load()).registry.metrics(),
@@ -108,7 +108,7 @@
   const firstEvents = new Histogram({
     name: "rosemarytiller_first_event_seconds",
     help: "Time from the start of a call to its first event.",
-    labelNames: ["tier"],
+    labelNames: ["urgency"],
     buckets: LATENCY_BUCKETS,
     registers,
   });
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -139,7 +139,8 @@
   deadlineMs: number;
   upstreamId: string;
   account: string | undefined;
-  tier: number;
+  /** Order among calls, 0 the most urgent. */
+  urgency: number;
   lastEventId: string | undefined;
   /** Address of the upstream that is to keep a copy of the call. */
   copyTo: string | undefined;
--- a/packages/router/src/send_attempt_test.ts
+++ b/packages/router/src/send_attempt_test.ts
@@ -48,7 +48,10 @@
 
 test("an answer without a length that is reset is not whole", async () => {
   const end = await sendTo((socket) => {
-    socket.write(UNFRAMED, () => setTimeout(() => socket.resetAndDestroy(), 20));
+    socket.write(
+      UNFRAMED,
+      () => setTimeout(() => socket.resetAndDestroy(), 20),
+    );
   });
   assert.equal(end.isWhole, false);
 });
