Reckon with the time that prompts of others add to long outputs

Cause: on bursts, digests with long outputs were cut at their 5 s: engines that read prompts all the time make a token in 33 ms instead of 6.

Change: the engine model keeps the share of time spent reading; an engine's cost grows with the expected output (the caller's hint) times that share. Uncached prompts cost more, load events go without field names.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -4,6 +4,10 @@
 import { createSocket, type Socket } from "node:dgram";
 import {
   type Beat,
+  decodeBeat,
+  decodeLoadEvent,
+  encodeBeat,
+  encodeLoadEvent,
   type LoadEvent,
   type PeerMessage,
   PeerMessageKind,
@@ -112,7 +116,7 @@
     sweep();
     const state = { dataCentre, members: [...presentHosts], ...describe() };
     state.members.length = Math.min(state.members.length, MAX_NAMED_MEMBERS);
-    send([PeerMessageKind.Beat, run, state], targets());
+    send([PeerMessageKind.Beat, run, encodeBeat(state)], targets());
   }
 
   function sweep(): void {
@@ -140,9 +144,9 @@
 
   function flush(): void {
     gatherTimer = undefined;
-    let batch: LoadEvent[] = [];
+    let batch: unknown[][] = [];
     let bytes = 0;
-    for (const event of gathered) {
+    for (const event of gathered.map(encodeLoadEvent)) {
       const size = packr.pack(event).length;
       if (bytes + size > MAX_DATAGRAM_BYTES && batch.length > 0) {
         send([PeerMessageKind.Load, run, batch], members.keys());
@@ -196,13 +200,18 @@
     const [kind, messageRun, content] = message;
     const member = meet(from, messageRun);
     if (kind === PeerMessageKind.Load) {
-      listener?.onLoad(member, content);
+      const events = [];
+      for (const list of content as unknown[][]) {
+        const event = decodeLoadEvent(list);
+        if (event) events.push(event);
+      }
+      listener?.onLoad(member, events);
       return;
     }
     if (kind !== PeerMessageKind.Beat) return;
-    member.beat = content;
-    member.dataCentre = content.dataCentre;
-    for (const name of content.members) {
+    member.beat = decodeBeat(content);
+    member.dataCentre = member.beat.dataCentre;
+    for (const name of member.beat.members) {
       if (name === host || members.has(name) || rumoured.has(name)) continue;
       rumoured.set(name, clock.now());
     }
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -92,5 +92,61 @@
 
 /** A datagram as it is encoded: kind, run of the sender, content. */
 export type PeerMessage =
-  | [PeerMessageKind.Beat, number, Beat]
-  | [PeerMessageKind.Load, number, LoadEvent[]];
+  | [PeerMessageKind.Beat, number, unknown[]]
+  | [PeerMessageKind.Load, number, unknown[][]];
+
+/** Order of a load event's fields behind its kind, as they are encoded. */
+const LOAD_FIELDS: Record<LoadEventKind, readonly string[]> = {
+  [LoadEventKind.Started]: [
+    "call",
+    "upstream",
+    "urgency",
+    "newTokens",
+    "memoryTokens",
+    "maxPauseMs",
+    "parts",
+  ],
+  [LoadEventKind.FirstEvent]: ["call", "upstream"],
+  [LoadEventKind.Ended]: ["call", "upstream", "end"],
+  [LoadEventKind.Crashed]: ["fingerprint", "crash"],
+  [LoadEventKind.Silent]: ["upstream"],
+};
+
+/** Order of a beat's fields, as they are encoded. */
+const BEAT_FIELDS: readonly (keyof Beat)[] = [
+  "dataCentre",
+  "revision",
+  "confirmedAgeMs",
+  "members",
+  "calls",
+];
+
+/** Encodes without field names, which would be most of a datagram. */
+export function encodeLoadEvent(event: LoadEvent): unknown[] {
+  const fields = event as unknown as Record<string, unknown>;
+  const list: unknown[] = [event.kind];
+  for (const name of LOAD_FIELDS[event.kind]) list.push(fields[name]);
+  return list;
+}
+
+/** Decodes a load event; nothing for a kind that is not known. */
+export function decodeLoadEvent(list: unknown[]): LoadEvent | undefined {
+  const kind = list[0] as LoadEventKind;
+  const names = LOAD_FIELDS[kind];
+  if (!names) return undefined;
+  const event: Record<string, unknown> = { kind };
+  for (const [at, name] of names.entries()) event[name] = list[at + 1];
+  return event as unknown as LoadEvent;
+}
+
+/** Encodes a beat without field names. */
+export function encodeBeat(beat: Beat): unknown[] {
+  return BEAT_FIELDS.map((name) => beat[name]);
+}
+
+/** Decodes a beat. */
+export function decodeBeat(list: unknown[]): Beat {
+  const beat: Record<string, unknown> = {};
+  for (const [at, name] of BEAT_FIELDS.entries()) beat[name] = list[at];
+  return beat as unknown as Beat;
+}
--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -70,6 +70,14 @@
 const HARM_SHARE = 0.25;
 /** Cost of each millisecond of less urgent prompts that wait there. */
 const WAITING_COST_SHARE = 0.5;
+/** Cost of the engine's time that goes into a prompt, beside the delay. */
+const READ_COST_SHARE = 0.6;
+/** Time of an output token on an engine that reads no prompts, in ms. */
+const TOKEN_MS = 7;
+/** Cost of each millisecond by which prompts of others delay the output. */
+const WRITE_COST_SHARE = 0.08;
+/** Largest share of reading that is reckoned with. */
+const MAX_READING_SHARE = 0.85;
 /** Time that each call in the batch adds to a first event, in milliseconds. */
 const BATCH_COST_MS = 0.6;
 /** Share of an engine's memory beyond which calls would be preempted. */
@@ -108,8 +116,12 @@
       model.callCount() * BATCH_COST_MS;
     const memory = model.memoryTokens() + ask.promptTokens + ask.outputTokens;
     let cost = predictedMs + waitingMs * WAITING_COST_SHARE;
+    cost += readMs * READ_COST_SHARE;
     cost += readMs * HARM_SHARE * model.streamWeight(ask.urgency);
     cost += candidate.failureShare * FAILURE_COST_MS;
+    const share = Math.min(model.readingShare(nowMs), MAX_READING_SHARE);
+    const writeMs = ask.outputTokens * TOKEN_MS;
+    cost += writeMs * share / (1 - share) * WRITE_COST_SHARE;
     if (candidate.isRemote) cost += REMOTE_COST_MS;
     if (memory > size.memoryTokens * MEMORY_SHARE) cost += MEMORY_COST_MS;
     if (cost >= bestCost) continue;
--- /dev/null
+++ b/packages/policy/src/choose_engine_test.ts
@@ -0,0 +1,138 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  CallRank,
+  chooseEngine,
+  type EngineAsk,
+  rankTarget,
+  urgencyOf,
+} from "./choose_engine.ts";
+import { createEngineModel, type EngineModel } from "./create_engine_model.ts";
+
+const SPEED = { tokensPerMs: 50, baseMs: 80 };
+const SIZE = { slots: 16, memoryTokens: 300_000 };
+
+function createEngines(count: number) {
+  return Array.from({ length: count }, () => ({
+    model: createEngineModel(SIZE, SPEED),
+    size: SIZE,
+    isRemote: false,
+    failureShare: 0,
+  }));
+}
+
+function askFor(
+  rank: CallRank,
+  promptTokens: number,
+  parts = "own",
+): EngineAsk {
+  return {
+    rank,
+    urgency: urgencyOf(1, rank),
+    promptTokens,
+    outputTokens: 50,
+    parts: [{ id: parts, tokens: promptTokens }],
+  };
+}
+
+function start(
+  model: EngineModel,
+  key: string,
+  options: { tokens: number; rank?: CallRank; maxPauseMs?: number },
+) {
+  const { tokens, rank = CallRank.Loose, maxPauseMs = 800 } = options;
+  model.start(key, {
+    urgency: urgencyOf(1, rank),
+    newTokens: tokens,
+    memoryTokens: tokens,
+    maxPauseMs,
+  }, 0);
+}
+
+test("a target is ranked by the tightest one of its service", () => {
+  assert.equal(rankTarget(300, 300), CallRank.Tight);
+  assert.equal(rankTarget(400, 300), CallRank.Middle);
+  assert.equal(rankTarget(1200, 300), CallRank.Loose);
+});
+
+test("the tier goes before the rank", () => {
+  assert.ok(
+    urgencyOf(0, CallRank.Loose) < urgencyOf(1, CallRank.Tight),
+  );
+});
+
+test("long prompts beside short streams: a long prompt avoids them", () => {
+  const engines = createEngines(2);
+  for (let call = 0; call < 6; call++) {
+    const options = { tokens: 0, rank: CallRank.Tight, maxPauseMs: 200 };
+    start(engines[0]!.model, `stream-${call}`, options);
+  }
+  const choice = chooseEngine(askFor(CallRank.Loose, 8000), engines, {
+    speed: SPEED,
+    nowMs: 0,
+  });
+  assert.equal(choice?.candidate, engines[1]);
+});
+
+test("burst of long prompts: a tight call goes where none waits", () => {
+  const engines = createEngines(3);
+  start(engines[0]!.model, "a", { tokens: 9000 });
+  start(engines[1]!.model, "b", { tokens: 9000 });
+  const choice = chooseEngine(askFor(CallRank.Tight, 500), engines, {
+    speed: SPEED,
+    nowMs: 0,
+  });
+  assert.equal(choice?.candidate, engines[2]);
+  assert.equal(choice?.mustWait, false);
+});
+
+test("burst of long prompts: loose calls wait outside, tight ones do not", () => {
+  const engines = createEngines(1);
+  start(engines[0]!.model, "a", { tokens: 9000 });
+  const options = { speed: SPEED, nowMs: 0 };
+  const loose = chooseEngine(askFor(CallRank.Loose, 5000), engines, options);
+  const tight = chooseEngine(askFor(CallRank.Tight, 500), engines, options);
+  assert.equal(loose?.mustWait, true);
+  assert.equal(tight?.mustWait, false);
+});
+
+test("hot key: a session's prompt waits for the engine that has it", () => {
+  const engines = createEngines(2);
+  engines[0]!.model.remember([{ id: "session", tokens: 6000 }], 0);
+  start(engines[0]!.model, "a", { tokens: 4500 });
+  const ask = askFor(CallRank.Loose, 6000, "session");
+  const choice = chooseEngine(ask, engines, { speed: SPEED, nowMs: 0 });
+  assert.equal(choice?.candidate, engines[0]);
+  assert.equal(choice?.newTokens, 0);
+});
+
+test("hot key: its engine is left once waiting costs more than reading", () => {
+  const engines = createEngines(2);
+  engines[0]!.model.remember([{ id: "session", tokens: 3000 }], 0);
+  start(engines[0]!.model, "a", { tokens: 30_000 });
+  const ask = askFor(CallRank.Loose, 3000, "session");
+  const choice = chooseEngine(ask, engines, { speed: SPEED, nowMs: 0 });
+  assert.equal(choice?.candidate, engines[1]);
+});
+
+test("an engine that fails part of its calls is avoided", () => {
+  const engines = createEngines(2);
+  engines[0]!.failureShare = 0.4;
+  const choice = chooseEngine(askFor(CallRank.Tight, 500), engines, {
+    speed: SPEED,
+    nowMs: 0,
+  });
+  assert.equal(choice?.candidate, engines[1]);
+});
+
+test("no engine is chosen while each is full", () => {
+  const engines = createEngines(1);
+  for (let call = 0; call < SIZE.slots; call++) {
+    start(engines[0]!.model, `call-${call}`, { tokens: 0 });
+  }
+  const choice = chooseEngine(askFor(CallRank.Tight, 500), engines, {
+    speed: SPEED,
+    nowMs: 0,
+  });
+  assert.equal(choice, undefined);
+});
--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -56,6 +56,8 @@
   memoryTokens(): number;
   /** Calls whose pauses a long prompt would lengthen, weighed. */
   streamWeight(urgency: number): number;
+  /** Share of the last while in which it read prompts, 0 to 1. */
+  readingShare(nowMs: number): number;
   /** Notes that the engine reads these parts. */
   remember(parts: readonly PromptPart[], nowMs: number): void;
   /** Tokens of the leading parts that are believed to be cached. */
@@ -66,6 +68,8 @@
 const SAME_URGENCY_WEIGHT = 0.4;
 /** Pauses longer than this are hardly harmed by a prompt, in milliseconds. */
 const TIGHT_PAUSE_MS = 400;
+/** Span over which the share of reading is averaged, in milliseconds. */
+const READING_SPAN_MS = 1500;
 /** Share of an engine's memory that the cache is believed to reach. */
 const CACHE_SHARE = 0.85;
 
@@ -84,9 +88,11 @@
   let cacheTokens = 0;
   let heldMemory = 0;
   let drainedMs = 0;
+  let reading = 0;
 
   function drain(nowMs: number): void {
-    let budget = (nowMs - drainedMs) * speed.tokensPerMs;
+    const elapsedMs = nowMs - drainedMs;
+    let budget = elapsedMs * speed.tokensPerMs;
     drainedMs = nowMs;
     if (budget <= 0) return;
     const waiting = [];
@@ -100,8 +106,11 @@
       const read = Math.min(budget, call.remainingTokens);
       call.remainingTokens -= read;
       budget -= read;
-      if (budget <= 0) return;
+      if (budget <= 0) break;
     }
+    const idleMs = budget / speed.tokensPerMs;
+    const fade = Math.exp(-elapsedMs / READING_SPAN_MS);
+    reading = reading * fade + (1 - fade) * (1 - idleMs / elapsedMs);
   }
 
   function drop(key: string): void {
@@ -169,6 +178,10 @@
       }
       return weight;
     },
+    readingShare(nowMs) {
+      drain(nowMs);
+      return reading;
+    },
     remember(parts) {
       for (const part of parts) {
         const held = cache.get(part.id);
--- a/packages/router/src/create_placer.ts
+++ b/packages/router/src/create_placer.ts
@@ -129,7 +129,7 @@
         rank: job.rank,
         parts: job.prompt.parts,
         promptTokens: job.prompt.promptTokens,
-        outputTokens: job.prompt.outputTokens,
+        outputTokens: job.prompt.likelyOutputTokens,
       },
       list.map((upstream) => ({
         upstream,
@@ -188,9 +188,9 @@
       : 0;
     const work = {
       urgency: job.urgency,
-      newTokens: choice.newTokens,
+      newTokens: Math.max(0, choice.newTokens),
       memoryTokens: (job.prompt?.promptTokens ?? 0) +
-        (job.prompt?.outputTokens ?? 0),
+        (job.prompt?.likelyOutputTokens ?? 0),
       maxPauseMs: job.maxPauseMs,
     };
     upstream.model.start(key, work, nowMs);
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -115,7 +115,10 @@
 /** What a prompt is made of. */
 export interface Prompt {
   promptTokens: number;
+  /** Most tokens of output. */
   outputTokens: number;
+  /** Output tokens that are likely, by the caller's word. */
+  likelyOutputTokens: number;
   parts: PromptPart[];
 }
 
