--- a/tools/run_tests.js
+++ b/tools/run_tests.js
@@ -10,8 +10,9 @@
 
 function listTestFiles() {
   const files = [];
-  for (const name of readdirSync("packages").sort()) {
-    const folder = `packages/${name}/dist`;
+  const folders = readdirSync("packages").sort()
+    .map((name) => `packages/${name}/dist`);
+  for (const folder of [...folders, "platform/dist"]) {
     if (!existsSync(folder)) continue;
     for (const file of readdirSync(folder, { recursive: true }).sort()) {
       if (file.endsWith("_test.js")) files.push(resolve(folder, file));
