Keep a large fleet's exchange inside each data centre

Change: beyond 24 members load events go to the VMs of the upstream's data centre, beats to the near VMs and a few others, two VMs of a data centre read the platform and push changes; cold calls take turns spread over the fleet.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -11,6 +11,7 @@
   type LoadEvent,
   type PeerMessage,
   PeerMessageKind,
+  type PushedItems,
 } from "./peer_messages.ts";
 
 /** Time between two beats of a small fleet, in milliseconds. */
@@ -21,6 +22,14 @@
 const AWAY_BEATS = 5;
 /** Time for which a silent member still counts for shares, in ms. */
 export const FORGET_MS = 30_000;
+/** Members up to which every VM tells all others of its calls. */
+const MAX_FULL_MEMBERS = 24;
+/** VMs of a data centre that read the platform themselves. */
+const READERS = 2;
+/** Beats without which a reader is taken to be away. */
+const READER_BEATS = 2.5;
+/** Members of other data centres that get each beat of a larger fleet. */
+const FAR_BEATS = 4;
 /** Time for which load events are gathered into one datagram, in ms. */
 const GATHER_MS = 3;
 /** Additional gathering time for each member, bounds the datagram rate. */
@@ -44,6 +53,8 @@
 export interface PeerListener {
   onBeat(member: Member): void;
   onLoad(member: Member, events: LoadEvent[]): void;
+  /** Changes of published items from `after` on. */
+  onItems(member: Member, push: PushedItems): void;
   /** The member's process started anew: its earlier calls are gone. */
   onRestart(host: string): void;
   onMembership(
@@ -54,10 +65,21 @@
 /** Membership and load exchange between the VMs, by datagrams. */
 export interface PeerNetwork {
   start(listener: PeerListener): Promise<void>;
-  /** Tells all members soon. */
-  tell(event: LoadEvent): void;
+  /**
+   * Tells soon all members, or in a large fleet those of the data centre of
+   * the upstream that the event is about.
+   */
+  tell(event: LoadEvent, dataCentre?: string): void;
+  /** Sends changes of published items to this data centre's members. */
+  pushItems(push: PushedItems): void;
   /** Tells what is gathered and beats at once. */
   beatNow(): void;
+  /** Whether this VM is one of its data centre's readers of the platform. */
+  isReader(): boolean;
+  /** Whether the fleet is so large that each data centre keeps to itself. */
+  isLarge(): boolean;
+  /** VMs of this data centre heard within `FORGET_MS`, this one included. */
+  nearCount(): number;
   /** VMs heard lately, this one included. */
   presentCount(): number;
   /** VMs heard within `FORGET_MS`, this one included. */
@@ -88,12 +110,16 @@
   const presentHosts = new Set<string>();
   /** Hosts that were only named by others, with the time of the naming. */
   const rumoured = new Map<string, number>();
-  let gathered: LoadEvent[] = [];
+  /** Events to be sent, by data centre; an empty name stands for all. */
+  const gathered = new Map<string, LoadEvent[]>();
   let gatherTimer: (() => void) | undefined;
   let beatTimer: (() => void) | undefined;
   let listener: PeerListener | undefined;
   let socket: Socket | undefined;
 
+  let farTurn = 0;
+
+  const isLarge = () => members.size > MAX_FULL_MEMBERS;
   const beatMs = () => BEAT_MS + BEAT_MS_PER_MEMBER * members.size;
 
   function send(message: PeerMessage, hosts: Iterable<string>): void {
@@ -116,7 +142,35 @@
     sweep();
     const state = { dataCentre, members: [...presentHosts], ...describe() };
     state.members.length = Math.min(state.members.length, MAX_NAMED_MEMBERS);
-    send([PeerMessageKind.Beat, run, encodeBeat(state)], targets());
+    send([PeerMessageKind.Beat, run, encodeBeat(state)], beatTargets());
+  }
+
+  /** All members; in a large fleet the near ones and some others by turns. */
+  function beatTargets(): Iterable<string> {
+    if (!isLarge()) return targets();
+    const near: string[] = [];
+    const far: string[] = [];
+    for (const name of targets()) {
+      const isNear = members.get(name)?.dataCentre === dataCentre;
+      (isNear ? near : far).push(name);
+    }
+    for (let count = 0; count < Math.min(FAR_BEATS, far.length); count++) {
+      near.push(far[farTurn++ % far.length]!);
+    }
+    return near;
+  }
+
+  function* hostsOf(place: string): Iterable<string> {
+    for (const member of members.values()) {
+      if (place === "" || member.dataCentre === place) yield member.host;
+    }
+  }
+
+  /** Time after which a silent member counts as away. */
+  function awayMs(member: Member): number {
+    const isFar = isLarge() && member.dataCentre !== dataCentre;
+    const beats = AWAY_BEATS * (isFar ? members.size / FAR_BEATS : 1);
+    return Math.min(FORGET_MS, beatMs() * beats);
   }
 
   function sweep(): void {
@@ -126,7 +180,7 @@
     }
     for (const member of members.values()) {
       const silentMs = nowMs - member.heardMs;
-      if (silentMs > beatMs() * AWAY_BEATS) setPresent(member.host, false);
+      if (silentMs > awayMs(member)) setPresent(member.host, false);
       if (silentMs > FORGET_MS) members.delete(member.host);
     }
   }
@@ -143,22 +197,28 @@
   }
 
   function flush(): void {
+    gatherTimer?.();
     gatherTimer = undefined;
+    for (const [place, events] of gathered) sendEvents(place, events);
+    gathered.clear();
+  }
+
+  /** Sends events in datagrams that pass any link unsplit. */
+  function sendEvents(place: string, events: readonly LoadEvent[]): void {
+    const hosts = [...hostsOf(place)];
     let batch: unknown[][] = [];
     let bytes = 0;
-    for (const event of gathered.map(encodeLoadEvent)) {
+    for (const event of events.map(encodeLoadEvent)) {
       const size = packr.pack(event).length;
       if (bytes + size > MAX_DATAGRAM_BYTES && batch.length > 0) {
-        send([PeerMessageKind.Load, run, batch], members.keys());
+        send([PeerMessageKind.Load, run, batch], hosts);
         batch = [];
         bytes = 0;
       }
       batch.push(event);
       bytes += size;
     }
-    gathered = [];
-    if (batch.length === 0) return;
-    send([PeerMessageKind.Load, run, batch], members.keys());
+    if (batch.length > 0) send([PeerMessageKind.Load, run, batch], hosts);
   }
 
   function meet(from: string, messageRun: number): Member {
@@ -208,6 +268,10 @@
       listener?.onLoad(member, events);
       return;
     }
+    if (kind === PeerMessageKind.Items) {
+      listener?.onItems(member, content as unknown as PushedItems);
+      return;
+    }
     if (kind !== PeerMessageKind.Beat) return;
     member.beat = decodeBeat(content);
     member.dataCentre = member.beat.dataCentre;
@@ -230,13 +294,41 @@
       });
       beat();
     },
-    tell(event) {
-      gathered.push(event);
+    tell(event, place = "") {
+      const name = isLarge() ? place : "";
+      const events = gathered.get(name);
+      if (events) events.push(event);
+      else gathered.set(name, [event]);
+      const told = isLarge() ? members.size / FAR_BEATS : members.size;
       gatherTimer ??= clock.after(
-        GATHER_MS + GATHER_MS_PER_MEMBER * members.size,
+        GATHER_MS + GATHER_MS_PER_MEMBER * told,
         flush,
       );
     },
+    pushItems(push) {
+      const message: PeerMessage = [PeerMessageKind.Items, run, push];
+      // What does not fit is asked for by those who see the beat.
+      if (packr.pack(message).length > MAX_DATAGRAM_BYTES) return;
+      send(message, hostsOf(isLarge() ? dataCentre : ""));
+    },
+    isReader() {
+      const near = [host];
+      const sinceMs = clock.now() - beatMs() * READER_BEATS;
+      for (const member of members.values()) {
+        if (member.dataCentre !== dataCentre) continue;
+        if (member.heardMs >= sinceMs) near.push(member.host);
+      }
+      near.sort();
+      return near.indexOf(host) < READERS;
+    },
+    isLarge,
+    nearCount() {
+      let count = 1;
+      for (const member of members.values()) {
+        if (member.dataCentre === dataCentre) count++;
+      }
+      return count;
+    },
     beatNow() {
       flush();
       beat();
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -1,9 +1,13 @@
+import type { PublishedChanges } from "./create_published_items.ts";
+
 /** Kinds of datagram between the VMs. */
 export enum PeerMessageKind {
   /** Sign of life with the sender's calls and what it knows to be published. */
   Beat = 1,
   /** Changes of the sender's calls at upstreams. */
   Load = 2,
+  /** Published items that changed. */
+  Items = 3,
 }
 
 /** Kinds of change of a call at an upstream. */
@@ -90,10 +94,17 @@
   calls: [string, number[]][];
 }
 
+/** Changes that a reader passes on as it hears of them. */
+export interface PushedItems extends PublishedChanges {
+  /** Revision behind which the changes begin. */
+  after: number;
+}
+
 /** A datagram as it is encoded: kind, run of the sender, content. */
 export type PeerMessage =
   | [PeerMessageKind.Beat, number, unknown[]]
-  | [PeerMessageKind.Load, number, unknown[][]];
+  | [PeerMessageKind.Load, number, unknown[][]]
+  | [PeerMessageKind.Items, number, PushedItems];
 
 /** Order of a load event's fields behind its kind, as they are encoded. */
 const LOAD_FIELDS: Record<LoadEventKind, readonly string[]> = {
--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -46,8 +46,8 @@
 export interface EngineCandidate {
   model: EngineModel;
   size: EngineSize;
-  /** Whether it stands in another data centre. */
-  isRemote: boolean;
+  /** Cost of its distance, in milliseconds of delay. */
+  remoteCostMs: number;
   /** Share of recent calls that failed there, 0 to 1. */
   failureShare: number;
 }
@@ -62,8 +62,6 @@
   mustWait: boolean;
 }
 
-/** Cost of another data centre, in milliseconds of delay. */
-const REMOTE_COST_MS = 4;
 /** Cost of a failure that is certain, in milliseconds of delay. */
 const FAILURE_COST_MS = 1500;
 /** Share of its prompt time by which a call harms each stream beside it. */
@@ -122,7 +120,7 @@
     const share = Math.min(model.readingShare(nowMs), MAX_READING_SHARE);
     const writeMs = ask.outputTokens * TOKEN_MS;
     cost += writeMs * share / (1 - share) * WRITE_COST_SHARE;
-    if (candidate.isRemote) cost += REMOTE_COST_MS;
+    cost += candidate.remoteCostMs;
     if (memory > size.memoryTokens * MEMORY_SHARE) cost += MEMORY_COST_MS;
     if (cost >= bestCost) continue;
     bestCost = cost;
--- a/packages/policy/src/choose_engine_test.ts
+++ b/packages/policy/src/choose_engine_test.ts
@@ -16,7 +16,7 @@
   return Array.from({ length: count }, () => ({
     model: createEngineModel(SIZE, SPEED),
     size: SIZE,
-    isRemote: false,
+    remoteCostMs: 0,
     failureShare: 0,
   }));
 }
--- a/packages/router/src/create_placer.ts
+++ b/packages/router/src/create_placer.ts
@@ -67,7 +67,10 @@
 export interface PlacerOptions {
   clock: Clock;
   registry: Registry;
-  network: Pick<PeerNetwork, "tell" | "knownCount">;
+  network: Pick<
+    PeerNetwork,
+    "tell" | "knownCount" | "nearCount" | "isLarge"
+  >;
   dataCentre: string;
 }
 
@@ -79,12 +82,18 @@
 const LATE_SHARE = 0.25;
 /** Time between two looks for room while requests are held, in ms. */
 const LOOK_MS = 5;
+/** Cost of another data centre, in milliseconds of delay. */
+const REMOTE_COST_MS = 4;
+/** The same where the load there is known from beats only. */
+const UNKNOWN_REMOTE_COST_MS = 120;
 /** Calls that may wait at a plain service beyond its slots. */
 const SERVICE_QUEUE = 3;
 /** Cost of a failure that is certain, in calls at a plain service. */
 const SERVICE_FAILURE_CALLS = 12;
 /** Cost of another data centre, in calls at a plain service. */
 const SERVICE_REMOTE_CALLS = 0.4;
+/** The same where the calls there are hardly known. */
+const UNKNOWN_REMOTE_CALLS = 2;
 /** Bounds of the time after which a refused caller may come back, in ms. */
 const RETRY_AFTER_RANGE_MS = [150, 1500] as const;
 
@@ -109,9 +118,16 @@
 
   function candidates(job: PlaceJob): Upstream[] {
     const list: Upstream[] = [];
+    const isLarge = network.isLarge();
+    const vms = isLarge ? network.nearCount() : network.knownCount();
     for (const upstream of registry.eligible(job.service.name)) {
       if (job.avoid.has(upstream.entry.id)) continue;
-      if (!registry.admitsCold(upstream, network.knownCount())) continue;
+      if (upstream.coldUntilMs > clock.now()) {
+        // In a large fleet only the VMs beside it warm an upstream.
+        const isFar = upstream.entry.dataCentre !== dataCentre;
+        if (isLarge && isFar) continue;
+        if (!registry.admitsCold(upstream, vms)) continue;
+      }
       list.push(upstream);
     }
     return list;
@@ -135,13 +151,19 @@
         upstream,
         model: upstream.model,
         size,
-        isRemote: upstream.entry.dataCentre !== dataCentre,
+        remoteCostMs: remoteCostMs(upstream),
         failureShare: registry.failureShare(upstream),
       })),
       { speed: registry.speedOf(job.service.name).speed, nowMs },
     );
   }
 
+  /** Cost of another data centre; more where its load is hardly known. */
+  function remoteCostMs({ entry }: Upstream): number {
+    if (entry.dataCentre === dataCentre) return 0;
+    return network.isLarge() ? UNKNOWN_REMOTE_COST_MS : REMOTE_COST_MS;
+  }
+
   function choosePlain(
     list: readonly Upstream[],
   ): EngineChoice<Candidate> | undefined {
@@ -151,9 +173,12 @@
       const calls = upstream.model.callCount();
       if (calls >= upstream.entry.slots + SERVICE_QUEUE) continue;
       const isRemote = upstream.entry.dataCentre !== dataCentre;
+      const remoteCalls = network.isLarge()
+        ? UNKNOWN_REMOTE_CALLS
+        : SERVICE_REMOTE_CALLS;
       const cost = calls +
         registry.failureShare(upstream) * SERVICE_FAILURE_CALLS +
-        (isRemote ? SERVICE_REMOTE_CALLS : 0);
+        (isRemote ? remoteCalls : 0);
       if (cost >= bestCost) continue;
       bestCost = cost;
       best = upstream;
@@ -166,7 +191,7 @@
       upstream,
       model: upstream.model,
       size: { slots: upstream.entry.slots, memoryTokens: Infinity },
-      isRemote: false,
+      remoteCostMs: 0,
       failureShare: 0,
     };
     return { candidate, newTokens: 0, predictedMs: 0, mustWait: false };
@@ -177,7 +202,7 @@
     choice: EngineChoice<Candidate>,
   ): Placement {
     const { upstream } = choice.candidate;
-    const { id } = upstream.entry;
+    const { id, dataCentre: place } = upstream.entry;
     const call = nextCall++;
     const key = `own:${call}`;
     const nowMs = clock.now();
@@ -205,7 +230,7 @@
       upstream: id,
       ...work,
       parts: parts.map((part) => [part.id, part.tokens]),
-    });
+    }, place);
     let isOpen = true;
     let hasEvent = false;
     return {
@@ -222,7 +247,10 @@
         if (job.prompt) {
           speed.observe(aheadTokens + choice.newTokens, eventMs - nowMs);
         }
-        network.tell({ kind: LoadEventKind.FirstEvent, call, upstream: id });
+        network.tell(
+          { kind: LoadEventKind.FirstEvent, call, upstream: id },
+          place,
+        );
         wake();
       },
       release(end) {
@@ -234,7 +262,10 @@
         }
         calls.delete(call);
         if (calls.size === 0) own.delete(id);
-        network.tell({ kind: LoadEventKind.Ended, call, upstream: id, end });
+        network.tell(
+          { kind: LoadEventKind.Ended, call, upstream: id, end },
+          place,
+        );
         wake();
       },
     };
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -28,8 +28,8 @@
   lapsedUntilMs: number | undefined;
   /** Calls sent within the last second, by all VMs. */
   recentSends: number[];
-  /** Calls sent by this VM within the last second. */
-  ownSends: number[];
+  /** Time from which this VM may send its next call to it while cold. */
+  coldTurnMs: number;
 }
 
 /** The upstreams that are known. */
@@ -53,8 +53,8 @@
   /** Recent failure share, which fades. */
   failureShare(upstream: Upstream): number;
   onSent(upstream: Upstream, isOwn: boolean): void;
-  /** Whether a cold upstream may take one more call from this VM. */
-  admitsCold(upstream: Upstream, knownVms: number): boolean;
+  /** Whether a cold upstream may take one more call from this one of `vms`. */
+  admitsCold(upstream: Upstream, vms: number): boolean;
 }
 
 /** First time for which a broken upstream is left alone, in ms. */
@@ -77,6 +77,7 @@
   const { clock, log } = options;
   const upstreams = new Map<string, Upstream>();
   const outDataCentres = new Set<string>();
+  const coldGaps = new WeakMap<Upstream, number>();
   const speeds = new Map<string, SpeedEstimate>();
   let findService: (name: string) => ServiceDefinition | undefined = () =>
     undefined;
@@ -104,7 +105,7 @@
       heardMs: 0,
       lapsedUntilMs: undefined,
       recentSends: [],
-      ownSends: [],
+      coldTurnMs: 0,
     };
   }
 
@@ -113,6 +114,11 @@
     return upstream.failureShare * 2 ** (-agedMs / FAILURE_HALF_LIFE_MS);
   }
 
+  /** Time between two calls of this VM to a cold upstream, in ms. */
+  function coldGapMs(upstream: Upstream): number {
+    return coldGaps.get(upstream) ?? COLD_SPAN_MS;
+  }
+
   function countRecent(times: number[]): number {
     const since = clock.now() - COLD_SPAN_MS;
     while (times.length > 0 && times[0]! <= since) times.shift();
@@ -225,23 +231,27 @@
     },
     failureShare,
     onSent(upstream, isOwn) {
-      if (upstream.coldUntilMs < clock.now()) {
+      const nowMs = clock.now();
+      if (upstream.coldUntilMs < nowMs) {
         upstream.recentSends.length = 0;
-        upstream.ownSends.length = 0;
+        upstream.coldTurnMs = 0;
+        return;
       }
-      upstream.recentSends.push(clock.now());
-      if (isOwn) upstream.ownSends.push(clock.now());
-      // Counts only matter up to the cold rate.
-      if (upstream.recentSends.length > 256) countRecent(upstream.recentSends);
+      upstream.recentSends.push(nowMs);
+      if (isOwn) upstream.coldTurnMs = nowMs + coldGapMs(upstream);
     },
-    admitsCold(upstream, knownVms) {
-      if (upstream.coldUntilMs <= clock.now()) return true;
+    admitsCold(upstream, vms) {
+      const nowMs = clock.now();
+      if (upstream.coldUntilMs <= nowMs) return true;
       const perSecond = findService(upstream.entry.service)?.coldPerSecond ?? 0;
       if (perSecond <= 0) return true;
       if (countRecent(upstream.recentSends) >= perSecond) return false;
-      const vms = knownVms > 1 ? knownVms : ASSUMED_VMS;
-      const share = Math.max(1, Math.floor(perSecond / vms));
-      return countRecent(upstream.ownSends) < share;
+      const sharers = vms > 1 ? vms : ASSUMED_VMS;
+      const gapMs = COLD_SPAN_MS * sharers / perSecond;
+      coldGaps.set(upstream, gapMs);
+      // The first turns of all VMs are spread over the gap.
+      upstream.coldTurnMs ||= nowMs + Math.random() * gapMs;
+      return nowMs >= upstream.coldTurnMs;
     },
   };
 }
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -8,6 +8,7 @@
   PUBLISHED_PATH,
   type PublishedChanges,
   pullPublished,
+  type PushedItems,
   servePublished,
 } from "@rosemarytiller/peers";
 import { createQuarantine, type RetryBounds } from "@rosemarytiller/policy";
@@ -71,6 +72,8 @@
   onAnswer(changes: PublishedChanges): void;
   /** The source could not be read. */
   onLost(reason: string): void;
+  /** Whether others read for this VM, so that it need not. */
+  mayRest(): boolean;
 }
 
 /** What a router is made of. */
@@ -102,6 +105,8 @@
 const REMOTE_FAILURE_WEIGHT = 0.3;
 /** Silence here that confirms another VM's word of it, in ms. */
 const SILENT_HERE_MS = 250;
+/** Age of a peer's word beyond which a resting VM reads itself, in ms. */
+const REST_MS = 3200;
 /** Interval of looks at whether a stopping router is done, in ms. */
 const STOP_LOOK_MS = 50;
 
@@ -221,10 +226,16 @@
         regainedMs = clock.now();
         log.info(LogEvent.PlatformRegained, { revision: changes.head });
       }
+      const after = published.head();
       accept(changes, "platform");
       confirmedMs = clock.now();
-      if (changes.items.length > 0) network.beatNow();
+      if (changes.items.length === 0) return;
+      if (!changes.isWhole) network.pushItems({ ...changes, after });
+      network.beatNow();
     },
+    mayRest: () =>
+      network.isLarge() && index !== undefined && !network.isReader() &&
+      clock.now() - confirmedMs < REST_MS,
     onLost(reason: string) {
       if (isSourceLost) return;
       isSourceLost = true;
@@ -312,6 +323,12 @@
     placer.wake();
   }
 
+  function onItems(member: Member, push: PushedItems): void {
+    // Behind a gap the whole is asked for, once a beat tells of it.
+    if (push.after > published.head() || push.head <= published.head()) return;
+    accept(push, member.host);
+  }
+
   function isReady(): boolean {
     return !isStopping && index !== undefined;
   }
@@ -338,6 +355,7 @@
       await network.start({
         onBeat,
         onLoad,
+        onItems,
         onRestart(host) {
           for (const upstream of registry.all()) {
             upstream.model.reconcile(`${host}:`, new Set());
