Hold long calls while an engine's memory is taken

Cause: on the grown hive 3,384 calls waited in engines' own queues until their callers gave up: the memory was full of running prompts.

Change: a call that is not tight waits outside while its engine's memory is taken, where another engine may still have room. Test with that load.

--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -121,10 +121,12 @@
     const writeMs = ask.outputTokens * TOKEN_MS;
     cost += writeMs * share / (1 - share) * WRITE_COST_SHARE;
     cost += candidate.remoteCostMs;
-    if (memory > size.memoryTokens * MEMORY_SHARE) cost += MEMORY_COST_MS;
+    const isFull = memory > size.memoryTokens * MEMORY_SHARE;
+    if (isFull) cost += MEMORY_COST_MS;
     if (cost >= bestCost) continue;
     bestCost = cost;
-    const mustWait = waitingMs > WAITING_BOUND_MS[ask.rank];
+    const mustWait = waitingMs > WAITING_BOUND_MS[ask.rank] ||
+      (isFull && ask.rank !== CallRank.Tight);
     best = { candidate, newTokens, predictedMs, mustWait };
   }
   return best;
--- a/packages/policy/src/choose_engine_test.ts
+++ b/packages/policy/src/choose_engine_test.ts
@@ -136,3 +136,16 @@
   });
   assert.equal(choice, undefined);
 });
+
+test("long prompts fill an engine's memory: the next ones wait outside", () => {
+  const engines = createEngines(1);
+  for (let call = 0; call < 3; call++) {
+    start(engines[0]!.model, `call-${call}`, { tokens: 90_000 });
+    engines[0]!.model.onFirstEvent(`call-${call}`, 0);
+  }
+  const options = { speed: SPEED, nowMs: 0 };
+  const loose = chooseEngine(askFor(CallRank.Loose, 9000), engines, options);
+  const tight = chooseEngine(askFor(CallRank.Tight, 500), engines, options);
+  assert.equal(loose?.mustWait, true);
+  assert.equal(tight?.mustWait, false);
+});
