--- a/packages/sessions/src/format_fields_page.ts
+++ b/packages/sessions/src/format_fields_page.ts
@@ -1,6 +1,6 @@
 import { documentSchema } from "@rosemarytiller/document";
 import { describeFields, type FieldDescription } from "@rosemarytiller/jsonc";
-import { settingsSchema } from "@rosemarytiller/settings";
+import { routerSettingsSchema, settingsSchema } from "@rosemarytiller/settings";
 
 const HEADINGS = ["Field", "Type", "Unit", "Default", "Range", "Meaning"];
 
@@ -9,7 +9,7 @@
   return `# Fields
 
 Written from the schemas by \`npm run fields\`. \`NAME\` stands for a name of your
-choice and \`[]\` for each element of a list. Both files are JSON with comments.
+choice and \`[]\` for each element of a list. All files are JSON with comments.
 
 ## Service document
 
@@ -18,6 +18,10 @@
 ## Settings of a VM
 
 ${formatTable(describeFields(settingsSchema))}
+
+## Settings of a router that decides by itself
+
+${formatTable(describeFields(routerSettingsSchema))}
 `;
 }
 
--- a/packages/tillerctl/src/check_files.ts
+++ b/packages/tillerctl/src/check_files.ts
@@ -1,6 +1,11 @@
 import { parseDocument } from "@rosemarytiller/document";
-import { CheckError, formatProblem, type Problem } from "@rosemarytiller/jsonc";
-import { parseSettings } from "@rosemarytiller/settings";
+import {
+  CheckError,
+  formatProblem,
+  parseChecked,
+  type Problem,
+} from "@rosemarytiller/jsonc";
+import { parseSettings, routerSettingsSchema } from "@rosemarytiller/settings";
 import { type CommandCall, ExitCode, UsageError } from "./command.ts";
 import { readText } from "./read_text.ts";
 
@@ -13,6 +18,8 @@
     ...input.map((file): [string, Parser] => [file, parseDocument]),
     ...(flags.settings ?? [])
       .map((file): [string, Parser] => [file, parseSettings]),
+    ...(flags.router ?? [])
+      .map((file): [string, Parser] => [file, parseRouterSettings]),
   ];
   if (checks.length === 0) {
     throw new UsageError("Name a document, or a settings file by --settings.");
@@ -28,6 +35,10 @@
   return valid ? ExitCode.Ok : ExitCode.Invalid;
 }
 
+function parseRouterSettings(text: string, file: string): unknown {
+  return parseChecked(text, { file, schema: routerSettingsSchema });
+}
+
 function findProblems(text: string, file: string, parse: Parser): Problem[] {
   try {
     parse(text, file);
--- a/packages/tillerctl/src/command.ts
+++ b/packages/tillerctl/src/command.ts
@@ -12,6 +12,7 @@
 export interface CommandFlags {
   json: boolean;
   settings?: string[];
+  router?: string[];
   admin?: string[];
   client?: string;
   model?: string;
--- a/packages/tillerctl/src/main.ts
+++ b/packages/tillerctl/src/main.ts
@@ -6,17 +6,19 @@
 const command = meow(
   `
   Usage
-    $ tillerctl check DOCUMENT... [--settings FILE]...
+    $ tillerctl check DOCUMENT... [--settings FILE]... [--router FILE]...
     $ tillerctl explain DOCUMENT --client NAME (--model NAME | --service NAME)
         [--header NAME=VALUE]... [--from DATA_CENTRE]
     $ tillerctl status (--admin ADDRESS,... | --settings FILE)
     $ tillerctl timeline (--admin ADDRESS,... | --settings FILE)
         [--format text|jsonl|html] [--out FILE] [--request ID] [--class NAME]
         [--kind KIND,...] [--since TIME]
+    $ tillerctl trace REQUEST [LOG]...
 
   Options
     --json      Write JSON; the time line as JSON lines
     --settings  Settings file of a VM; its platform's VM list is asked
+    --router    Settings file of a router that decides by itself
     --admin     Admin addresses, host:port, with commas between them
     --client    Client account of the request
     --model     Model of the request
@@ -42,6 +44,7 @@
     $ tillerctl status --settings vm-1.jsonc
     $ tillerctl timeline --settings vm-1.jsonc --since 5m \\
         --format html --out timeline.html
+    $ tillerctl trace 9c41d07be2a35f68 router-*.log
 `,
   {
     importMeta: import.meta,
@@ -49,6 +52,7 @@
     flags: {
       json: { type: "boolean", default: false },
       settings: { type: "string", isMultiple: true },
+      router: { type: "string", isMultiple: true },
       admin: { type: "string", isMultiple: true },
       client: { type: "string" },
       model: { type: "string" },
--- a/packages/tillerctl/src/run_command.ts
+++ b/packages/tillerctl/src/run_command.ts
@@ -9,12 +9,14 @@
 import { drawTimeline } from "./draw_timeline.ts";
 import { explainRequest } from "./explain_request.ts";
 import { showStatus } from "./show_status.ts";
+import { traceRequest } from "./trace_request.ts";
 
 const COMMANDS: Record<string, Command> = {
   check: checkFiles,
   explain: explainRequest,
   status: showStatus,
   timeline: drawTimeline,
+  trace: traceRequest,
 };
 
 /** Runs the subcommand that the first argument names. */
