--- a/packages/claims/src/create_holder_history.ts
+++ b/packages/claims/src/create_holder_history.ts
@@ -1,4 +1,5 @@
-import { type Clock, hashText } from "@rosemarytiller/shared";
+import { type Clock } from "@rosemarytiller/shared";
+import { hashText } from "@rosemarytiller/shared/rendezvous";
 import {
   claimQuorum,
   claimWitnesses,
--- a/packages/claims/src/list_claim_holders.ts
+++ b/packages/claims/src/list_claim_holders.ts
@@ -1,4 +1,4 @@
-import { rankByRendezvous } from "@rosemarytiller/shared";
+import { rankByRendezvous } from "@rosemarytiller/shared/rendezvous";
 
 /** Most VMs that hold the claims of a key. */
 export const MAX_HOLDERS = 5;
--- a/packages/entry/src/read_call.ts
+++ b/packages/entry/src/read_call.ts
@@ -9,10 +9,10 @@
   type Clock,
   createId,
   ErrorKind,
-  hashText,
   TillerError,
   UpstreamKind,
 } from "@rosemarytiller/shared";
+import { hashText } from "@rosemarytiller/shared/rendezvous";
 import type { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
--- a/packages/link/src/message_shapes.ts
+++ b/packages/link/src/message_shapes.ts
@@ -1,4 +1,4 @@
-import { hashText } from "@rosemarytiller/shared";
+import { hashText } from "@rosemarytiller/shared/rendezvous";
 
 /**
  * Fields, in order, of the messages that make up most of the traffic. Both
--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -95,7 +95,7 @@
   port: number;
   dataCentre: string;
   /** Hosts to begin with; they may be away. */
-  seeds: readonly string[];
+  seeds(): readonly string[];
   /** State to tell in each beat. */
   describe(): Pick<Beat, "revision" | "confirmedAgeMs" | "calls">;
 }
@@ -130,7 +130,7 @@
 
   function targets(): Set<string> {
     const hosts = new Set<string>(members.keys());
-    for (const seed of seeds) hosts.add(seed);
+    for (const seed of seeds()) hosts.add(seed);
     for (const name of rumoured.keys()) hosts.add(name);
     hosts.delete(host);
     return hosts;
--- a/packages/platform/src/create_fleet_view.ts
+++ b/packages/platform/src/create_fleet_view.ts
@@ -8,10 +8,10 @@
 import {
   type Clock,
   createSubject,
-  hashText,
   LogPart,
   warn,
 } from "@rosemarytiller/shared";
+import { hashText } from "@rosemarytiller/shared/rendezvous";
 import type { Stream } from "most";
 
 /** A document in force. */
--- a/packages/platform/src/create_fleet_view_test.ts
+++ b/packages/platform/src/create_fleet_view_test.ts
@@ -1,4 +1,5 @@
-import { createFakeClock, hashText } from "@rosemarytiller/shared";
+import { createFakeClock } from "@rosemarytiller/shared";
+import { hashText } from "@rosemarytiller/shared/rendezvous";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { test } from "node:test";
--- a/packages/platform/src/resolve_leader.ts
+++ b/packages/platform/src/resolve_leader.ts
@@ -1,5 +1,6 @@
 import type { PublishedVm } from "@rosemarytiller/link";
-import { rankByRendezvous, VmState } from "@rosemarytiller/shared";
+import { VmState } from "@rosemarytiller/shared";
+import { rankByRendezvous } from "@rosemarytiller/shared/rendezvous";
 
 /** Live entry VMs of a list. */
 export function listEntryVms(vms: readonly PublishedVm[]): PublishedVm[] {
--- a/packages/platform/src/select_peers.ts
+++ b/packages/platform/src/select_peers.ts
@@ -1,5 +1,5 @@
 import type { PublishedVm } from "@rosemarytiller/link";
-import { rankByRendezvous } from "@rosemarytiller/shared";
+import { rankByRendezvous } from "@rosemarytiller/shared/rendezvous";
 import { listEntryVms } from "./resolve_leader.ts";
 
 /**
--- a/packages/platform/src/watch_platform.ts
+++ b/packages/platform/src/watch_platform.ts
@@ -1,4 +1,5 @@
-import { type Clock, rankByRendezvous } from "@rosemarytiller/shared";
+import { type Clock } from "@rosemarytiller/shared";
+import { rankByRendezvous } from "@rosemarytiller/shared/rendezvous";
 import type { FleetView } from "./create_fleet_view.ts";
 import type { PlatformPort } from "./platform_port.ts";
 import { listEntryVms } from "./resolve_leader.ts";
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -89,6 +89,11 @@
 /** A router on one VM. */
 export interface Router {
   start(): Promise<void>;
+  /**
+   * Takes over settings that can change while it runs; returns the names of
+   * those that differ but take a restart.
+   */
+  reload(changed: RouterSettings): string[];
   /** Stops as planned; resolves when requests in progress have ended. */
   stop(): Promise<void>;
   /** Ends at once. */
@@ -97,6 +102,14 @@
 
 /** Time after the start at which the metrics' library is loaded, in ms. */
 const METRICS_LOAD_MS = 3000;
+/** Settings that a running router takes over. */
+const RELOADED_SETTINGS: ReadonlySet<keyof RouterSettings> = new Set([
+  "seeds",
+  "leaveMs",
+  "stopGraceMs",
+  "entriesBackMs",
+  "staleMs",
+]);
 /** Interval of closing idle connections, in milliseconds. */
 const SWEEP_MS = 500;
 /** Lag of a peer's knowledge beyond which it is asked, in milliseconds. */
@@ -112,7 +125,8 @@
 
 /** Creates a router; `start` opens its ports. */
 export function createRouter(options: RouterOptions): Router {
-  const { clock, log, settings, protocol, decode, source } = options;
+  const { clock, log, protocol, decode, source } = options;
+  let { settings } = options;
   const { vm, dataCentre } = settings;
   const published = createPublishedItems();
   const registry = createRegistry({ clock, log });
@@ -133,7 +147,7 @@
     host: settings.peers.host,
     port: settings.peers.port,
     dataCentre,
-    seeds: settings.seeds,
+    seeds: () => settings.seeds,
     describe: () => ({
       revision: published.head(),
       confirmedAgeMs: Math.round(clock.now() - confirmedMs),
@@ -386,6 +400,23 @@
         settings,
       });
     },
+    reload(changed) {
+      const names = Object.keys(changed) as (keyof RouterSettings)[];
+      const kept = names.filter((name) =>
+        !RELOADED_SETTINGS.has(name) &&
+        JSON.stringify(changed[name]) !== JSON.stringify(settings[name])
+      );
+      const { seeds, leaveMs, stopGraceMs, entriesBackMs, staleMs } = changed;
+      settings = {
+        ...settings,
+        seeds,
+        leaveMs,
+        stopGraceMs,
+        entriesBackMs,
+        staleMs,
+      };
+      return kept;
+    },
     async stop() {
       if (isStopping) return;
       isStopping = true;
--- a/packages/sessions/src/config_faults_test.ts
+++ b/packages/sessions/src/config_faults_test.ts
@@ -1,5 +1,5 @@
 import type { ProcessStatus } from "@rosemarytiller/admin";
-import { hashText } from "@rosemarytiller/shared";
+import { hashText } from "@rosemarytiller/shared/rendezvous";
 import { createStandInEngine } from "@rosemarytiller/standins";
 import assert from "node:assert/strict";
 import { after, afterEach, before, test } from "node:test";
--- a/packages/sessions/src/run_claim_history.ts
+++ b/packages/sessions/src/run_claim_history.ts
@@ -17,10 +17,10 @@
 import {
   type Clock,
   createFakeClock,
-  hashText,
   RunState,
   sleep,
 } from "@rosemarytiller/shared";
+import { hashText } from "@rosemarytiller/shared/rendezvous";
 
 /** Kinds of step in a history of claims. */
 export enum ClaimStepKind {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -3,5 +3,4 @@
 export * from "./clock.ts";
 export * from "./log.ts";
 export * from "./ids.ts";
-export * from "./rendezvous.ts";
 export * from "./create_subject.ts";
--- a/packages/standins/src/create_stand_in_engine.ts
+++ b/packages/standins/src/create_stand_in_engine.ts
@@ -1,4 +1,4 @@
-import { hashText } from "@rosemarytiller/shared";
+import { hashText } from "@rosemarytiller/shared/rendezvous";
 import { once } from "node:events";
 import {
   createServer,
