--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -442,6 +442,7 @@
       for (const cancel of timers) cancel();
       timers = [];
       source.stop();
+      callers.stopListening();
       callers.close();
       for (const server of servers) {
         server.close();
