Take silence for gone only when no VM hears an upstream

Change: silence counts when no VM heard from the upstream for the whole limit, or this one for 2.5 times that; it does not make it cold. In a large fleet, engines beside a VM go first, as far ones look idle whatever they hold.

--- a/packages/peers/src/create_published_items_test.ts
+++ b/packages/peers/src/create_published_items_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
 import { createPublishedItems } from "./create_published_items.ts";
 
 function item(key: string, revision: number, text?: string) {
@@ -69,3 +70,43 @@
   assert.equal(published.since(1).isWhole, true);
   assert.equal(published.since(5990).isWhole, false);
 });
+
+/** A step of a history: a write to a key, or two VMs that exchange. */
+const step = fc.oneof(
+  fc.record({ key: fc.constantFrom("a", "b", "c"), isRemoval: fc.boolean() }),
+  fc.record({ reader: fc.nat(3), from: fc.nat(4), isWhole: fc.boolean() }),
+);
+
+test("VMs that read and exchange in any order never go back, and agree", () => {
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+      const platform = createPublishedItems();
+      const vms = [1, 2, 3, 4].map(() => createPublishedItems());
+      const seen = vms.map(() => new Map<string, number>());
+      let revision = 0;
+      const exchange = (reader: number, source: number, isWhole: boolean) => {
+        const from = [platform, ...vms][source]!;
+        const vm = vms[reader]!;
+        const after = isWhole ? 0 : vm.head();
+        for (const { key, revision } of vm.apply(from.since(after))) {
+          assert.ok(revision > (seen[reader]!.get(key) ?? 0));
+          seen[reader]!.set(key, revision);
+        }
+      };
+      for (const next of steps) {
+        if ("key" in next) {
+          const text = next.isRemoval ? undefined : `text-${revision}`;
+          platform.apply(changes(revision + 1, [
+            item(next.key, ++revision, text),
+          ]));
+        } else exchange(next.reader, next.from, next.isWhole);
+      }
+      for (const reader of vms.keys()) exchange(reader, 0, false);
+      const live = (state: typeof platform) =>
+        state.since(0).items.map(({ key, revision }) => `${key}@${revision}`)
+          .sort();
+      for (const vm of vms) assert.deepEqual(live(vm), live(platform));
+    }),
+    { seed: 7, numRuns: 500 },
+  );
+});
--- a/packages/router/src/create_placer.ts
+++ b/packages/router/src/create_placer.ts
@@ -84,8 +84,8 @@
 const LOOK_MS = 5;
 /** Cost of another data centre, in milliseconds of delay. */
 const REMOTE_COST_MS = 4;
-/** The same where the load there is known from beats only. */
-const UNKNOWN_REMOTE_COST_MS = 120;
+/** Random cost of engines whose load is not known, in milliseconds. */
+const UNKNOWN_SPREAD_MS = 120;
 /** Calls that may wait at a plain service beyond its slots. */
 const SERVICE_QUEUE = 3;
 /** Cost of a failure that is certain, in calls at a plain service. */
@@ -130,7 +130,16 @@
       }
       list.push(upstream);
     }
-    return list;
+    return isLarge && job.service.engine ? nearest(list) : list;
+  }
+
+  /**
+   * Of a large fleet's engines, the load of those beside this VM is known; the
+   * others look idle whatever they hold, and are used for want of any near.
+   */
+  function nearest(list: Upstream[]): Upstream[] {
+    const near = list.filter((one) => one.entry.dataCentre === dataCentre);
+    return near.length > 0 ? near : list;
   }
 
   function choose(job: PlaceJob): EngineChoice<Candidate> | undefined {
@@ -161,7 +170,9 @@
   /** Cost of another data centre; more where its load is hardly known. */
   function remoteCostMs({ entry }: Upstream): number {
     if (entry.dataCentre === dataCentre) return 0;
-    return network.isLarge() ? UNKNOWN_REMOTE_COST_MS : REMOTE_COST_MS;
+    if (!network.isLarge()) return REMOTE_COST_MS;
+    // Spreads the calls of VMs that see the same, and little.
+    return REMOTE_COST_MS + Math.random() * UNKNOWN_SPREAD_MS;
   }
 
   function choosePlain(
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -22,8 +22,10 @@
   /** Share of recent calls that it failed, as of `failureAtMs`. */
   failureShare: number;
   failureAtMs: number;
-  /** Time at which bytes last came from it. */
+  /** Time at which bytes last came from it to this VM. */
   heardMs: number;
+  /** Time at which a VM, this one or another, last heard from it. */
+  seenMs: number;
   /** Time until which it is kept though its entry lapsed. */
   lapsedUntilMs: number | undefined;
   /** Calls sent within the last second, by all VMs. */
@@ -45,11 +47,15 @@
   /** Takes over services; known upstreams keep what is believed of them. */
   setServices(find: (name: string) => ServiceDefinition | undefined): void;
   speedOf(service: string): SpeedEstimate;
-  /** The upstream could not be reached or broke. */
+  /** The upstream could not be reached: it may come back cold. */
   onBroken(upstream: Upstream, reason: string): void;
+  /** The upstream says nothing, while it may only be slow. */
+  onSilent(upstream: Upstream): void;
   /** A call ended; `weight` is 0 to 1. */
   onCallEnd(upstream: Upstream, failed: boolean, weight: number): void;
   onHeard(upstream: Upstream): void;
+  /** Another VM heard from it. */
+  onSeen(upstream: Upstream): void;
   /** Recent failure share, which fades. */
   failureShare(upstream: Upstream): number;
   onSent(upstream: Upstream, isOwn: boolean): void;
@@ -103,6 +109,7 @@
       failureShare: 0,
       failureAtMs: 0,
       heardMs: 0,
+      seenMs: 0,
       lapsedUntilMs: undefined,
       recentSends: [],
       coldTurnMs: 0,
@@ -114,6 +121,26 @@
     return upstream.failureShare * 2 ** (-agedMs / FAILURE_HALF_LIFE_MS);
   }
 
+  /** Keeps calls away for a while; false if that was so already. */
+  function leaveAlone(upstream: Upstream, reason: string): boolean {
+    const nowMs = clock.now();
+    if (upstream.downUntilMs > nowMs) return false;
+    upstream.brokenCount++;
+    const downMs = Math.min(
+      MAX_DOWN_MS,
+      DOWN_MS * 2 ** Math.min(8, upstream.brokenCount - 1),
+    );
+    upstream.downUntilMs = nowMs + downMs;
+    log.warn(LogEvent.UpstreamDown, {
+      upstream: upstream.entry.id,
+      reason,
+      broken: upstream.brokenCount,
+      quietMs: Math.round(nowMs - upstream.seenMs),
+      downMs,
+    });
+    return true;
+  }
+
   /** Time between two calls of this VM to a cold upstream, in ms. */
   function coldGapMs(upstream: Upstream): number {
     return coldGaps.get(upstream) ?? COLD_SPAN_MS;
@@ -201,24 +228,15 @@
     },
     speedOf,
     onBroken(upstream, reason) {
-      const nowMs = clock.now();
-      if (upstream.downUntilMs > nowMs) return;
-      upstream.brokenCount++;
-      const downMs = Math.min(
-        MAX_DOWN_MS,
-        DOWN_MS * 2 ** Math.min(8, upstream.brokenCount - 1),
-      );
-      upstream.downUntilMs = nowMs + downMs;
+      if (!leaveAlone(upstream, reason)) return;
       const coldMs = findService(upstream.entry.service)?.coldMs ?? 0;
       // It may be a new run that has not registered yet, and that is cold.
-      upstream.coldUntilMs = Math.max(upstream.coldUntilMs, nowMs + coldMs);
-      log.warn(LogEvent.UpstreamDown, {
-        upstream: upstream.entry.id,
-        reason,
-        broken: upstream.brokenCount,
-        downMs,
-      });
+      upstream.coldUntilMs = Math.max(
+        upstream.coldUntilMs,
+        clock.now() + coldMs,
+      );
     },
+    onSilent: (upstream) => void leaveAlone(upstream, "silent"),
     onCallEnd(upstream, failed, weight) {
       const gain = FAILURE_GAIN * weight;
       const share = failureShare(upstream);
@@ -227,8 +245,12 @@
     },
     onHeard(upstream) {
       upstream.heardMs = clock.now();
+      upstream.seenMs = upstream.heardMs;
       upstream.brokenCount = 0;
     },
+    onSeen(upstream) {
+      upstream.seenMs = clock.now();
+    },
     failureShare,
     onSent(upstream, isOwn) {
       const nowMs = clock.now();
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -127,3 +127,11 @@
   assert.equal(registry.eligible("engines").length, 1);
   assert.ok(registry.find("u")!.coldUntilMs > clock.now());
 });
+
+test("lost answers: an upstream that is only silent does not count as cold", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  registry.onSilent(registry.find("u")!);
+  assert.equal(registry.eligible("engines").length, 0);
+  assert.ok(registry.find("u")!.coldUntilMs <= clock.now());
+});
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -101,6 +101,8 @@
 const MIN_SILENCE_MS = 600;
 /** Silence that marks a call as lost, in longest pauses on time. */
 const SILENCE_PAUSES = 3;
+/** Longer silence that counts though other VMs hear the upstream. */
+const SILENCE_HERE_FACTOR = 2.5;
 /** Largest copy of a call's memory that is worth its transfer, in bytes. */
 const MAX_COPY_BYTES = 64 * 1024 * 1024;
 /** Fewest output tokens for which a copy is kept. */
@@ -443,9 +445,10 @@
       const limitMs = hasBegun ? pauseMs : firstMs;
       if (nowMs - running.heardMs() < limitMs) return;
       // An upstream that answers others is slow, not gone.
-      const isQuiet = nowMs - upstream.heardMs >= limitMs / 2;
+      const isQuiet = nowMs - upstream.seenMs >= limitMs ||
+        nowMs - upstream.heardMs >= limitMs * SILENCE_HERE_FACTOR;
       if (isQuiet && upstream.downUntilMs <= nowMs) {
-        registry.onBroken(upstream, "silent");
+        registry.onSilent(upstream);
         network.tell({
           kind: LoadEventKind.Silent,
           upstream: upstream.entry.id,
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -311,8 +311,8 @@
       const upstream = registry.find(event.upstream);
       if (!upstream) continue;
       if (event.kind === LoadEventKind.Silent) {
-        const quietMs = nowMs - upstream.heardMs;
-        if (quietMs >= SILENT_HERE_MS) registry.onBroken(upstream, "silent");
+        const quietMs = nowMs - upstream.seenMs;
+        if (quietMs >= SILENT_HERE_MS) registry.onSilent(upstream);
         continue;
       }
       const key = `${member.host}:${event.call}`;
@@ -325,9 +325,11 @@
         registry.onSent(upstream, false);
       } else if (event.kind === LoadEventKind.FirstEvent) {
         upstream.model.onFirstEvent(key, nowMs);
+        registry.onSeen(upstream);
       } else {
         upstream.model.end(key, nowMs);
         if (event.end === CallEnd.Other) continue;
+        if (event.end === CallEnd.Whole) registry.onSeen(upstream);
         const weight = member.dataCentre === dataCentre
           ? 1
           : REMOTE_FAILURE_WEIGHT;
