--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -69,7 +69,7 @@
 /** Cost of each millisecond of less urgent prompts that wait there. */
 const WAITING_COST_SHARE = 0.5;
 /** Cost of the engine's time that goes into a prompt, beside the delay. */
-const READ_COST_SHARE = 0.6;
+const READ_COST_SHARE = 1.2;
 /** Time of an output token on an engine that reads no prompts, in ms. */
 const TOKEN_MS = 7;
 /** Cost of each millisecond by which prompts of others delay the output. */
