Refuse what comes late to a stopping VM

Change: behind the time for leaving, requests are refused as not run, with a short time to come back to another VM. The refusal for want of room names what decided it.

--- a/packages/router/src/create_placer.ts
+++ b/packages/router/src/create_placer.ts
@@ -290,12 +290,20 @@
     };
   }
 
-  function refusal(job: PlaceJob): TillerError {
+  function refusal(
+    job: PlaceJob,
+    choice?: EngineChoice<Candidate>,
+  ): TillerError {
     const list = registry.eligible(job.service.name);
     const kind = list.length === 0
       ? ErrorKind.NoUpstream
       : ErrorKind.Overloaded;
-    return new TillerError(kind, "no upstream has room in time", {
+    const predicted = choice
+      ? `, a first event predicted in ${Math.round(choice.predictedMs)} ms`
+      : "";
+    const detail = `no upstream has room in time: ${list.length} known, ` +
+      `${held.length} requests held${predicted}`;
+    return new TillerError(kind, detail, {
       retryAfterMs: retryAfterMs(job, list),
     });
   }
@@ -338,7 +346,7 @@
       choice.predictedMs;
     if (clock.now() < startMs) return undefined;
     const isLate = clock.now() > startMs + job.targetMs * LATE_SHARE;
-    return isLate ? refusal(job) : grant(job, choice);
+    return isLate ? refusal(job, choice) : grant(job, choice);
   }
 
   function look(): void {
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -62,6 +62,8 @@
   /** Serves one request to its final answer; never rejects. */
   serve(request: CallerRequest, answer: CallerAnswer): Promise<void>;
   openCount(): number;
+  /** Refuses all further requests: there is no time left to end them. */
+  startRefusing(): void;
 }
 
 /** A request on its way. */
@@ -93,6 +95,8 @@
 const MAX_UNSENT = 4;
 /** Time to come back after a refusal for want of configuration, in ms. */
 const NOT_READY_RETRY_MS = 400;
+/** Time to come back, to another VM, when this one is stopping, in ms. */
+const STOPPING_RETRY_MS = 50;
 /** Time to come back when an upstream said it was full, in ms. */
 const FULL_RETRY_MS = 250;
 /** Interval of looks at a call's silence, in milliseconds. */
@@ -117,6 +121,7 @@
   const { quarantine, retryBounds, vm, configuration, isCurrent } = options;
   const allowances = new Map<string, RetryAllowance>();
   let open = 0;
+  let isRefusing = false;
 
   function allowanceOf(service: string): RetryAllowance {
     let allowance = allowances.get(service);
@@ -128,6 +133,11 @@
 
   /** Finds route, service and account; throws the refusal. */
   function classify(request: CallerRequest) {
+    if (isRefusing) {
+      throw new TillerError(ErrorKind.Stopping, "this VM is stopping", {
+        retryAfterMs: STOPPING_RETRY_MS,
+      });
+    }
     const index = configuration();
     if (!index) {
       throw new TillerError(ErrorKind.NotReady, "no configuration is known", {
@@ -656,6 +666,9 @@
       }
     },
     openCount: () => open,
+    startRefusing() {
+      isRefusing = true;
+    },
   };
 }
 
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -453,6 +453,7 @@
       await new Promise<void>((resolve) => {
         clock.after(settings.leaveMs, () => {
           callers.stopListening();
+          requests.startRefusing();
           const cancel = repeat(clock, STOP_LOOK_MS, () => {
             const waitedMs = clock.now() - startedMs;
             const isDone = requests.openCount() === 0;
