--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -24,8 +24,10 @@
 import type { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { CallerAnswer, CallerRequest } from "./caller_answer.ts";
+import { chooseCopyHolder } from "./choose_copy_holder.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
+import { createCrashWatch } from "./create_crash_watch.ts";
 import type { Placement, Placer } from "./create_placer.ts";
 import type { Registry, Upstream } from "./create_registry.ts";
 import { AttemptResult, LogEvent, RouteKind } from "./enums.ts";
@@ -107,11 +109,6 @@
 const SILENCE_PAUSES = 3;
 /** Longer silence that counts though other VMs hear the upstream. */
 const SILENCE_HERE_FACTOR = 2.5;
-/** Largest copy of a call's memory that is worth its transfer, in bytes. */
-const MAX_COPY_BYTES = 64 * 1024 * 1024;
-/** Fewest output tokens for which a copy is kept. */
-const MIN_COPY_OUTPUT_TOKENS = 100;
-
 /** Creates the server of requests. */
 export function createRequestServer(
   options: RequestServerOptions,
@@ -119,6 +116,7 @@
   const { clock, log, metrics, protocol, registry, placer, pool, network } =
     options;
   const { quarantine, retryBounds, vm, configuration, isCurrent } = options;
+  const crashes = createCrashWatch({ clock, log, quarantine, network });
   const allowances = new Map<string, RetryAllowance>();
   let open = 0;
   let isRefusing = false;
@@ -235,33 +233,6 @@
     }, state.signal);
   }
 
-  /** Chooses who keeps a copy of a long, small stream that can't be resumed. */
-  function chooseCopyHolder(
-    state: RequestState,
-    upstream: Upstream,
-  ): Upstream | undefined {
-    const { engine } = state.service;
-    const { prompt } = state.request.facts;
-    if (!engine?.keepsCopies || !prompt || isRepeatable(state.route)) {
-      return undefined;
-    }
-    if (prompt.outputTokens < MIN_COPY_OUTPUT_TOKENS) return undefined;
-    const tokens = prompt.promptTokens + prompt.outputTokens;
-    if (tokens * engine.bytesPerToken > MAX_COPY_BYTES) return undefined;
-    let best: Upstream | undefined;
-    let bestCost = Infinity;
-    for (const other of registry.eligible(state.service.name)) {
-      if (other === upstream || other.coldUntilMs > clock.now()) continue;
-      const isFar = other.entry.dataCentre !== upstream.entry.dataCentre;
-      const cost = other.model.memoryTokens() / engine.memoryTokens +
-        (isFar ? 0.2 : 0);
-      if (cost >= bestCost) continue;
-      bestCost = cost;
-      best = other;
-    }
-    return best;
-  }
-
   function addressOf({ entry }: Upstream): string {
     return `${entry.host}:${entry.port}`;
   }
@@ -285,7 +256,14 @@
         retryAfterMs: FULL_RETRY_MS,
       });
     }
-    const holder = copyFrom ? undefined : chooseCopyHolder(state, upstream);
+    const holder = copyFrom || isRepeatable(state.route)
+      ? undefined
+      : chooseCopyHolder(upstream, {
+        engine: state.service.engine,
+        prompt: facts.prompt,
+        others: registry.eligible(state.service.name),
+        nowMs: clock.now(),
+      });
     const headers = [
       ...facts.forwarded,
       ...protocol.callHeaders({
@@ -386,50 +364,20 @@
     );
     if (result === AttemptResult.Unsent) {
       registry.onBroken(upstream, "no connection");
-      confirmCrashes(upstream);
+      crashes.onUnreachable(upstream);
       state.tried.add(upstream.entry.id);
     }
     if (result === AttemptResult.Broken) {
-      noteCrash(state, placement);
+      crashes.onBroken(upstream, {
+        fingerprint: state.fingerprint,
+        crash: `${vm}/${placement.call}`,
+      });
     }
     if (result !== AttemptResult.Unsent && result !== AttemptResult.NotRun) {
       state.mayHaveRun = true;
     }
   }
 
-  /** Breaks that count as a crash once the upstream proves to be down. */
-  const suspects = new Map<Upstream, SuspectedCrash[]>();
-
-  function noteCrash(state: RequestState, placement: Placement): void {
-    const { upstream, call } = placement;
-    const list = suspects.get(upstream) ?? [];
-    const nowMs = clock.now();
-    const recent = list.filter(({ atMs }) => nowMs - atMs < CRASH_SPAN_MS);
-    recent.push({
-      fingerprint: state.fingerprint,
-      crash: `${vm}/${call}`,
-      atMs: nowMs,
-    });
-    suspects.set(upstream, recent);
-    if (upstream.downUntilMs > nowMs) confirmCrashes(upstream);
-  }
-
-  function confirmCrashes(upstream: Upstream): void {
-    const nowMs = clock.now();
-    for (const { fingerprint, crash, atMs } of suspects.get(upstream) ?? []) {
-      if (nowMs - atMs > CRASH_SPAN_MS) continue;
-      quarantine.onCrash(crash, [fingerprint]);
-      network.tell({ kind: LoadEventKind.Crashed, fingerprint, crash });
-      log.warn(LogEvent.RequestCrashedUpstream, {
-        fingerprint,
-        crash,
-        upstream: upstream.entry.id,
-        state: quarantine.stateOf(fingerprint),
-      });
-    }
-    suspects.delete(upstream);
-  }
-
   /**
    * Watches a call for silence: an upstream that says nothing at all gets no
    * new calls, and a call that can be mended goes on elsewhere.
@@ -672,16 +620,6 @@
   };
 }
 
-/** A broken call of which it is not known yet whether it broke the upstream. */
-interface SuspectedCrash {
-  fingerprint: string;
-  crash: string;
-  atMs: number;
-}
-
-/** Time within which an upstream that broke proves to be down, in ms. */
-const CRASH_SPAN_MS = 2000;
-
 function timeUp(wasSent: boolean): TillerError {
   if (!wasSent) {
     return new TillerError(ErrorKind.Overloaded, "no upstream in time", {
