Revert the summary of far engines' load

Tried: beats with calls, waiting prompts and memory of the engines beside the sender, and spill of what has to wait to far engines with room.

Many VMs see the same engine idle for half a second, and the summary does not tell of the label streams there.

Conclusion: near engines first, as before; a spill needs a share of the far room for each VM.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -97,7 +97,7 @@
   /** Hosts to begin with; they may be away. */
   seeds(): readonly string[];
   /** State to tell in each beat. */
-  describe(): Pick<Beat, "revision" | "confirmedAgeMs" | "calls" | "loads">;
+  describe(): Pick<Beat, "revision" | "confirmedAgeMs" | "calls">;
 }
 
 const packr = new Packr({ useRecords: false });
@@ -236,7 +236,6 @@
           confirmedAgeMs: Infinity,
           members: [],
           calls: [],
-          loads: [],
         },
       };
       members.set(from, member);
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -92,11 +92,6 @@
   members: string[];
   /** The sender's calls: upstream and call numbers. */
   calls: [string, number[]][];
-  /**
-   * Load of the upstreams beside the sender, for VMs elsewhere that are not
-   * told of each call: upstream, calls, waiting and memory tokens.
-   */
-  loads: [string, number, number, number][];
 }
 
 /** Changes that a reader passes on as it hears of them. */
@@ -135,7 +130,6 @@
   "confirmedAgeMs",
   "members",
   "calls",
-  "loads",
 ];
 
 /** Encodes without field names, which would be most of a datagram. */
--- a/packages/router/src/create_placer.ts
+++ b/packages/router/src/create_placer.ts
@@ -130,28 +130,20 @@
       }
       list.push(upstream);
     }
-    return list;
+    return isLarge && job.service.engine ? nearest(list) : list;
   }
 
   /**
-   * Chooses an upstream. In a large fleet the load of engines beside this VM
-   * is known and that of others only in short: they take what has to wait.
+   * Of a large fleet's engines, the load of those beside this VM is known; the
+   * others look idle whatever they hold, and are used for want of any near.
    */
-  function choose(job: PlaceJob): EngineChoice<Candidate> | undefined {
-    const list = candidates(job);
-    if (!network.isLarge() || !job.service.engine) return chooseOf(job, list);
+  function nearest(list: Upstream[]): Upstream[] {
     const near = list.filter((one) => one.entry.dataCentre === dataCentre);
-    const nearest = chooseOf(job, near);
-    if (nearest && !nearest.mustWait) return nearest;
-    const far = list.filter((one) => one.entry.dataCentre !== dataCentre);
-    const farthest = chooseOf(job, far);
-    return farthest && !farthest.mustWait ? farthest : nearest ?? farthest;
+    return near.length > 0 ? near : list;
   }
 
-  function chooseOf(
-    job: PlaceJob,
-    list: readonly Upstream[],
-  ): EngineChoice<Candidate> | undefined {
+  function choose(job: PlaceJob): EngineChoice<Candidate> | undefined {
+    const list = candidates(job);
     const { engine } = job.service;
     if (!engine || !job.prompt) return choosePlain(list);
     const size = { slots: engine.slots, memoryTokens: engine.memoryTokens };
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -152,7 +152,6 @@
       revision: published.head(),
       confirmedAgeMs: Math.round(clock.now() - confirmedMs),
       calls: placer.ownCalls(),
-      loads: describeLoads(),
     }),
   });
   const placer = createPlacer({ clock, registry, network, dataCentre });
@@ -260,7 +259,6 @@
 
   function onBeat(member: Member): void {
     const { beat, host } = member;
-    takeLoads(member);
     for (const upstream of registry.all()) {
       const keys = new Set<string>();
       const calls = beat.calls.find(([id]) => id === upstream.entry.id);
@@ -273,29 +271,6 @@
     if (beat.revision > published.head() && !pulling) pull(member);
   }
 
-  /** Loads beside this VM, where the others are not told of each call. */
-  function describeLoads(): Member["beat"]["loads"] {
-    if (!network.isLarge()) return [];
-    const nowMs = clock.now();
-    const loads: Member["beat"]["loads"] = [];
-    for (const { entry, model } of registry.all()) {
-      if (entry.dataCentre !== dataCentre) continue;
-      const { calls, waitingTokens, memoryTokens } = model.summary(nowMs);
-      loads.push([entry.id, calls, waitingTokens, memoryTokens]);
-    }
-    return loads;
-  }
-
-  function takeLoads({ beat }: Member): void {
-    if (!network.isLarge() || beat.dataCentre === dataCentre) return;
-    for (const [id, calls, waitingTokens, memoryTokens] of beat.loads) {
-      registry.find(id)?.model.setSummary(
-        { calls, waitingTokens, memoryTokens },
-        clock.now(),
-      );
-    }
-  }
-
   function pull(member: Member): void {
     pulling = true;
     // The platform's own answer usually comes first.
