--- /dev/null
+++ b/packages/router/src/create_router_test.ts
@@ -0,0 +1,53 @@
+import { createFakeClock } from "@rosemarytiller/shared";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRouter, type RouterSettings } from "./create_router.ts";
+import { createSilentLog } from "./event_log.ts";
+
+const ADDRESS = { host: "127.0.0.1", port: 0 };
+
+const SETTINGS: RouterSettings = {
+  vm: "vm-1",
+  dataCentre: "north",
+  callers: ADDRESS,
+  ready: ADDRESS,
+  peers: ADDRESS,
+  metrics: ADDRESS,
+  seeds: [],
+  retries: { ratio: 0.2, slack: 50, windowMs: 10_000 },
+  leaveMs: 100,
+  stopGraceMs: 1000,
+  entriesBackMs: 300,
+  staleMs: 4000,
+};
+
+function createTestRouter() {
+  return createRouter({
+    clock: createFakeClock(),
+    log: createSilentLog(),
+    settings: SETTINGS,
+    protocol: {
+      readRequest: () => {
+        throw new Error("no request is expected");
+      },
+      callHeaders: () => [],
+      readAnswer: () => {
+        throw new Error("no answer is expected");
+      },
+    },
+    decode: () => undefined,
+    source: { start() {}, stop() {} },
+  });
+}
+
+test("a reload takes over seeds and times, and names what needs a restart", () => {
+  const router = createTestRouter();
+  const changed = { ...SETTINGS, seeds: ["127.0.0.2"], staleMs: 9000 };
+  assert.deepEqual(router.reload(changed), []);
+  const moved = { ...changed, callers: { host: "127.0.0.1", port: 9 } };
+  assert.deepEqual(router.reload(moved), ["callers"]);
+});
+
+test("a reload without a change needs nothing", () => {
+  assert.deepEqual(createTestRouter().reload({ ...SETTINGS }), []);
+});
