--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -84,7 +84,6 @@
   presentCount(): number;
   /** VMs heard within `FORGET_MS`, this one included. */
   knownCount(): number;
-  present(): Member[];
   close(): void;
 }
 
@@ -116,7 +115,7 @@
   let beatTimer: (() => void) | undefined;
   let listener: PeerListener | undefined;
   let socket: Socket | undefined;
-
+  /** Counts through the far members, which get beats by turns. */
   let farTurn = 0;
 
   const isLarge = () => members.size > MAX_FULL_MEMBERS;
@@ -335,14 +334,6 @@
     },
     presentCount: () => presentHosts.size + 1,
     knownCount: () => members.size + 1,
-    present() {
-      const list: Member[] = [];
-      for (const name of presentHosts) {
-        const member = members.get(name);
-        if (member) list.push(member);
-      }
-      return list;
-    },
     close() {
       beatTimer?.();
       gatherTimer?.();
--- a/packages/peers/src/exchange_published.ts
+++ b/packages/peers/src/exchange_published.ts
@@ -1,5 +1,5 @@
 import { Packr } from "msgpackr";
-import type { Buffer } from "node:buffer";
+import { Buffer } from "node:buffer";
 import { type IncomingMessage, request, type ServerResponse } from "node:http";
 import type {
   PublishedChanges,
@@ -35,13 +35,12 @@
       port: peer.port,
       path: `${PUBLISHED_PATH}?after=${after}`,
       agent: false,
-      timeout: PULL_TIMEOUT_MS,
     }, (answer) => {
       const chunks: Buffer[] = [];
       answer.on("data", (chunk: Buffer) => chunks.push(chunk));
       answer.on("end", () => {
         try {
-          resolve(packr.unpack(globalThis.Buffer.concat(chunks)));
+          resolve(packr.unpack(Buffer.concat(chunks)));
         } catch (error) {
           reject(error);
         }
--- a/packages/policy/src/choose_engine_test.ts
+++ b/packages/policy/src/choose_engine_test.ts
@@ -98,7 +98,7 @@
 
 test("hot key: a session's prompt waits for the engine that has it", () => {
   const engines = createEngines(2);
-  engines[0]!.model.remember([{ id: "session", tokens: 6000 }], 0);
+  engines[0]!.model.remember([{ id: "session", tokens: 6000 }]);
   start(engines[0]!.model, "a", { tokens: 4500 });
   const ask = askFor(CallRank.Loose, 6000, "session");
   const choice = chooseEngine(ask, engines, { speed: SPEED, nowMs: 0 });
@@ -108,7 +108,7 @@
 
 test("hot key: its engine is left once waiting costs more than reading", () => {
   const engines = createEngines(2);
-  engines[0]!.model.remember([{ id: "session", tokens: 3000 }], 0);
+  engines[0]!.model.remember([{ id: "session", tokens: 3000 }]);
   start(engines[0]!.model, "a", { tokens: 30_000 });
   const ask = askFor(CallRank.Loose, 3000, "session");
   const choice = chooseEngine(ask, engines, { speed: SPEED, nowMs: 0 });
--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -46,8 +46,6 @@
   end(key: string, nowMs: number): void;
   /** Forgets the calls of `owner` that are not among `keys`. */
   reconcile(owner: string, keys: ReadonlySet<string>): void;
-  /** Forgets calls and cache, as after a restart. */
-  reset(): void;
   /** Prompt tokens still to be read of calls as urgent or more. */
   waitingTokens(urgency: number, nowMs: number): number;
   /** Calls that run or wait. */
@@ -59,7 +57,7 @@
   /** Share of the last while in which it read prompts, 0 to 1. */
   readingShare(nowMs: number): number;
   /** Notes that the engine reads these parts. */
-  remember(parts: readonly PromptPart[], nowMs: number): void;
+  remember(parts: readonly PromptPart[]): void;
   /** Tokens of the leading parts that are believed to be cached. */
   cachedTokens(parts: readonly PromptPart[]): number;
 }
@@ -154,12 +152,6 @@
         if (key.startsWith(owner) && !keys.has(key)) drop(key);
       }
     },
-    reset() {
-      calls.clear();
-      cache.clear();
-      cacheTokens = 0;
-      heldMemory = 0;
-    },
     waitingTokens(urgency, nowMs) {
       drain(nowMs);
       let tokens = 0;
--- a/packages/policy/src/create_engine_model_test.ts
+++ b/packages/policy/src/create_engine_model_test.ts
@@ -41,16 +41,16 @@
   const model = createEngineModel(SIZE, SPEED);
   const first = { id: "a", tokens: 400 };
   const second = { id: "b", tokens: 300 };
-  model.remember([second], 0);
+  model.remember([second]);
   assert.equal(model.cachedTokens([first, second]), 0);
-  model.remember([first], 0);
+  model.remember([first]);
   assert.equal(model.cachedTokens([first, second]), 700);
 });
 
 test("the least recently used parts give way", () => {
   const model = createEngineModel(SIZE, SPEED);
   for (const id of ["a", "b", "a", "c"]) {
-    model.remember([{ id, tokens: 4000 }], 0);
+    model.remember([{ id, tokens: 4000 }]);
   }
   assert.equal(model.cachedTokens([{ id: "b", tokens: 4000 }]), 0);
   assert.equal(model.cachedTokens([{ id: "a", tokens: 4000 }]), 4000);
@@ -58,8 +58,8 @@
 
 test("memory of running calls leaves less for the cache", () => {
   const model = createEngineModel(SIZE, SPEED);
-  model.remember([{ id: "a", tokens: 4000 }], 0);
+  model.remember([{ id: "a", tokens: 4000 }]);
   model.start("big", work(8000), 0);
-  model.remember([{ id: "b", tokens: 100 }], 0);
+  model.remember([{ id: "b", tokens: 100 }]);
   assert.equal(model.cachedTokens([{ id: "a", tokens: 4000 }]), 0);
 });
--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -10,8 +10,6 @@
   /** Whether the other side reset the connection. */
   wasReset: boolean;
   isClosed: boolean;
-  /** Calls that it has carried. */
-  callCount: number;
   idleSinceMs: number;
   /** Time after which the upstream closes it when idle, in milliseconds. */
   idleLimitMs: number;
@@ -60,7 +58,6 @@
       client: undefined as unknown as UndiciClient,
       wasReset: false,
       isClosed: false,
-      callCount: 0,
       idleSinceMs: clock.now(),
       idleLimitMs: DEFAULT_IDLE_MS,
     };
--- a/packages/router/src/create_placer.ts
+++ b/packages/router/src/create_placer.ts
@@ -230,7 +230,7 @@
       maxPauseMs: job.maxPauseMs,
     };
     upstream.model.start(key, work, nowMs);
-    upstream.model.remember(parts, nowMs);
+    upstream.model.remember(parts);
     registry.onSent(upstream, true);
     let calls = own.get(id);
     if (!calls) own.set(id, calls = new Set());
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -32,6 +32,8 @@
   recentSends: number[];
   /** Time from which this VM may send its next call to it while cold. */
   coldTurnMs: number;
+  /** Time between two such calls, in milliseconds. */
+  coldGapMs: number;
 }
 
 /** The upstreams that are known. */
@@ -83,7 +85,6 @@
   const { clock, log } = options;
   const upstreams = new Map<string, Upstream>();
   const outDataCentres = new Set<string>();
-  const coldGaps = new WeakMap<Upstream, number>();
   const speeds = new Map<string, SpeedEstimate>();
   let findService: (name: string) => ServiceDefinition | undefined = () =>
     undefined;
@@ -113,6 +114,7 @@
       lapsedUntilMs: undefined,
       recentSends: [],
       coldTurnMs: 0,
+      coldGapMs: COLD_SPAN_MS,
     };
   }
 
@@ -141,11 +143,6 @@
     return true;
   }
 
-  /** Time between two calls of this VM to a cold upstream, in ms. */
-  function coldGapMs(upstream: Upstream): number {
-    return coldGaps.get(upstream) ?? COLD_SPAN_MS;
-  }
-
   function countRecent(times: number[]): number {
     const since = clock.now() - COLD_SPAN_MS;
     while (times.length > 0 && times[0]! <= since) times.shift();
@@ -260,7 +257,7 @@
         return;
       }
       upstream.recentSends.push(nowMs);
-      if (isOwn) upstream.coldTurnMs = nowMs + coldGapMs(upstream);
+      if (isOwn) upstream.coldTurnMs = nowMs + upstream.coldGapMs;
     },
     admitsCold(upstream, vms) {
       const nowMs = clock.now();
@@ -269,10 +266,9 @@
       if (perSecond <= 0) return true;
       if (countRecent(upstream.recentSends) >= perSecond) return false;
       const sharers = vms > 1 ? vms : ASSUMED_VMS;
-      const gapMs = COLD_SPAN_MS * sharers / perSecond;
-      coldGaps.set(upstream, gapMs);
+      upstream.coldGapMs = COLD_SPAN_MS * sharers / perSecond;
       // The first turns of all VMs are spread over the gap.
-      upstream.coldTurnMs ||= nowMs + Math.random() * gapMs;
+      upstream.coldTurnMs ||= nowMs + Math.random() * upstream.coldGapMs;
       return nowMs >= upstream.coldTurnMs;
     },
   };
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -94,7 +94,7 @@
 test("an upstream that starts anew under its identifier is a new one", () => {
   const { registry } = createTestRegistry();
   registry.set("u", entryOf({ bornMs: 1 }));
-  registry.find("u")!.model.remember([{ id: "part", tokens: 9 }], 0);
+  registry.find("u")!.model.remember([{ id: "part", tokens: 9 }]);
   registry.set("u", entryOf({ bornMs: 2 }));
   const { model } = registry.find("u")!;
   assert.equal(model.cachedTokens([{ id: "part", tokens: 9 }]), 0);
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -109,6 +109,7 @@
 const SILENCE_PAUSES = 3;
 /** Longer silence that counts though other VMs hear the upstream. */
 const SILENCE_HERE_FACTOR = 2.5;
+
 /** Creates the server of requests. */
 export function createRequestServer(
   options: RequestServerOptions,
@@ -436,7 +437,7 @@
       });
       const ended = await attempt(state, placement);
       if (ended.result === AttemptResult.Whole) {
-        if (await isRetriedAfterError(state, ended.status)) continue;
+        if (isRetriedAfterError(state, ended.status)) continue;
         deliver(state, ended);
         return;
       }
@@ -467,11 +468,12 @@
   }
 
   function mayRepeat(state: RequestState): boolean {
-    if (state.sends >= state.route.maxAttempts) return false;
-    return allowanceOf(state.service.name).spend(
-      clock.now(),
-      network.knownCount(),
-    );
+    return state.sends < state.route.maxAttempts && spendRepeat(state);
+  }
+
+  /** Takes one repeat out of this VM's allowance for the service. */
+  function spendRepeat({ service }: RequestState): boolean {
+    return allowanceOf(service.name).spend(clock.now(), network.knownCount());
   }
 
   /** An upstream's own failure is tried elsewhere where that is allowed. */
@@ -485,11 +487,7 @@
     const { holder, call } = state.copy!;
     state.copy = undefined;
     if (!registry.find(holder.entry.id)) return false;
-    if (
-      !allowanceOf(state.service.name).spend(clock.now(), network.knownCount())
-    ) {
-      return false;
-    }
+    if (!spendRepeat(state)) return false;
     const placement = placer.placeAt(holder, {
       service: state.service,
       urgency: state.urgency,
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -320,7 +320,6 @@
         upstream.model.start(key, event, nowMs);
         upstream.model.remember(
           event.parts.map(([id, tokens]) => ({ id, tokens })),
-          nowMs,
         );
         registry.onSent(upstream, false);
       } else if (event.kind === LoadEventKind.FirstEvent) {
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -32,7 +32,6 @@
   Answered = "answered",
   Cut = "cut",
   CallerLeft = "caller-left",
-  LinesDropped = "lines-dropped",
   Failure = "failure",
 }
 
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -157,8 +157,6 @@
   id: string | undefined;
   /** The upstream did not run the request and never will. */
   isNotRun: boolean;
-  /** The address belongs to another upstream by now. */
-  isOtherUpstream: boolean;
   /** Bears the mark of an upstream's own answer. */
   isSealed: boolean;
   /** How much longer the upstream stays cold, in milliseconds. */
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -41,7 +41,7 @@
 export interface AttemptEnd {
   result: AttemptResult;
   status: number;
-  /** Headers for the caller, names and values by turns. */
+  /** Headers for the caller by turns with values; none once a stream began. */
   headers: string[];
   /** Body of an answer that is not streamed. */
   body: Buffer;
@@ -187,7 +187,9 @@
       resolveEnd({
         result,
         status: head?.status ?? 0,
-        headers: head ? endToEndHeaders(head.rawHeaders) : [],
+        headers: head && !stream.isBegun
+          ? endToEndHeaders(head.rawHeaders)
+          : [],
         body: Buffer.concat(chunks),
         reason: reason || end.reason,
         isReusable: end.isWhole && reason === "",
--- a/packages/router/src/send_attempt.ts
+++ b/packages/router/src/send_attempt.ts
@@ -55,7 +55,6 @@
     listener.onEnd({ isWhole, wasSent, reason });
   }
 
-  connection.callCount++;
   connection.client.dispatch({
     method: call.method as Dispatcher.HttpMethod,
     path: call.path,
