Take a request's run state from its sends alone

Cause: the refusals of the placer and of a missing connection did not look at earlier attempts, so a repeatable request whose first attempt broke was told not-run with 429; a request that was held after a refusal as unrun was told that it may have run when its time was up. Ruled out: requests that may not be repeated; they are placed again only when unsent or refused as unrun. Change: a request counts its sends that no upstream declared unrun, and the one place that gives the final answer sets the run state from that count. A refusal after such a send becomes outcome-unknown and keeps its time to come back. Conclusion: not-run is said only where no send can have run.

--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -15,6 +15,7 @@
 } from "@rosemarytiller/policy";
 import {
   type Clock,
+  ERROR_ANSWERS,
   ErrorKind,
   repeat,
   RunState,
@@ -87,7 +88,8 @@
   tried: Set<string>;
   /** Sends so far; each may have run. */
   sends: number;
-  mayHaveRun: boolean;
+  /** Sends that no upstream has declared unrun. */
+  possibleRuns: number;
   stream: StreamState;
   /** Upstream that keeps a copy of the running call, with its name. */
   copy: { holder: Upstream; call: string } | undefined;
@@ -209,7 +211,7 @@
       abort: () => controller.abort(),
       tried: new Set(),
       sends: 0,
-      mayHaveRun: false,
+      possibleRuns: 0,
       stream: {
         isStream: route.kind === RouteKind.Stream,
         lastEventId: facts.lastEventId,
@@ -297,6 +299,7 @@
           allowanceOf(state.service.name).onFirstSend(clock.now());
         }
         state.sends++;
+        state.possibleRuns++;
         state.tried.add(entry.id);
       },
     });
@@ -374,9 +377,7 @@
         crash: `${vm}/${placement.call}`,
       });
     }
-    if (result !== AttemptResult.Unsent && result !== AttemptResult.NotRun) {
-      state.mayHaveRun = true;
-    }
+    if (result === AttemptResult.NotRun) state.possibleRuns--;
   }
 
   /**
@@ -443,12 +444,12 @@
       }
       if (ended.result === AttemptResult.Aborted) return;
       if (ended.result === AttemptResult.Unsent) {
-        if (++unsent >= MAX_UNSENT) throw unreachable(state);
+        if (++unsent >= MAX_UNSENT) throw unreachable();
         continue;
       }
       if (ended.result === AttemptResult.NotRun) {
         if (mayRepeat(state)) continue;
-        throw refusedByUpstream(state);
+        throw refusedByUpstream();
       }
       if (state.copy && state.stream.isBegun) {
         if (await resumeFromCopy(state)) return;
@@ -461,9 +462,7 @@
         });
         continue;
       }
-      throw new TillerError(ErrorKind.OutcomeUnknown, ended.reason, {
-        run: RunState.MayHaveRun,
-      });
+      throw new TillerError(ErrorKind.OutcomeUnknown, ended.reason);
     }
   }
 
@@ -512,28 +511,6 @@
     return true;
   }
 
-  function unreachable(state: RequestState): TillerError {
-    return new TillerError(
-      state.mayHaveRun ? ErrorKind.OutcomeUnknown : ErrorKind.NoUpstream,
-      "no upstream could be reached",
-      {
-        run: state.mayHaveRun ? RunState.MayHaveRun : RunState.NotRun,
-        retryAfterMs: FULL_RETRY_MS,
-      },
-    );
-  }
-
-  function refusedByUpstream(state: RequestState): TillerError {
-    return new TillerError(
-      state.mayHaveRun ? ErrorKind.OutcomeUnknown : ErrorKind.Overloaded,
-      "the upstream took no more requests",
-      {
-        run: state.mayHaveRun ? RunState.MayHaveRun : RunState.NotRun,
-        retryAfterMs: FULL_RETRY_MS * (0.5 + Math.random()),
-      },
-    );
-  }
-
   function deliver(
     state: RequestState,
     ended: { status: number; headers: string[]; body: Buffer },
@@ -560,11 +537,12 @@
   /** Gives the final answer to a request that has failed. */
   function fail(
     state: RequestState | undefined,
-    error: TillerError,
+    cause: TillerError,
     target: { answer: CallerAnswer; id: string },
   ): void {
     const { answer, id } = target;
     if (answer.isGone()) return;
+    const error = state ? withRunState(state, cause) : cause;
     const isBegun = state?.stream.isBegun ?? false;
     log.warn(isBegun ? LogEvent.Cut : LogEvent.Refused, {
       id,
@@ -597,8 +575,7 @@
         });
         cancelGiveUp = clock.after(current.giveUpMs - clock.now(), () => {
           if (answer.isGone()) return;
-          const sent = current.sends > 0;
-          fail(current, timeUp(sent), { answer, id });
+          fail(current, timeUp(current), { answer, id });
           current.abort();
         });
         await run(current);
@@ -618,17 +595,51 @@
   };
 }
 
-function timeUp(wasSent: boolean): TillerError {
-  if (!wasSent) {
-    return new TillerError(ErrorKind.Overloaded, "no upstream in time", {
-      retryAfterMs: FULL_RETRY_MS,
-    });
+function unreachable(): TillerError {
+  return new TillerError(
+    ErrorKind.NoUpstream,
+    "no upstream could be reached",
+    { retryAfterMs: FULL_RETRY_MS },
+  );
+}
+
+function refusedByUpstream(): TillerError {
+  return new TillerError(
+    ErrorKind.Overloaded,
+    "the upstream took no more requests",
+    { retryAfterMs: FULL_RETRY_MS * (0.5 + Math.random()) },
+  );
+}
+
+function timeUp({ possibleRuns }: RequestState): TillerError {
+  if (possibleRuns > 0) {
+    return new TillerError(ErrorKind.DeadlineExceeded, "the time is up");
   }
-  return new TillerError(ErrorKind.DeadlineExceeded, "the time is up", {
-    run: RunState.MayHaveRun,
+  return new TillerError(ErrorKind.Overloaded, "no upstream in time", {
+    retryAfterMs: FULL_RETRY_MS,
   });
 }
 
+/**
+ * The error as the caller is told: only a request that no upstream can have
+ * run is called unrun, whatever ended it.
+ */
+function withRunState(state: RequestState, error: TillerError): TillerError {
+  if (state.possibleRuns === 0) return error;
+  const { kind, message, retryAfterMs } = error;
+  const isRefusal = ERROR_ANSWERS[kind].retryable &&
+    kind !== ErrorKind.DeadlineExceeded;
+  return new TillerError(
+    isRefusal ? ErrorKind.OutcomeUnknown : kind,
+    message,
+    {
+      run: RunState.MayHaveRun,
+      cause: error,
+      ...(retryAfterMs !== undefined && { retryAfterMs }),
+    },
+  );
+}
+
 /** Draws one of a route's services by weight. */
 function chooseTarget(route: Route): string {
   let sum = 0;
