--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -37,6 +37,17 @@
   onFirstEvent(urgency: number, ms: number): void;
   onRefusal(kind: ErrorKind): void;
   text(): Promise<string>;
+  /** All metrics by name, for the documentation. */
+  list(): Promise<MetricDescription[]>;
+}
+
+/** What a metric is called and counts. */
+export interface MetricDescription {
+  name: string;
+  /** `counter`, `gauge` or `histogram`. */
+  type: string;
+  help: string;
+  labels: string[];
 }
 
 /** The metrics once their library has been loaded. */
@@ -85,39 +96,49 @@
     },
     onRefusal: (kind) => record(({ refusals }) => refusals.inc({ kind })),
     text: async () => (await load()).registry.metrics(),
+    list: async () => (await load()).descriptions,
   };
 }
 
+interface MetricSettings {
+  name: string;
+  help: string;
+  labelNames?: readonly string[];
+}
+
 async function loadMetrics(gauges: RouterGauges) {
   const { Counter, Gauge, Histogram, Registry } = await import("prom-client");
   const registry = new Registry();
-  const registers = [registry];
-  const answers = new Histogram({
+  const descriptions: MetricDescription[] = [];
+
+  /** Adds a metric to the registry's list and returns its settings. */
+  function describe<T extends MetricSettings>(type: string, settings: T) {
+    const { name, help, labelNames = [] } = settings;
+    descriptions.push({ name, type, help, labels: [...labelNames] });
+    return { ...settings, registers: [registry] };
+  }
+  const answers = new Histogram(describe("histogram", {
     name: "rosemarytiller_answer_seconds",
     help: "Time from a request's arrival to the end of its answer.",
-    labelNames: ["kind", "status"],
+    labelNames: ["kind", "status"] as const,
     buckets: LATENCY_BUCKETS,
-    registers,
-  });
-  const attempts = new Counter({
+  }));
+  const attempts = new Counter(describe("counter", {
     name: "rosemarytiller_attempts_total",
     help: "Calls to upstreams by service and result.",
-    labelNames: ["service", "result"],
-    registers,
-  });
-  const firstEvents = new Histogram({
+    labelNames: ["service", "result"] as const,
+  }));
+  const firstEvents = new Histogram(describe("histogram", {
     name: "rosemarytiller_first_event_seconds",
     help: "Time from the start of a call to its first event.",
-    labelNames: ["urgency"],
+    labelNames: ["urgency"] as const,
     buckets: LATENCY_BUCKETS,
-    registers,
-  });
-  const refusals = new Counter({
+  }));
+  const refusals = new Counter(describe("counter", {
     name: "rosemarytiller_refusals_total",
     help: "Requests that ended with an error of this system by kind.",
-    labelNames: ["kind"],
-    registers,
-  });
+    labelNames: ["kind"] as const,
+  }));
   const readings: [string, string, () => number][] = [
     ["open_requests", "Requests in progress.", gauges.openRequests],
     ["held_requests", "Requests that wait for room.", gauges.heldRequests],
@@ -127,14 +148,16 @@
     ["log_lines_dropped", "Log lines left out.", gauges.droppedLines],
   ];
   for (const [name, help, read] of readings) {
-    new Gauge({
+    const settings = describe("gauge", {
       name: `rosemarytiller_${name}`,
       help,
-      registers,
+    });
+    new Gauge({
+      ...settings,
       collect() {
         this.set(read());
       },
     });
   }
-  return { registry, answers, attempts, firstEvents, refusals };
+  return { registry, descriptions, answers, attempts, firstEvents, refusals };
 }
--- a/packages/sessions/src/docs_test.ts
+++ b/packages/sessions/src/docs_test.ts
@@ -6,6 +6,10 @@
   LOG_PREFIXES,
 } from "@rosemarytiller/shared";
 import assert from "node:assert/strict";
+import {
+  formatRouterMetrics,
+  ROUTER_METRICS_HEADING,
+} from "./format_router_metrics.ts";
 import { readdir, readFile } from "node:fs/promises";
 import { test } from "node:test";
 
@@ -41,10 +45,20 @@
 });
 
 test("docs/METRICS.md has each metric", async () => {
-  const rows = readRows(await readPage("METRICS.md"));
+  const [statsd = ""] = (await readPage("METRICS.md"))
+    .split(ROUTER_METRICS_HEADING);
+  const rows = readRows(statsd);
   assert.deepEqual([...rows.keys()].sort(), Object.values(MetricName).sort());
 });
 
+test("docs/METRICS.md has the router's metrics; `npm run metrics` writes them", async () => {
+  const [, written = ""] = (await readPage("METRICS.md"))
+    .split(ROUTER_METRICS_HEADING);
+  const [, expected = ""] = (await formatRouterMetrics())
+    .split(ROUTER_METRICS_HEADING);
+  assert.deepEqual(readRows(written), readRows(expected));
+});
+
 test("docs/LOGS.md has each prefix", async () => {
   const rows = readRows(await readPage("LOGS.md"));
   const prefixes = Object.values(LOG_PREFIXES).map((prefix) => `[${prefix}]`);
