Beat no more once the peer network is closed; encode load events once

Cause: a greeting that was due when the network closed armed the beat's timer again, so a test process that closed its networks never ended; a router's process exits by itself and was not affected. Change: a beat without a socket does nothing. Load events are parted into datagrams by one function, on their encoded form.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -137,6 +137,8 @@
 
   function beat(): void {
     beatTimer?.();
+    // A greeting may still be due when the network is closed.
+    if (!socket) return;
     beatTimer = clock.after(beatMs(), beat);
     sweep();
     const state = { dataCentre, members: [...presentHosts], ...describe() };
@@ -202,22 +204,11 @@
     gathered.clear();
   }
 
-  /** Sends events in datagrams that pass any link unsplit. */
   function sendEvents(place: string, events: readonly LoadEvent[]): void {
     const hosts = [...hostsOf(place)];
-    let batch: unknown[][] = [];
-    let bytes = 0;
-    for (const event of events.map(encodeLoadEvent)) {
-      const size = packr.pack(event).length;
-      if (bytes + size > MAX_DATAGRAM_BYTES && batch.length > 0) {
-        send([PeerMessageKind.Load, run, batch], hosts);
-        batch = [];
-        bytes = 0;
-      }
-      batch.push(event);
-      bytes += size;
+    for (const batch of inDatagrams(events.map(encodeLoadEvent))) {
+      send([PeerMessageKind.Load, run, batch], hosts);
     }
-    if (batch.length > 0) send([PeerMessageKind.Load, run, batch], hosts);
   }
 
   function meet(from: string, messageRun: number): Member {
@@ -342,3 +333,20 @@
     },
   };
 }
+
+/** Parts a list so that each part passes any link in one datagram. */
+function* inDatagrams<T>(items: readonly T[]): Iterable<T[]> {
+  let batch: T[] = [];
+  let bytes = 0;
+  for (const item of items) {
+    const size = packr.pack(item).length;
+    if (bytes + size > MAX_DATAGRAM_BYTES && batch.length > 0) {
+      yield batch;
+      batch = [];
+      bytes = 0;
+    }
+    batch.push(item);
+    bytes += size;
+  }
+  if (batch.length > 0) yield batch;
+}
