--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -1,46 +1,42 @@
+import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
 import {
-  CallEnd,
-  LoadEventKind,
-  type PeerNetwork,
-} from "@rosemarytiller/peers";
-import {
-  type CallRank,
   createRetryAllowance,
   FingerprintState,
   type Quarantine,
-  rankTarget,
   type RetryAllowance,
   type RetryBounds,
   urgencyOf,
 } from "@rosemarytiller/policy";
 import {
   type Clock,
-  ERROR_ANSWERS,
   ErrorKind,
-  repeat,
-  RunState,
   TillerError,
   toTillerError,
 } from "@rosemarytiller/shared";
 import type { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { CallerAnswer, CallerRequest } from "./caller_answer.ts";
+import { classifyRequest } from "./classify_request.ts";
 import { chooseCopyHolder } from "./choose_copy_holder.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import { createCrashWatch } from "./create_crash_watch.ts";
 import type { Placement, Placer } from "./create_placer.ts";
 import type { Registry, Upstream } from "./create_registry.ts";
+import type { RouterMetrics } from "./create_router_metrics.ts";
 import { AttemptResult, LogEvent, RouteKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
-import type {
-  Account,
-  Route,
-  ServiceDefinition,
-  WireProtocol,
-} from "./ports.ts";
-import { runAttempt, type StreamState } from "./run_attempt.ts";
-import type { RouterMetrics } from "./create_router_metrics.ts";
+import type { WireProtocol } from "./ports.ts";
+import {
+  FULL_RETRY_MS,
+  refusedByUpstream,
+  timeUp,
+  unreachable,
+  withRunState,
+} from "./request_errors.ts";
+import { isRepeatable, type RequestState } from "./request_state.ts";
+import { runAttempt } from "./run_attempt.ts";
+import { watchSilence } from "./watch_silence.ts";
 
 /** What serving requests needs. */
 export interface RequestServerOptions {
@@ -69,49 +65,10 @@
   startRefusing(): void;
 }
 
-/** A request on its way. */
-export interface RequestState {
-  id: string;
-  route: Route;
-  service: ServiceDefinition;
-  account: Account | undefined;
-  rank: CallRank;
-  /** Order among requests, 0 the most urgent. */
-  urgency: number;
-  request: CallerRequest;
-  answer: CallerAnswer;
-  giveUpMs: number;
-  fingerprint: string;
-  signal: AbortSignal;
-  abort(): void;
-  /** Upstreams that the request was sent to or could not reach. */
-  tried: Set<string>;
-  /** Sends so far; each may have run. */
-  sends: number;
-  /** Sends that no upstream has declared unrun. */
-  possibleRuns: number;
-  stream: StreamState;
-  /** Upstream that keeps a copy of the running call, with its name. */
-  copy: { holder: Upstream; call: string } | undefined;
-}
-
 /** Connections that could not be made before a request is refused. */
 const MAX_UNSENT = 4;
-/** Time to come back after a refusal for want of configuration, in ms. */
-const NOT_READY_RETRY_MS = 400;
 /** Time to come back, to another VM, when this one is stopping, in ms. */
 const STOPPING_RETRY_MS = 50;
-/** Time to come back when an upstream said it was full, in ms. */
-const FULL_RETRY_MS = 250;
-/** Interval of looks at a call's silence, in milliseconds. */
-const SILENCE_LOOK_MS = 100;
-/** Shortest silence that marks a call as lost, in milliseconds. */
-const MIN_SILENCE_MS = 600;
-/** Silence that marks a call as lost, in longest pauses on time. */
-const SILENCE_PAUSES = 3;
-/** Longer silence that counts though other VMs hear the upstream. */
-const SILENCE_HERE_FACTOR = 2.5;
-
 /** Creates the server of requests. */
 export function createRequestServer(
   options: RequestServerOptions,
@@ -132,59 +89,16 @@
     return allowance;
   }
 
-  /** Finds route, service and account; throws the refusal. */
-  function classify(request: CallerRequest) {
+  function begin(request: CallerRequest, answer: CallerAnswer): RequestState {
     if (isRefusing) {
       throw new TillerError(ErrorKind.Stopping, "this VM is stopping", {
         retryAfterMs: STOPPING_RETRY_MS,
       });
     }
-    const index = configuration();
-    if (!index) {
-      throw new TillerError(ErrorKind.NotReady, "no configuration is known", {
-        retryAfterMs: NOT_READY_RETRY_MS,
-      });
-    }
-    const { facts, host, target } = request;
-    const query = target.indexOf("?");
-    const path = query < 0 ? target : target.slice(0, query);
-    const route = index.findRoute(host, path);
-    if (!route) throw unknown(ErrorKind.UnknownRoute, "no route matches");
-    let account: Account | undefined;
-    if (index.configuration.accounts && !route.isOpen) {
-      account = facts.key ? index.findAccount(facts.key) : undefined;
-      if (!account) {
-        throw unknown(ErrorKind.Unauthenticated, "the key is not known");
-      }
-    }
-    const service = index.findService(chooseTarget(route));
-    if (!service) {
-      throw new TillerError(ErrorKind.NoUpstream, "the service is not known", {
-        retryAfterMs: NOT_READY_RETRY_MS,
-      });
-    }
-    const rank = rankTarget(
-      route.targetMs,
-      index.tightestTargetMs(service.name),
-    );
-    return { route, account, service, rank };
-  }
-
-  /** A VM that may be behind does not deny what it has not heard of. */
-  function unknown(kind: ErrorKind, detail: string): TillerError {
-    if (isCurrent()) return new TillerError(kind, detail);
-    return new TillerError(ErrorKind.NotReady, `${detail} here yet`, {
-      retryAfterMs: NOT_READY_RETRY_MS,
+    const { route, account, service, rank } = classifyRequest(request, {
+      index: configuration(),
+      isCurrent,
     });
-  }
-
-  function isRepeatable(route: Route): boolean {
-    if (route.kind === RouteKind.Stream) return route.isResumable;
-    return route.kind === RouteKind.Idempotent;
-  }
-
-  function begin(request: CallerRequest, answer: CallerAnswer): RequestState {
-    const { route, account, service, rank } = classify(request);
     const { facts } = request;
     const fingerprint = createHash("sha1").update(request.target)
       .update(`\n${account?.name}\n`).update(request.body).digest("base64");
@@ -309,7 +223,10 @@
     if (holder) {
       state.copy = { holder, call: `${addressOf(holder)}/${state.id}` };
     }
-    const cancelWatch = watchSilence(state, placement, running);
+    const cancelWatch = watchSilence(
+      { state, placement, running },
+      { clock, registry, network },
+    );
     const ended = await running.ended;
     cancelWatch();
     state.signal.removeEventListener("abort", onAbort);
@@ -380,46 +297,6 @@
     if (result === AttemptResult.NotRun) state.possibleRuns--;
   }
 
-  /**
-   * Watches a call for silence: an upstream that says nothing at all gets no
-   * new calls, and a call that can be mended goes on elsewhere.
-   */
-  function watchSilence(
-    state: RequestState,
-    placement: Placement,
-    running: ReturnType<typeof runAttempt>,
-  ): () => void {
-    const { route } = state;
-    const canRepeat = isRepeatable(route) && state.sends < route.maxAttempts;
-    const { upstream } = placement;
-    const pauseMs = Math.max(
-      MIN_SILENCE_MS,
-      state.stream.isStream
-        ? SILENCE_PAUSES * route.maxPauseMs
-        : SILENCE_PAUSES * route.targetMs,
-    );
-    const firstMs = Math.max(pauseMs, placement.predictedMs + pauseMs);
-    return repeat(clock, SILENCE_LOOK_MS, () => {
-      const nowMs = clock.now();
-      const hasBegun = state.stream.isBegun;
-      const limitMs = hasBegun ? pauseMs : firstMs;
-      if (nowMs - running.heardMs() < limitMs) return;
-      // An upstream that answers others is slow, not gone.
-      const isQuiet = nowMs - upstream.seenMs >= limitMs ||
-        nowMs - upstream.heardMs >= limitMs * SILENCE_HERE_FACTOR;
-      if (isQuiet && upstream.downUntilMs <= nowMs) {
-        registry.onSilent(upstream);
-        network.tell({
-          kind: LoadEventKind.Silent,
-          upstream: upstream.entry.id,
-        });
-      }
-      const canMend = canRepeat || (hasBegun && state.copy !== undefined);
-      if (!canMend || (hasBegun && !isQuiet)) return;
-      running.abort(AttemptResult.Silent);
-    });
-  }
-
   /** Runs attempts until the request has its final answer. */
   async function run(state: RequestState): Promise<void> {
     let unsent = 0;
@@ -594,60 +471,3 @@
     },
   };
 }
-
-function unreachable(): TillerError {
-  return new TillerError(
-    ErrorKind.NoUpstream,
-    "no upstream could be reached",
-    { retryAfterMs: FULL_RETRY_MS },
-  );
-}
-
-function refusedByUpstream(): TillerError {
-  return new TillerError(
-    ErrorKind.Overloaded,
-    "the upstream took no more requests",
-    { retryAfterMs: FULL_RETRY_MS * (0.5 + Math.random()) },
-  );
-}
-
-function timeUp({ possibleRuns }: RequestState): TillerError {
-  if (possibleRuns > 0) {
-    return new TillerError(ErrorKind.DeadlineExceeded, "the time is up");
-  }
-  return new TillerError(ErrorKind.Overloaded, "no upstream in time", {
-    retryAfterMs: FULL_RETRY_MS,
-  });
-}
-
-/**
- * The error as the caller is told: only a request that no upstream can have
- * run is called unrun, whatever ended it.
- */
-function withRunState(state: RequestState, error: TillerError): TillerError {
-  if (state.possibleRuns === 0) return error;
-  const { kind, message, retryAfterMs } = error;
-  const isRefusal = ERROR_ANSWERS[kind].retryable &&
-    kind !== ErrorKind.DeadlineExceeded;
-  return new TillerError(
-    isRefusal ? ErrorKind.OutcomeUnknown : kind,
-    message,
-    {
-      run: RunState.MayHaveRun,
-      cause: error,
-      ...(retryAfterMs !== undefined && { retryAfterMs }),
-    },
-  );
-}
-
-/** Draws one of a route's services by weight. */
-function chooseTarget(route: Route): string {
-  let sum = 0;
-  for (const { weight } of route.targets) sum += weight;
-  let drawn = Math.random() * sum;
-  for (const { service, weight } of route.targets) {
-    drawn -= weight;
-    if (drawn < 0) return service;
-  }
-  return route.targets.at(-1)?.service ?? "";
-}
