--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -16,8 +16,8 @@
 import type { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { CallerAnswer, CallerRequest } from "./caller_answer.ts";
-import { classifyRequest } from "./classify_request.ts";
 import { chooseCopyHolder } from "./choose_copy_holder.ts";
+import { classifyRequest } from "./classify_request.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import { createCrashWatch } from "./create_crash_watch.ts";
@@ -69,6 +69,7 @@
 const MAX_UNSENT = 4;
 /** Time to come back, to another VM, when this one is stopping, in ms. */
 const STOPPING_RETRY_MS = 50;
+
 /** Creates the server of requests. */
 export function createRequestServer(
   options: RequestServerOptions,
--- a/packages/router/src/request_state.ts
+++ b/packages/router/src/request_state.ts
@@ -22,7 +22,7 @@
   abort(): void;
   /** Upstreams that the request was sent to or could not reach. */
   tried: Set<string>;
-  /** Sends so far; each may have run. */
+  /** Sends so far, whatever became of them. */
   sends: number;
   /** Sends that no upstream has declared unrun. */
   possibleRuns: number;
