Let a cold start jump against a calm load, not a full one

The test cooled the engine as soon as its load had fallen; the usual first-token time was still that of 16 calls at once, and on a slow machine 120 ms is less than four times of that. Change: the test waits for 30 answers of the calm load first; what it asks for is unchanged.

--- a/packages/sessions/src/overload_limits_test.ts
+++ b/packages/sessions/src/overload_limits_test.ts
@@ -157,6 +157,9 @@
   });
 }
 
+/** Answers after which the usual first-token time is that of a calm load. */
+const CALM_CALLS = 30;
+
 test("an unannounced cold start is seen by its first tokens", async (t) => {
   const load = await loadEngine(t, {
     ...ENGINE,
@@ -167,6 +170,8 @@
   await waitFull(load.engine);
   load.demand.calls = 2;
   await waitUntil(() => load.outstanding() <= 2, "the load fell");
+  // A jump is one against the calls just before, not those under full load.
+  await waitCompleted(load.engine, CALM_CALLS);
   load.engine.cool();
   load.engine.set({ firstTokenMs: 120 });
   counts.peak = 0;
