Let the first call that ends tell how long calls take

Cause, of the known red overload_tiers_test: a queue's expected wait assumed calls of 2 s and came down from it by a tenth with each call that ended. While the first calls ran, four places seemed to come free in 2 s, so that a top-tier request with three ahead was refused at once ('the expected wait is too long') though calls take 0.4 to 0.6 s. Ruled out: engines too slow for the load (calls took 0.60 s at the median against 0.38 planned, three quarters of capacity asked for, queue of 1 s). Change: the first call that ends replaces the assumption.

--- a/packages/policy/src/create_drain_rate.ts
+++ b/packages/policy/src/create_drain_rate.ts
@@ -40,6 +40,7 @@
   let waitingMs = 0;
   let grants = 0;
   let callMs = ASSUMED_CALL_MS;
+  let hasEnded = false;
 
   function advance(nowMs: number): void {
     const elapsedMs = nowMs - (lastMs ?? nowMs);
@@ -81,7 +82,9 @@
       if (waiting) grants++;
     },
     onCallEnded(totalMs) {
-      callMs += (totalMs - callMs) * CALL_WEIGHT;
+      // An assumption gives way at once to what has been seen.
+      callMs = hasEnded ? callMs + (totalMs - callMs) * CALL_WEIGHT : totalMs;
+      hasEnded = true;
     },
     setWaiting(next, nowMs) {
       advance(nowMs);
