Merge twins of the test set-up

The stand-in that answers byte by byte listened by a copy of listen(), and the test of a closed port set up a connection and a call of its own; both use the one piece now.

--- a/packages/router/src/send_attempt_test.ts
+++ b/packages/router/src/send_attempt_test.ts
@@ -6,17 +6,10 @@
 import { createConnectionPool } from "./create_connection_pool.ts";
 import { sendAttempt } from "./send_attempt.ts";
 
-/** Sends one call to an upstream that answers it with `answer`. */
-async function sendTo(answer: (socket: Socket) => void) {
-  const server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => answer(socket));
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  const address = { host: "127.0.0.1", port };
+/** Sends one call over a connection of its own. */
+async function sendOnce(port: number) {
   const pool = createConnectionPool({ clock: createSystemClock() });
-  const connection = pool.take(address, 1)!;
+  const connection = pool.take({ host: "127.0.0.1", port }, 1)!;
   let body = "";
   const end = await new Promise<{ isWhole: boolean; wasSent: boolean }>(
     (resolve) => {
@@ -35,10 +28,21 @@
     },
   );
   pool.close();
-  server.close();
   return { ...end, body };
 }
 
+/** Sends one call to an upstream that answers it with `answer`. */
+async function sendTo(answer: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => answer(socket));
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const end = await sendOnce((server.address() as AddressInfo).port);
+  server.close();
+  return end;
+}
+
 const UNFRAMED = "HTTP/1.1 200 OK\r\n\r\nhalf";
 
 test("an answer without a length that ends with its connection is whole", async () => {
@@ -83,18 +87,6 @@
 });
 
 test("a call to a closed port is not sent", async () => {
-  const pool = createConnectionPool({ clock: createSystemClock() });
-  const address = { host: "127.0.0.1", port: 9 };
-  const connection = pool.take(address, 1)!;
-  const end = await new Promise<{ wasSent: boolean }>((resolve) =>
-    sendAttempt({
-      connection,
-      method: "GET",
-      path: "/",
-      headers: [],
-      body: undefined,
-    }, { onSent() {}, onHead: () => true, onData() {}, onEnd: resolve })
-  );
-  pool.close();
+  const end = await sendOnce(9);
   assert.equal(end.wasSent, false);
 });
