router: log why a silent call ends and why a retry is denied

A cut stream's lines did not tell an abort for silence from a refused resume or a used-up allowance: the reason of both was "aborted", and nothing was logged when a retry was denied.

call-silent, once for each silence of a call, has the inputs of the decision: silence here and at other VMs, limit, progress, whether a retry or a backup is left, whether the call is aborted. retry-denied has the cause: attempts, allowance, or the backup upstream is gone.

--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -24,7 +24,7 @@
 import type { Registry, Upstream } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement, Scheduler } from "./create_scheduler.ts";
-import { AttemptResult, LogEvent, RouteKind } from "./enums.ts";
+import { AttemptResult, LogEvent, RetryDenial, RouteKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { WireProtocol } from "./ports.ts";
 import {
@@ -249,7 +249,7 @@
     }
     const cancelStallCheck = watchStall(
       { state, placement, running },
-      { clock, registry, network },
+      { clock, log, registry, network },
     );
     const ended = await running.ended;
     cancelStallCheck();
@@ -378,15 +378,29 @@
    * returns whether they did.
    */
   function claimRetry(state: RequestState): boolean {
-    return state.sends < state.route.maxAttempts && spendRetry(state);
+    if (state.sends < state.route.maxAttempts) return spendRetry(state);
+    return denyRetry(state, RetryDenial.Attempts);
   }
 
   /**
    * Takes one retry from this VM's allowance for the service; false if it is
    * used up.
    */
-  function spendRetry({ service }: RequestState): boolean {
-    return allowanceOf(service.name).spend(clock.now(), network.knownVmCount());
+  function spendRetry(state: RequestState): boolean {
+    const allowance = allowanceOf(state.service.name);
+    if (allowance.spend(clock.now(), network.knownVmCount())) return true;
+    return denyRetry(state, RetryDenial.Allowance);
+  }
+
+  /** Logs why a call is not sent again; returns false. */
+  function denyRetry(state: RequestState, cause: RetryDenial): false {
+    log.warn(LogEvent.RetryDenied, {
+      id: state.id,
+      cause,
+      sends: state.sends,
+      maxAttempts: state.route.maxAttempts,
+    });
+    return false;
   }
 
   /** Takes one retry after a 5xx response; false if it cannot be retried. */
@@ -402,7 +416,9 @@
   async function resumeFromBackup(state: RequestState): Promise<boolean> {
     const { upstream, name } = state.backup!;
     state.backup = undefined;
-    if (!registry.find(upstream.entry.id)) return false;
+    if (!registry.find(upstream.entry.id)) {
+      return denyRetry(state, RetryDenial.BackupRemoved);
+    }
     if (!spendRetry(state)) return false;
     const placement = scheduler.placeAt(upstream, {
       service: state.service,
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -27,6 +27,10 @@
   RequestCrashedUpstream = "request-crashed-upstream",
   Placed = "placed",
   AttemptEnded = "attempt-ended",
+  /** An upstream sent nothing for a call's idle timeout. */
+  CallSilent = "call-silent",
+  /** A failed call was not sent again. */
+  RetryDenied = "retry-denied",
   Resumed = "resumed",
   Refused = "refused",
   Answered = "answered",
@@ -35,6 +39,16 @@
   Failure = "failure",
 }
 
+/** Why a failed call is not sent again; the `cause` field of a log line. */
+export enum RetryDenial {
+  /** The route's attempts are used up. */
+  Attempts = "attempts",
+  /** This VM's allowance of retries for the service is used up. */
+  Allowance = "allowance",
+  /** The upstream with the backup copy is no longer registered. */
+  BackupRemoved = "backup-removed",
+}
+
 /** How an attempt at an upstream ended. */
 export enum AttemptResult {
   /** No connection was established; nothing was sent. */
--- a/packages/router/src/watch_stall.ts
+++ b/packages/router/src/watch_stall.ts
@@ -2,7 +2,8 @@
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
 import type { Registry } from "./create_registry.ts";
 import type { Placement } from "./create_scheduler.ts";
-import { AttemptResult } from "./enums.ts";
+import { AttemptResult, LogEvent } from "./enums.ts";
+import type { EventLog } from "./event_log.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
 import type { AttemptRun } from "./run_attempt.ts";
 
@@ -16,6 +17,7 @@
 /** Dependencies of the stall check. */
 export interface StallWatchOptions {
   clock: Clock;
+  log: EventLog;
   registry: Registry;
   network: Pick<PeerNetwork, "publishLoadEvent">;
 }
@@ -44,7 +46,7 @@
   options: StallWatchOptions,
 ): CancelTimer {
   const { state, placement, running } = call;
-  const { clock, registry, network } = options;
+  const { clock, log, registry, network } = options;
   const { route } = state;
   const canRetry = isRetryable(route) && state.sends < route.maxAttempts;
   const { upstream } = placement;
@@ -58,6 +60,8 @@
     idleTimeoutMs,
     placement.predictedMs + idleTimeoutMs,
   );
+  /** Time of the last data before the silence that was last logged. */
+  let loggedAtMs: number | undefined;
   return repeat(clock, STALL_CHECK_MS, () => {
     const nowMs = clock.now();
     const isStarted = state.stream.isStarted;
@@ -74,7 +78,22 @@
       });
     }
     const canRecover = canRetry || (isStarted && state.backup !== undefined);
-    if (!canRecover || (isStarted && !isStalled)) return;
-    running.abort(AttemptResult.Stalled);
+    const isAborted = canRecover && (!isStarted || isStalled);
+    if (loggedAtMs !== running.lastReceivedMs()) {
+      loggedAtMs = running.lastReceivedMs();
+      log.warn(LogEvent.CallSilent, {
+        id: state.id,
+        upstream: upstream.entry.id,
+        call: placement.call,
+        quietMs: Math.round(nowMs - running.lastReceivedMs()),
+        fleetQuietMs: Math.round(nowMs - upstream.fleetLastReceivedMs),
+        limitMs: Math.round(limitMs),
+        started: isStarted,
+        canRetry,
+        backup: state.backup?.name,
+        aborted: isAborted,
+      });
+    }
+    if (isAborted) running.abort(AttemptResult.Stalled);
   });
 }
