router: move the start of attempts to a file of its own

create_request_server.ts chose, sent and recorded attempts beside the decisions between them. create_attempt_starter.ts now starts an attempt and records its end; the request server keeps the decisions.

--- /dev/null
+++ b/packages/router/src/create_attempt_starter.ts
@@ -0,0 +1,231 @@
+import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
+import type { RetryAllowance } from "@rosemarytiller/policy";
+import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
+import { chooseBackupUpstream } from "./choose_backup_upstream.ts";
+import type { ConnectionPool } from "./create_connection_pool.ts";
+import type { CrashDetector } from "./create_crash_detector.ts";
+import type { Registry, Upstream } from "./create_registry.ts";
+import type { RouterMetrics } from "./create_router_metrics.ts";
+import type { Placement } from "./create_scheduler.ts";
+import { AttemptResult, LogEvent } from "./enums.ts";
+import type { EventLog } from "./event_log.ts";
+import type { WireProtocol } from "./ports.ts";
+import { FULL_RETRY_AFTER_MS } from "./request_errors.ts";
+import { isRetryable, type RequestState } from "./request_state.ts";
+import { type AttemptEnd, type AttemptRun, runAttempt } from "./run_attempt.ts";
+
+/** Dependencies of the attempt starter. */
+export interface AttemptStarterOptions {
+  clock: Clock;
+  log: EventLog;
+  metrics: RouterMetrics;
+  protocol: WireProtocol;
+  registry: Registry;
+  pool: ConnectionPool;
+  network: Pick<PeerNetwork, "knownVmCount">;
+  crashDetector: CrashDetector;
+  /** Name of this VM. */
+  vm: string;
+  /** This VM's allowance of retries for a service. */
+  allowanceOf(service: string): RetryAllowance;
+}
+
+/** An attempt whose outcome is recorded when it ends. */
+export interface StartedAttempt extends AttemptRun {
+  placement: Placement;
+}
+
+/** Starts attempts at upstreams and records their outcomes. */
+export interface AttemptStarter {
+  /**
+   * Starts an attempt at the placement's upstream, from the named backup copy
+   * if `backupFrom` is given. Releases the placement and throws a `TillerError`
+   * if no connection is left.
+   */
+  start(
+    state: RequestState,
+    placement: Placement,
+    backupFrom?: string,
+  ): StartedAttempt;
+}
+
+/** Creates the starter, which keeps no state of its own. */
+export function createAttemptStarter(
+  options: AttemptStarterOptions,
+): AttemptStarter {
+  const { clock, log, metrics, protocol, registry, pool } = options;
+  const { network, crashDetector, vm, allowanceOf } = options;
+
+  function addressOf({ entry }: Upstream): string {
+    return `${entry.host}:${entry.port}`;
+  }
+
+  /** Acquires a connection; throws a `TillerError` if none is left. */
+  function acquireConnection(state: RequestState, placement: Placement) {
+    // This VM's share of 90 % of the connections that the upstream accepts, at
+    // least 4.
+    const maxOpen = Math.max(
+      4,
+      Math.floor(state.service.maxConnections * 0.9 / network.knownVmCount()),
+    );
+    const connection = pool.acquire(placement.upstream.entry, maxOpen);
+    if (connection) return connection;
+    placement.release(CallEnd.Other);
+    throw new TillerError(ErrorKind.Overloaded, "no connection is left", {
+      retryAfterMs: FULL_RETRY_AFTER_MS,
+    });
+  }
+
+  /** Chooses the upstream for a backup copy and notes it in the state. */
+  function chooseBackup(
+    state: RequestState,
+    { upstream }: Placement,
+  ): Upstream | undefined {
+    if (isRetryable(state.route)) return undefined;
+    const backup = chooseBackupUpstream(upstream, {
+      engine: state.service.engine,
+      prompt: state.request.metadata.prompt,
+      others: registry.eligible(state.service.name),
+      nowMs: clock.now(),
+    });
+    if (backup) {
+      state.backup = {
+        upstream: backup,
+        name: `${addressOf(backup)}/${state.id}`,
+      };
+    }
+    return backup;
+  }
+
+  /** Reports an attempt's outcome to scheduler, registry and crash detector. */
+  function recordEnd(
+    state: RequestState,
+    placement: Placement,
+    { result, status, warmUpMs }: AttemptEnd,
+  ): void {
+    const { upstream } = placement;
+    const isFailed = result === AttemptResult.Broken ||
+      result === AttemptResult.Stalled || result === AttemptResult.NotRun ||
+      status >= 500;
+    const isEndedByUpstream = result === AttemptResult.Complete || isFailed;
+    placement.release(
+      isFailed
+        ? CallEnd.Failed
+        : isEndedByUpstream
+        ? CallEnd.Completed
+        : CallEnd.Other,
+    );
+    if (result === AttemptResult.Unsent) {
+      registry.onConnectFailed(upstream, "no connection");
+      crashDetector.onUnreachable(upstream);
+      state.tried.add(upstream.entry.id);
+    }
+    if (result === AttemptResult.Broken) {
+      crashDetector.onCallBroken(upstream, {
+        fingerprint: state.fingerprint,
+        crash: `${vm}/${placement.call}`,
+      });
+    }
+    if (result === AttemptResult.NotRun) state.possibleRuns--;
+    if (warmUpMs) {
+      upstream.warmUpUntilMs = Math.max(
+        upstream.warmUpUntilMs,
+        clock.now() + warmUpMs,
+      );
+    }
+  }
+
+  function logEnd(
+    state: RequestState,
+    placement: Placement,
+    ended: AttemptEnd & { startedMs: number; isResume: boolean },
+  ): void {
+    const { result, status, reason, firstMs, startedMs, isResume } = ended;
+    const isComplete = result === AttemptResult.Complete;
+    log[isComplete ? "info" : "warn"](LogEvent.AttemptEnded, {
+      id: state.id,
+      upstream: placement.upstream.entry.id,
+      call: placement.call,
+      result,
+      status,
+      reason: reason || undefined,
+      ms: Math.round(clock.now() - startedMs),
+      firstMs: firstMs === undefined
+        ? undefined
+        : Math.round(firstMs - startedMs),
+      predictedMs: Math.round(placement.predictedMs),
+      events: state.stream.isStream ? state.stream.eventCount : undefined,
+      resume: isResume || undefined,
+    });
+    metrics.onAttempt(state.service.name, result);
+    if (firstMs !== undefined) {
+      metrics.onFirstEvent(state.urgency, firstMs - startedMs);
+    }
+  }
+
+  return {
+    start(state, placement, backupFrom) {
+      const { upstream } = placement;
+      const { entry } = upstream;
+      const connection = acquireConnection(state, placement);
+      const backup = backupFrom ? undefined : chooseBackup(state, placement);
+      const headers = [
+        ...state.request.metadata.forwardedHeaders,
+        ...protocol.callHeaders({
+          deadlineMs: Math.max(1, Math.floor(state.expiresMs - clock.now())),
+          upstreamId: entry.id,
+          account: state.account?.name,
+          urgency: state.urgency,
+          lastEventId: state.stream.lastEventId,
+          backupTo: backup && addressOf(backup),
+          backupFrom,
+        }),
+      ];
+      const startedMs = clock.now();
+      const isResume = state.stream.isStarted;
+      const running = runAttempt({
+        clock,
+        protocol,
+        connection,
+        requestId: state.id,
+        method: state.request.method,
+        path: state.request.pathAndQuery,
+        headers,
+        body: state.request.body,
+        stream: state.stream,
+        response: state.response,
+        onReceived: () => registry.onReceived(upstream),
+        onEvent: () => placement.onFirstEvent(),
+        onSent() {
+          if (state.sends === 0) {
+            allowanceOf(state.service.name).onFirstSend(clock.now());
+          }
+          state.sends++;
+          state.possibleRuns++;
+          state.tried.add(entry.id);
+        },
+      });
+      const onAbort = () => running.abort(AttemptResult.Aborted);
+      state.signal.addEventListener("abort", onAbort, { once: true });
+      if (state.signal.aborted) onAbort();
+
+      async function finish(): Promise<AttemptEnd> {
+        const ended = await running.ended;
+        state.signal.removeEventListener("abort", onAbort);
+        if (ended.isReusable) {
+          if (ended.idleLimitMs !== undefined) {
+            connection.idleLimitMs = ended.idleLimitMs;
+          }
+          pool.release(entry, connection);
+        } else {
+          pool.discard(entry, connection);
+        }
+        recordEnd(state, placement, ended);
+        logEnd(state, placement, { ...ended, startedMs, isResume });
+        return ended;
+      }
+
+      return { ...running, ended: finish(), placement };
+    },
+  };
+}
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -1,4 +1,4 @@
-import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
+import type { PeerNetwork } from "@rosemarytiller/peers";
 import {
   createRetryAllowance,
   FingerprintState,
@@ -16,12 +16,12 @@
 import type { Buffer } from "node:buffer";
 import { createHash } from "node:crypto";
 import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
-import { chooseBackupUpstream } from "./choose_backup_upstream.ts";
 import { classifyRequest } from "./classify_request.ts";
+import { createAttemptStarter } from "./create_attempt_starter.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import { createCrashDetector } from "./create_crash_detector.ts";
-import type { Registry, Upstream } from "./create_registry.ts";
+import type { Registry } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement, Scheduler } from "./create_scheduler.ts";
 import { AttemptResult, LogEvent, RetryDenial, RouteKind } from "./enums.ts";
@@ -31,11 +31,10 @@
   createDeadlineError,
   createNotExecutedError,
   createUnreachableError,
-  FULL_RETRY_AFTER_MS,
   withRunState,
 } from "./request_errors.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
-import { runAttempt } from "./run_attempt.ts";
+import type { AttemptEnd } from "./run_attempt.ts";
 import { watchStall } from "./watch_stall.ts";
 
 /** Dependencies of the request server. */
@@ -90,6 +89,18 @@
     network,
   });
   const allowances = new Map<string, RetryAllowance>();
+  const attempts = createAttemptStarter({
+    clock,
+    log,
+    metrics,
+    protocol,
+    registry,
+    pool,
+    network,
+    crashDetector,
+    vm,
+    allowanceOf,
+  });
   let openCount = 0;
   let isRefusing = false;
 
@@ -168,163 +179,22 @@
     }, state.signal);
   }
 
-  function addressOf({ entry }: Upstream): string {
-    return `${entry.host}:${entry.port}`;
-  }
-
-  /** Runs one attempt at the placement's upstream and records its outcome. */
+  /** Runs one attempt at the placement's upstream until it ends. */
   async function attempt(
     state: RequestState,
     placement: Placement,
     backupFrom?: string,
-  ) {
-    const { upstream } = placement;
-    const { entry } = upstream;
-    const { metadata } = state.request;
-    // This VM's share of 90 % of the connections that the upstream accepts, at
-    // least 4.
-    const maxOpen = Math.max(
-      4,
-      Math.floor(state.service.maxConnections * 0.9 / network.knownVmCount()),
-    );
-    const connection = pool.acquire(entry, maxOpen);
-    if (!connection) {
-      placement.release(CallEnd.Other);
-      throw new TillerError(ErrorKind.Overloaded, "no connection is left", {
-        retryAfterMs: FULL_RETRY_AFTER_MS,
-      });
-    }
-    const backupUpstream = backupFrom || isRetryable(state.route)
-      ? undefined
-      : chooseBackupUpstream(upstream, {
-        engine: state.service.engine,
-        prompt: metadata.prompt,
-        others: registry.eligible(state.service.name),
-        nowMs: clock.now(),
-      });
-    const headers = [
-      ...metadata.forwardedHeaders,
-      ...protocol.callHeaders({
-        deadlineMs: Math.max(1, Math.floor(state.expiresMs - clock.now())),
-        upstreamId: entry.id,
-        account: state.account?.name,
-        urgency: state.urgency,
-        lastEventId: state.stream.lastEventId,
-        backupTo: backupUpstream && addressOf(backupUpstream),
-        backupFrom,
-      }),
-    ];
-    const startedMs = clock.now();
-    const isResume = state.stream.isStarted;
-    const running = runAttempt({
-      clock,
-      protocol,
-      connection,
-      requestId: state.id,
-      method: state.request.method,
-      path: state.request.pathAndQuery,
-      headers,
-      body: state.request.body,
-      stream: state.stream,
-      response: state.response,
-      onReceived: () => registry.onReceived(upstream),
-      onEvent: () => placement.onFirstEvent(),
-      onSent() {
-        if (state.sends === 0) {
-          allowanceOf(state.service.name).onFirstSend(clock.now());
-        }
-        state.sends++;
-        state.possibleRuns++;
-        state.tried.add(entry.id);
-      },
-    });
-    const onAbort = () => running.abort(AttemptResult.Aborted);
-    state.signal.addEventListener("abort", onAbort, { once: true });
-    if (state.signal.aborted) onAbort();
-    if (backupUpstream) {
-      state.backup = {
-        upstream: backupUpstream,
-        name: `${addressOf(backupUpstream)}/${state.id}`,
-      };
-    }
+  ): Promise<AttemptEnd> {
+    const started = attempts.start(state, placement, backupFrom);
     const cancelStallCheck = watchStall(
-      { state, placement, running },
+      { state, placement, running: started },
       { clock, log, registry, network },
     );
-    const ended = await running.ended;
+    const ended = await started.ended;
     cancelStallCheck();
-    state.signal.removeEventListener("abort", onAbort);
-    if (ended.isReusable) {
-      if (ended.idleLimitMs !== undefined) {
-        connection.idleLimitMs = ended.idleLimitMs;
-      }
-      pool.release(entry, connection);
-    } else {
-      pool.discard(entry, connection);
-    }
-    recordEnd(state, placement, ended.result, ended.status);
-    if (ended.warmUpMs) {
-      upstream.warmUpUntilMs = Math.max(
-        upstream.warmUpUntilMs,
-        clock.now() + ended.warmUpMs,
-      );
-    }
-    const isComplete = ended.result === AttemptResult.Complete;
-    log[isComplete ? "info" : "warn"](LogEvent.AttemptEnded, {
-      id: state.id,
-      upstream: entry.id,
-      call: placement.call,
-      result: ended.result,
-      status: ended.status,
-      reason: ended.reason || undefined,
-      ms: Math.round(clock.now() - startedMs),
-      firstMs: ended.firstMs === undefined
-        ? undefined
-        : Math.round(ended.firstMs - startedMs),
-      predictedMs: Math.round(placement.predictedMs),
-      events: state.stream.isStream ? state.stream.eventCount : undefined,
-      resume: isResume || undefined,
-    });
-    metrics.onAttempt(state.service.name, ended.result);
-    if (ended.firstMs !== undefined) {
-      metrics.onFirstEvent(state.urgency, ended.firstMs - startedMs);
-    }
     return ended;
   }
 
-  /** Reports an attempt's outcome to scheduler, registry and crash detector. */
-  function recordEnd(
-    state: RequestState,
-    placement: Placement,
-    result: AttemptResult,
-    status: number,
-  ): void {
-    const { upstream } = placement;
-    const isFailed = result === AttemptResult.Broken ||
-      result === AttemptResult.Stalled || result === AttemptResult.NotRun ||
-      status >= 500;
-    const isEndedByUpstream = result === AttemptResult.Complete || isFailed;
-    placement.release(
-      isFailed
-        ? CallEnd.Failed
-        : isEndedByUpstream
-        ? CallEnd.Completed
-        : CallEnd.Other,
-    );
-    if (result === AttemptResult.Unsent) {
-      registry.onConnectFailed(upstream, "no connection");
-      crashDetector.onUnreachable(upstream);
-      state.tried.add(upstream.entry.id);
-    }
-    if (result === AttemptResult.Broken) {
-      crashDetector.onCallBroken(upstream, {
-        fingerprint: state.fingerprint,
-        crash: `${vm}/${placement.call}`,
-      });
-    }
-    if (result === AttemptResult.NotRun) state.possibleRuns--;
-  }
-
   /** Runs attempts until the request has its final response. */
   async function runAttempts(state: RequestState): Promise<void> {
     let connectFailures = 0;
