router: end a silent call only once another upstream has taken it

Callers saw streams that ended without an answer, and reads with 502, although their upstream only paused and would have gone on.

Cause: after 600 ms (or three times the longest pause) without data the stall check aborted the call, and only then was a retry claimed and a place looked for. If the backup was refused, the allowance or the route's attempts were used up, or no other upstream had room, nothing was left to continue: the stream was cut off. Class of fault: a working attempt is ended on suspicion, before its replacement exists.

Change: a silent call is hedged. The same call goes to a standby upstream, which first has to be found and paid for from the retry allowance. A standby that is refused changes nothing. The attempts left are counted when the upstream is silent, not when the call starts: the last attempt of a route was aborted as if one were left.

Streams whose upstream stays silent resume as before.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -12,7 +12,12 @@
 import type { WireProtocol } from "./ports.ts";
 import { FULL_RETRY_AFTER_MS } from "./request_errors.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
-import { type AttemptEnd, type AttemptRun, runAttempt } from "./run_attempt.ts";
+import {
+  type AttemptEnd,
+  type AttemptOptions,
+  type AttemptRun,
+  runAttempt,
+} from "./run_attempt.ts";
 
 /** Dependencies of the attempt starter. */
 export interface AttemptStarterOptions {
@@ -35,17 +40,29 @@
   placement: Placement;
 }
 
+/** Connects an attempt with the other attempts of its call. */
+export type AttemptHooks = Pick<
+  AttemptOptions,
+  "onSent" | "onReceived" | "claimResponse"
+>;
+
+/** What distinguishes an attempt from the first one of a request. */
+export interface StartOptions {
+  /** Name of the backup copy from which the upstream resumes. */
+  backupFrom?: string | undefined;
+  hooks: AttemptHooks;
+}
+
 /** Starts attempts at upstreams and records their outcomes. */
 export interface AttemptStarter {
   /**
-   * Starts an attempt at the placement's upstream, from the named backup copy
-   * if `backupFrom` is given. Releases the placement and throws a `TillerError`
-   * if no connection is left.
+   * Starts an attempt at the placement's upstream. Releases the placement and
+   * throws a `TillerError` if no connection is left.
    */
   start(
     state: RequestState,
     placement: Placement,
-    backupFrom?: string,
+    options: StartOptions,
   ): StartedAttempt;
 }
 
@@ -164,7 +181,7 @@
   }
 
   return {
-    start(state, placement, backupFrom) {
+    start(state, placement, { backupFrom, hooks }) {
       const { upstream } = placement;
       const { entry } = upstream;
       const connection = acquireConnection(state, placement);
@@ -194,7 +211,11 @@
         body: state.request.body,
         stream: state.stream,
         response: state.response,
-        onReceived: () => registry.onReceived(upstream),
+        onReceived() {
+          registry.onReceived(upstream);
+          hooks.onReceived();
+        },
+        claimResponse: hooks.claimResponse,
         onEvent: () => placement.onFirstEvent(),
         onSent() {
           if (state.sends === 0) {
@@ -203,6 +224,7 @@
           state.sends++;
           state.possibleRuns++;
           state.tried.add(entry.id);
+          hooks.onSent();
         },
       });
       const onAbort = () => running.abort(AttemptResult.Aborted);
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -1,4 +1,4 @@
-import type { PeerNetwork } from "@rosemarytiller/peers";
+import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
 import {
   createRetryAllowance,
   FingerprintState,
@@ -17,7 +17,11 @@
 import { createHash } from "node:crypto";
 import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
 import { classifyRequest } from "./classify_request.ts";
-import { createAttemptStarter } from "./create_attempt_starter.ts";
+import {
+  type AttemptHooks,
+  createAttemptStarter,
+  type StartedAttempt,
+} from "./create_attempt_starter.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import { createCrashDetector } from "./create_crash_detector.ts";
@@ -35,6 +39,7 @@
 } from "./request_errors.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
 import type { AttemptEnd } from "./run_attempt.ts";
+import { runHedgedCall } from "./run_hedged_call.ts";
 import { watchStall } from "./watch_stall.ts";
 
 /** Dependencies of the request server. */
@@ -165,7 +170,10 @@
     };
   }
 
-  function place(state: RequestState): Promise<Placement> {
+  function place(
+    state: RequestState,
+    signal: AbortSignal = state.signal,
+  ): Promise<Placement> {
     return scheduler.place({
       service: state.service,
       urgency: state.urgency,
@@ -176,23 +184,55 @@
       arrivedMs: state.request.arrivedMs,
       expiresMs: state.expiresMs,
       avoid: state.tried,
-    }, state.signal);
+    }, signal);
   }
 
-  /** Runs one attempt at the placement's upstream until it ends. */
-  async function attempt(
+  /**
+   * Runs one call from the placement's upstream on until it ends, with a
+   * standby while that upstream is silent.
+   */
+  function runCall(
     state: RequestState,
     placement: Placement,
     backupFrom?: string,
   ): Promise<AttemptEnd> {
-    const started = attempts.start(state, placement, backupFrom);
-    const cancelStallCheck = watchStall(
-      { state, placement, running: started },
-      { clock, log, registry, network },
-    );
-    const ended = await started.ended;
-    cancelStallCheck();
-    return ended;
+    return runHedgedCall({
+      isStream: state.stream.isStream,
+      start: (hooks) => attempts.start(state, placement, { backupFrom, hooks }),
+      startStandby: (hooks, signal) => startStandby(state, { hooks, signal }),
+      watch: (running, onSilent) =>
+        watchStall(
+          { state, placement: running.placement, running, onSilent },
+          { clock, log, registry, network },
+        ),
+    }, { clock });
+  }
+
+  /** Sends a silent call elsewhere as well; see `HedgedCall.startStandby`. */
+  async function startStandby(
+    state: RequestState,
+    options: { hooks: AttemptHooks; signal: AbortSignal },
+  ): Promise<StartedAttempt | undefined> {
+    const { hooks, signal } = options;
+    const canUseBackup = state.stream.isStarted && state.backup !== undefined;
+    const backup = canUseBackup ? placeAtBackup(state) : undefined;
+    if (canUseBackup && !backup) return undefined;
+    const placement = backup?.placement ?? await place(state, signal);
+    if (signal.aborted || (!backup && !claimRetry(state))) {
+      placement.release(CallEnd.Other);
+      return undefined;
+    }
+    log.info(LogEvent.Hedged, {
+      id: state.id,
+      at: placement.upstream.entry.id,
+      call: placement.call,
+      copy: backup?.name,
+      lastEventId: state.stream.lastEventId,
+    });
+    return attempts.start(state, placement, {
+      backupFrom: backup?.name,
+      hooks,
+    });
   }
 
   /** Runs attempts until the request has its final response. */
@@ -211,7 +251,7 @@
         predictedMs: Math.round(placement.predictedMs),
         revision: configuration()?.configuration.version,
       });
-      const ended = await attempt(state, placement);
+      const ended = await runCall(state, placement);
       if (ended.result === AttemptResult.Complete) {
         if (claimRetryAfterError(state, ended.status)) continue;
         deliver(state, ended);
@@ -280,16 +320,19 @@
   }
 
   /**
-   * Resumes a stream at the upstream with the backup copy. Returns whether the
-   * request has ended.
+   * Takes one retry and places the call at the upstream with the backup copy,
+   * which can be used once; `undefined` if it can't be used.
    */
-  async function resumeFromBackup(state: RequestState): Promise<boolean> {
+  function placeAtBackup(
+    state: RequestState,
+  ): { placement: Placement; name: string } | undefined {
     const { upstream, name } = state.backup!;
     state.backup = undefined;
     if (!registry.find(upstream.entry.id)) {
-      return denyRetry(state, RetryDenial.BackupRemoved);
+      denyRetry(state, RetryDenial.BackupRemoved);
+      return undefined;
     }
-    if (!spendRetry(state)) return false;
+    if (!spendRetry(state)) return undefined;
     const placement = scheduler.placeAt(upstream, {
       service: state.service,
       urgency: state.urgency,
@@ -301,13 +344,24 @@
       expiresMs: state.expiresMs,
       avoid: state.tried,
     });
+    return { placement, name };
+  }
+
+  /**
+   * Resumes a stream at the upstream with the backup copy. Returns whether the
+   * request has ended.
+   */
+  async function resumeFromBackup(state: RequestState): Promise<boolean> {
+    const backup = placeAtBackup(state);
+    if (!backup) return false;
+    const { placement, name } = backup;
     log.info(LogEvent.Resumed, {
       id: state.id,
-      at: upstream.entry.id,
+      at: placement.upstream.entry.id,
       copy: name,
       lastEventId: state.stream.lastEventId,
     });
-    const ended = await attempt(state, placement, name);
+    const ended = await runCall(state, placement, name);
     if (ended.result === AttemptResult.Aborted) return true;
     if (ended.result !== AttemptResult.Complete) return false;
     deliver(state, ended);
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -29,6 +29,8 @@
   AttemptEnded = "attempt-ended",
   /** An upstream sent nothing for a call's idle timeout. */
   CallSilent = "call-silent",
+  /** A silent call was sent to another upstream as well. */
+  Hedged = "hedged",
   /** A failed call was not sent again. */
   RetryDenied = "retry-denied",
   Resumed = "resumed",
@@ -64,6 +66,8 @@
   Broken = "broken",
   /** No bytes arrived for too long; the request may have been executed. */
   Stalled = "silent",
+  /** Another attempt of the request goes on. */
+  Superseded = "superseded",
   /** The caller disconnected or the request's deadline passed. */
   Aborted = "aborted",
 }
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -41,6 +41,11 @@
   onReceived(): void;
   /** At least one complete event was received. */
   onEvent(): void;
+  /**
+   * Called before events are forwarded to the caller. Returns false if another
+   * attempt of the request forwards its events; this one then ends.
+   */
+  claimResponse(): boolean;
 }
 
 /** How an attempt ended. */
@@ -143,6 +148,11 @@
     }
     const events = splitter.push(chunk);
     if (!events) return;
+    if (!options.claimResponse()) {
+      aborted = AttemptResult.Superseded;
+      running.abort();
+      return;
+    }
     firstMs ??= clock.now();
     options.onEvent();
     let start = 0;
--- a/packages/router/src/watch_stall.ts
+++ b/packages/router/src/watch_stall.ts
@@ -2,7 +2,7 @@
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
 import type { Registry } from "./create_registry.ts";
 import type { Placement } from "./create_scheduler.ts";
-import { AttemptResult, LogEvent } from "./enums.ts";
+import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
 import type { AttemptRun } from "./run_attempt.ts";
@@ -11,7 +11,12 @@
 export interface WatchedCall {
   state: RequestState;
   placement: Placement;
-  running: AttemptRun;
+  running: Pick<AttemptRun, "lastReceivedMs">;
+  /**
+   * Called when a silence reaches the idle timeout, and again after each further
+   * one, if the call can go on elsewhere.
+   */
+  onSilent(): void;
 }
 
 /** Dependencies of the stall check. */
@@ -37,18 +42,17 @@
 /**
  * Checks a call for an idle timeout until cancelled. If its upstream sends
  * nothing to any VM, or nothing to this VM for `LOCAL_STALL_FACTOR` timeouts,
- * it gets no new calls for a while and the other VMs are notified. A call that
- * can be retried or resumed is aborted, so that it continues elsewhere; a
- * started stream only if its upstream has stalled.
+ * it gets no new calls for a while and the other VMs are notified. `onSilent` is
+ * called if the call can be retried or resumed; for a started stream only if its
+ * upstream has stalled. The call itself goes on.
  */
 export function watchStall(
   call: WatchedCall,
   options: StallWatchOptions,
 ): CancelTimer {
-  const { state, placement, running } = call;
+  const { state, placement, running, onSilent } = call;
   const { clock, log, registry, network } = options;
   const { route } = state;
-  const canRetry = isRetryable(route) && state.sends < route.maxAttempts;
   const { upstream } = placement;
   const idleTimeoutMs = Math.max(
     MIN_IDLE_TIMEOUT_MS,
@@ -62,6 +66,7 @@
   );
   /** Time of the last data before the silence that was last logged. */
   let loggedAtMs: number | undefined;
+  let reportedAtMs = -Infinity;
   return repeat(clock, STALL_CHECK_MS, () => {
     const nowMs = clock.now();
     const isStarted = state.stream.isStarted;
@@ -77,23 +82,26 @@
         upstream: upstream.entry.id,
       });
     }
+    const canRetry = isRetryable(route) && state.sends < route.maxAttempts;
     const canRecover = canRetry || (isStarted && state.backup !== undefined);
-    const isAborted = canRecover && (!isStarted || isStalled);
-    if (loggedAtMs !== running.lastReceivedMs()) {
-      loggedAtMs = running.lastReceivedMs();
+    const silentSinceMs = running.lastReceivedMs();
+    if (loggedAtMs !== silentSinceMs) {
+      loggedAtMs = silentSinceMs;
       log.warn(LogEvent.CallSilent, {
         id: state.id,
         upstream: upstream.entry.id,
         call: placement.call,
-        quietMs: Math.round(nowMs - running.lastReceivedMs()),
+        quietMs: Math.round(nowMs - silentSinceMs),
         fleetQuietMs: Math.round(nowMs - upstream.fleetLastReceivedMs),
         limitMs: Math.round(limitMs),
         started: isStarted,
         canRetry,
         backup: state.backup?.name,
-        aborted: isAborted,
       });
     }
-    if (isAborted) running.abort(AttemptResult.Stalled);
+    if (!canRecover || (isStarted && !isStalled)) return;
+    if (nowMs - reportedAtMs < limitMs) return;
+    reportedAtMs = nowMs;
+    onSilent();
   });
 }
