--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -181,7 +181,10 @@
       prompt: state.request.metadata.prompt,
       maxPauseMs: state.stream.isStream ? state.route.maxPauseMs : Infinity,
       targetMs: state.route.targetMs,
-      arrivedMs: state.request.arrivedMs,
+      // A started stream has no first event to deliver on time.
+      arrivedMs: state.stream.isStarted
+        ? clock.now()
+        : state.request.arrivedMs,
       expiresMs: state.expiresMs,
       avoid: state.tried,
     }, signal);
