peers: compress what VMs pull from each other

Pulls are now compressed, once for all peers that lack the same changes. A peer that does not accept compression still gets the changes without it, so that versions can be mixed during an upgrade.

--- a/packages/peers/src/exchange_published.ts
+++ b/packages/peers/src/exchange_published.ts
@@ -1,6 +1,7 @@
 import { Packr } from "msgpackr";
 import { Buffer } from "node:buffer";
 import { type IncomingMessage, request, type ServerResponse } from "node:http";
+import { constants, gunzipSync, gzipSync } from "node:zlib";
 import type {
   PublishedChanges,
   PublishedItems,
@@ -11,20 +12,42 @@
 /** Timeout of a pull, in milliseconds: many round trips. */
 const PULL_TIMEOUT_MS = 700;
 
+/** Content coding of compressed responses. */
+const GZIP = "gzip";
+
 const packr = new Packr({ useRecords: false });
 
 /**
- * Responds to a peer's pull with the changes since the revision in the query's
- * `after`, as MessagePack.
+ * Creates the handler of peers' pulls. It responds with the changes since the
+ * revision in the query's `after`, as MessagePack, compressed if the peer
+ * accepts that. The last response is kept, since many peers pull the same.
  */
-export function servePublished(
-  incoming: IncomingMessage,
-  response: ServerResponse,
+export function createPublishedHandler(
   published: PublishedItems,
-): void {
-  const url = new URL(incoming.url ?? "/", "http://peer");
-  const after = Number(url.searchParams.get("after") ?? 0);
-  response.end(packr.pack(published.since(after)));
+): (incoming: IncomingMessage, response: ServerResponse) => void {
+  let last: { after: number; head: number; bytes: Buffer } | undefined;
+
+  function compressedSince(after: number): Buffer {
+    const head = published.head();
+    if (last?.after !== after || last.head !== head) {
+      const packed = packr.pack(published.since(after));
+      const bytes = gzipSync(packed, { level: constants.Z_BEST_SPEED });
+      last = { after, head, bytes };
+    }
+    return last.bytes;
+  }
+
+  return (incoming, response) => {
+    const url = new URL(incoming.url ?? "/", "http://peer");
+    const after = Number(url.searchParams.get("after") ?? 0);
+    const accepted = String(incoming.headers["accept-encoding"] ?? "");
+    if (!accepted.includes(GZIP)) {
+      response.end(packr.pack(published.since(after)));
+      return;
+    }
+    response.writeHead(200, { "Content-Encoding": GZIP });
+    response.end(compressedSince(after));
+  };
 }
 
 /**
@@ -41,12 +64,15 @@
       port: peer.port,
       path: `${PUBLISHED_PATH}?after=${after}`,
       agent: false,
+      headers: { "Accept-Encoding": GZIP },
     }, (response) => {
       const chunks: Buffer[] = [];
       response.on("data", (chunk: Buffer) => chunks.push(chunk));
       response.on("end", () => {
         try {
-          resolve(packr.unpack(Buffer.concat(chunks)));
+          const bytes = Buffer.concat(chunks);
+          const isCompressed = response.headers["content-encoding"] === GZIP;
+          resolve(packr.unpack(isCompressed ? gunzipSync(bytes) : bytes));
         } catch (error) {
           reject(error);
         }
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -1,6 +1,7 @@
 import {
   CallEnd,
   createPeerNetwork,
+  createPublishedHandler,
   createPublishedItems,
   type LoadEvent,
   LoadEventKind,
@@ -9,7 +10,6 @@
   type PublishedChanges,
   pullPublished,
   type PushedItems,
-  servePublished,
 } from "@rosemarytiller/peers";
 import { createQuarantine, type RetryBounds } from "@rosemarytiller/policy";
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
@@ -409,8 +409,7 @@
       });
       await Promise.all([
         listen(settings.peers, {
-          [PUBLISHED_PATH]: (incoming, response) =>
-            servePublished(incoming, response, published),
+          [PUBLISHED_PATH]: createPublishedHandler(published),
         }),
         listen(settings.ready, {
           "*": (_incoming, response) =>
