router: log software versions and resumes by callers

upstream-changed, placed, hedged and resumed now have the version; placed also has the request that a caller resumes and its last event. No change of behaviour.

--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -195,6 +195,7 @@
         upstream: id,
         service: entry.service,
         dataCentre: entry.dataCentre,
+        version: entry.softwareVersion,
         draining: entry.isDraining,
         coldMs: entry.warmUpMs,
         newRun: !isSameRun,
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -24,6 +24,7 @@
     isDraining: false,
     warmUpMs: 0,
     startedMs: undefined,
+    softwareVersion: "v1",
     ...fields,
   };
 }
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -182,9 +182,7 @@
       maxPauseMs: state.stream.isStream ? state.route.maxPauseMs : Infinity,
       targetMs: state.route.targetMs,
       // A started stream has no first event to deliver on time.
-      arrivedMs: state.stream.isStarted
-        ? clock.now()
-        : state.request.arrivedMs,
+      arrivedMs: state.stream.isStarted ? clock.now() : state.request.arrivedMs,
       expiresMs: state.expiresMs,
       avoid: state.tried,
     }, signal);
@@ -228,6 +226,7 @@
     log.info(LogEvent.Hedged, {
       id: state.id,
       at: placement.upstream.entry.id,
+      version: placement.upstream.entry.softwareVersion,
       call: placement.call,
       copy: backup?.name,
       lastEventId: state.stream.lastEventId,
@@ -246,6 +245,9 @@
       log.info(LogEvent.Placed, {
         id: state.id,
         upstream: placement.upstream.entry.id,
+        version: placement.upstream.entry.softwareVersion,
+        resumes: state.request.metadata.resumedId,
+        lastEventId: state.stream.lastEventId,
         call: placement.call,
         urgency: state.urgency,
         heldMs: Math.round(placement.queuedMs),
@@ -278,6 +280,7 @@
         log.info(LogEvent.Resumed, {
           id: state.id,
           from: placement.upstream.entry.id,
+          version: placement.upstream.entry.softwareVersion,
           lastEventId: state.stream.lastEventId,
         });
         continue;
@@ -361,6 +364,7 @@
     log.info(LogEvent.Resumed, {
       id: state.id,
       at: placement.upstream.entry.id,
+      version: placement.upstream.entry.softwareVersion,
       copy: name,
       lastEventId: state.stream.lastEventId,
     });
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -49,6 +49,7 @@
       isDraining: false,
       warmUpMs: 0,
       startedMs: undefined,
+      softwareVersion: "v1",
     });
   }
   const loadEvents: LoadEvent[] = [];
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -102,6 +102,8 @@
   warmUpMs: number;
   /** Start time; distinguishes processes that reuse an identifier. */
   startedMs: number | undefined;
+  /** Version of its software, empty if it registers none. */
+  softwareVersion: string;
 }
 
 /** Kinds of decoded published item. */
@@ -149,6 +151,8 @@
   prompt: Prompt | undefined;
   /** Last event received by a caller that resumes a stream itself. */
   lastEventId: string | undefined;
+  /** Identifier of the request that brought such a caller the first event. */
+  resumedId: string | undefined;
   /** Headers to forward; names and values alternate. */
   forwardedHeaders: string[];
 }
