router: resume a stream only at the software version that began it

Callers got streams with events of two software versions when an engine crashed while a release was under way: the router resumed a broken stream at any engine, and kept backup copies at any engine.

Cause: the version was not part of an upstream's entry, so neither the placement of a resume nor the choice of a backup could look at it. Class of fault: an attempt is continued under conditions under which it did not begin.

The stream now carries the version that wrote its first event; resumes, standbys and backups are placed at that version only, and a backup is not used after a restart of its upstream. If no upstream of the version is left, the stream is cut off and its caller may start again. A changed version in an entry is a new run of the upstream.

--- a/packages/router/src/choose_backup_upstream.ts
+++ b/packages/router/src/choose_backup_upstream.ts
@@ -19,8 +19,8 @@
 
 /**
  * Chooses the upstream that keeps a backup copy of a call at `upstream`, from
- * which the call can be resumed if `upstream` fails. Prefers free memory and
- * the same data centre. Only calls with a high output limit and a small KV
+ * which the call can be resumed if `upstream` fails: one of the same software
+ * version. Prefers free memory and the same data centre. Only calls with a high output limit and a small KV
  * cache get one; returns undefined for others and if no upstream can keep it.
  */
 export function chooseBackupUpstream(
@@ -36,6 +36,9 @@
   let bestCost = Infinity;
   for (const other of others) {
     if (other === upstream || other.warmUpUntilMs > nowMs) continue;
+    if (other.entry.softwareVersion !== upstream.entry.softwareVersion) {
+      continue;
+    }
     const isRemote = other.entry.dataCentre !== upstream.entry.dataCentre;
     const memoryShare = other.model.memoryTokens() / engine.memoryTokens;
     const cost = memoryShare + (isRemote ? REMOTE_COST_SHARE : 0);
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -209,6 +209,7 @@
         path: state.request.pathAndQuery,
         headers,
         body: state.request.body,
+        softwareVersion: entry.softwareVersion,
         stream: state.stream,
         response: state.response,
         onReceived() {
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -176,6 +176,7 @@
     set(id, entry) {
       const known = upstreams.get(id);
       const isSameRun = known && known.entry.startedMs === entry.startedMs &&
+        known.entry.softwareVersion === entry.softwareVersion &&
         known.entry.service === entry.service &&
         known.entry.host === entry.host && known.entry.port === entry.port;
       if (!isSameRun) {
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -164,6 +164,7 @@
         isStream: route.kind === RouteKind.Stream,
         lastEventId: metadata.lastEventId,
         isStarted: false,
+        softwareVersion: undefined,
         eventCount: 0,
       },
       backup: undefined,
@@ -185,6 +186,7 @@
       arrivedMs: state.stream.isStarted ? clock.now() : state.request.arrivedMs,
       expiresMs: state.expiresMs,
       avoid: state.tried,
+      softwareVersion: state.stream.softwareVersion,
     }, signal);
   }
 
@@ -334,7 +336,8 @@
   ): { placement: Placement; name: string } | undefined {
     const { upstream, name } = state.backup!;
     state.backup = undefined;
-    if (!registry.find(upstream.entry.id)) {
+    // A restarted upstream has lost the copy.
+    if (registry.find(upstream.entry.id) !== upstream) {
       denyRetry(state, RetryDenial.BackupRemoved);
       return undefined;
     }
@@ -349,6 +352,7 @@
       arrivedMs: clock.now(),
       expiresMs: state.expiresMs,
       avoid: state.tried,
+      softwareVersion: state.stream.softwareVersion,
     });
     return { placement, name };
   }
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -36,6 +36,8 @@
   expiresMs: number;
   /** Identifiers of upstreams that have been tried. */
   avoid: ReadonlySet<string>;
+  /** The only software version that may serve it; undefined for any. */
+  softwareVersion: string | undefined;
 }
 
 /** The upstream chosen for one call; call `release` when the call ends. */
@@ -138,11 +140,21 @@
   let nextCall = 1;
   let cancelPoll: CancelTimer | undefined;
 
+  /** Eligible upstreams of the software version that may serve a request. */
+  function listEligible(request: PlacementRequest): Upstream[] {
+    const { service, softwareVersion } = request;
+    const list = registry.eligible(service.name);
+    if (softwareVersion === undefined) return list;
+    return list.filter(({ entry }) =>
+      entry.softwareVersion === softwareVersion
+    );
+  }
+
   function listCandidates(request: PlacementRequest): Upstream[] {
     const list: Upstream[] = [];
     const isLarge = network.isLargeFleet();
     const vms = isLarge ? network.localVmCount() : network.knownVmCount();
-    for (const upstream of registry.eligible(request.service.name)) {
+    for (const upstream of listEligible(request)) {
       if (request.avoid.has(upstream.entry.id)) continue;
       if (upstream.warmUpUntilMs > clock.now()) {
         // In a large fleet, only VMs in the upstream's data centre call it
@@ -312,7 +324,7 @@
     request: PlacementRequest,
     choice?: EngineChoice<Candidate>,
   ): TillerError {
-    const list = registry.eligible(request.service.name);
+    const list = listEligible(request);
     const kind = list.length === 0
       ? ErrorKind.NoUpstream
       : ErrorKind.Overloaded;
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -87,6 +87,7 @@
     arrivedMs,
     expiresMs: arrivedMs + 5000,
     avoid: new Set(),
+    softwareVersion: undefined,
   };
 }
 
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -20,6 +20,11 @@
   lastEventId: string | undefined;
   /** Whether the response's headers have been sent to the caller. */
   isStarted: boolean;
+  /**
+   * Software version that wrote the caller's events, undefined before the first
+   * one. Events of two versions do not fit together.
+   */
+  softwareVersion: string | undefined;
   eventCount: number;
 }
 
@@ -33,6 +38,8 @@
   path: string;
   headers: string[];
   body: Buffer;
+  /** Software version of the upstream. */
+  softwareVersion: string;
   stream: StreamState;
   response: CallerResponse;
   /** The request is about to be written; it may be executed from now on. */
@@ -185,6 +192,7 @@
     if (bytes.length === 0) return;
     if (!stream.isStarted) {
       stream.isStarted = true;
+      stream.softwareVersion = options.softwareVersion;
       response.startStream(head!.status, endToEndHeaders(head!.rawHeaders));
     }
     if (response.write(bytes)) return;
