router: replace a silent attempt only by one that has responded

- An abort after an attempt's end closed the connection, which already carried another request: an unrelated stream was cut off, a write got 502 although it ran.
- A standby that broke or answered 5xx kept further ones from being tried; a standby that fell silent itself was watched by no one.
- "Not refused for 300 ms" ended a pausing attempt before the standby refused after 400 ms, and timers of a blocked process ran before data that had arrived.
- Any bytes of the first upstream, also a refusal, dropped the standby.
- Pauses below 1.2 s, and stalls of the router's own process, used up the only backup copy.

Class of fault, still: a working attempt is ended on suspicion. A started stream is hedged after 1.2 s; time in which the process did not run is no silence. Aborting an ended attempt does nothing.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -41,10 +41,7 @@
 }
 
 /** Connects an attempt with the other attempts of its call. */
-export type AttemptHooks = Pick<
-  AttemptOptions,
-  "onSent" | "onReceived" | "claimResponse"
->;
+export type AttemptHooks = Pick<AttemptOptions, "claimResponse">;
 
 /** What distinguishes an attempt from the first one of a request. */
 export interface StartOptions {
@@ -212,10 +209,7 @@
         softwareVersion: entry.softwareVersion,
         stream: state.stream,
         response: state.response,
-        onReceived() {
-          registry.onReceived(upstream);
-          hooks.onReceived();
-        },
+        onReceived: () => registry.onReceived(upstream),
         claimResponse: hooks.claimResponse,
         onEvent: () => placement.onFirstEvent(),
         onSent() {
@@ -225,7 +219,6 @@
           state.sends++;
           state.possibleRuns++;
           state.tried.add(entry.id);
-          hooks.onSent();
         },
       });
       const onAbort = () => running.abort(AttemptResult.Aborted);
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -200,7 +200,6 @@
     backupFrom?: string,
   ): Promise<AttemptEnd> {
     return runHedgedCall({
-      isStream: state.stream.isStream,
       start: (hooks) => attempts.start(state, placement, { backupFrom, hooks }),
       startStandby: (hooks, signal) => startStandby(state, { hooks, signal }),
       watch: (running, onSilent) =>
@@ -208,19 +207,23 @@
           { state, placement: running.placement, running, onSilent },
           { clock, log, registry, network },
         ),
-    }, { clock });
+    });
   }
 
-  /** Sends a silent call elsewhere as well; see `HedgedCall.startStandby`. */
+  /**
+   * Sends a silent call elsewhere as well. A backup copy that was not used is
+   * kept for later; see `HedgedCall.startStandby`.
+   */
   async function startStandby(
     state: RequestState,
     options: { hooks: AttemptHooks; signal: AbortSignal },
   ): Promise<StartedAttempt | undefined> {
     const { hooks, signal } = options;
-    const canUseBackup = state.stream.isStarted && state.backup !== undefined;
-    const backup = canUseBackup ? placeAtBackup(state) : undefined;
-    if (canUseBackup && !backup) return undefined;
-    const placement = backup?.placement ?? await place(state, signal);
+    const kept = state.stream.isStarted ? state.backup : undefined;
+    const backup = kept && placeAtBackup(state);
+    if (kept && !backup) return undefined;
+    const placement = backup?.placement ??
+      await place(state, AbortSignal.any([state.signal, signal]));
     if (signal.aborted || (!backup && !claimRetry(state))) {
       placement.release(CallEnd.Other);
       return undefined;
@@ -233,10 +236,14 @@
       copy: backup?.name,
       lastEventId: state.stream.lastEventId,
     });
-    return attempts.start(state, placement, {
+    const started = attempts.start(state, placement, {
       backupFrom: backup?.name,
       hooks,
     });
+    started.ended.then(({ result }) => {
+      if (result === AttemptResult.Unsent) state.backup ??= kept;
+    });
+    return started;
   }
 
   /** Runs attempts until the request has its final response. */
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -82,6 +82,8 @@
   ended: Promise<AttemptEnd>;
   /** Monotonic time of the last bytes, or of the attempt's start, in ms. */
   lastReceivedMs(): number;
+  /** Whether at least one complete event was received. */
+  hasEvents(): boolean;
   /** Ends the attempt with the given result. */
   abort(result: AttemptResult): void;
 }
@@ -244,8 +246,9 @@
   return {
     ended,
     lastReceivedMs: () => lastReceivedMs,
+    hasEvents: () => firstMs !== undefined,
     abort(result) {
-      aborted = result;
+      aborted ??= result;
       running.abort();
     },
   };
--- a/packages/router/src/send_attempt.ts
+++ b/packages/router/src/send_attempt.ts
@@ -96,6 +96,8 @@
   });
   return {
     abort() {
+      // The connection of an ended call may already carry another one.
+      if (isEnded) return;
       end(false, "aborted");
       controller?.abort(new Error("aborted"));
       connection.client.destroy().catch(() => {});
--- a/packages/router/src/send_attempt_test.ts
+++ b/packages/router/src/send_attempt_test.ts
@@ -4,7 +4,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test } from "node:test";
 import { createConnectionPool } from "./create_connection_pool.ts";
-import { sendAttempt } from "./send_attempt.ts";
+import { type RunningAttempt, sendAttempt } from "./send_attempt.ts";
 
 /** Sends one call over a new connection. */
 async function sendOnce(port: number) {
@@ -86,6 +86,52 @@
   assert.equal(end.isComplete, false);
 });
 
+// Guards against an abort that closes a connection after its call has ended,
+// when it already carries another call.
+test("aborting an ended call leaves its connection open", async () => {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", () => {
+      setTimeout(
+        () => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+        20,
+      );
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const pool = createConnectionPool({ clock: createSystemClock() });
+  const connection = pool.acquire({ host: "127.0.0.1", port }, 1)!;
+  function send() {
+    let attempt: RunningAttempt | undefined;
+    const ended = new Promise<{ isComplete: boolean }>((resolve) => {
+      attempt = sendAttempt({
+        connection,
+        method: "GET",
+        path: "/",
+        headers: [],
+        body: undefined,
+      }, {
+        onSent() {},
+        onHead: () => true,
+        onData() {},
+        onEnd: resolve,
+      });
+    });
+    return { attempt: attempt!, ended };
+  }
+  try {
+    const first = send();
+    assert.equal((await first.ended).isComplete, true);
+    const second = send();
+    first.attempt.abort();
+    assert.equal((await second.ended).isComplete, true);
+  } finally {
+    pool.close();
+    server.close();
+  }
+});
+
 test("a call to a closed port is not sent", async () => {
   const end = await sendOnce(9);
   assert.equal(end.wasSent, false);
--- a/packages/router/src/watch_stall.ts
+++ b/packages/router/src/watch_stall.ts
@@ -11,7 +11,7 @@
 export interface WatchedCall {
   state: RequestState;
   placement: Placement;
-  running: Pick<AttemptRun, "lastReceivedMs">;
+  running: Pick<AttemptRun, "lastReceivedMs" | "hasEvents">;
   /**
    * Called when a silence reaches the idle timeout, and again after each further
    * one, if the call can go on elsewhere.
@@ -33,6 +33,11 @@
 const MIN_IDLE_TIMEOUT_MS = 600;
 /** Idle timeout, as a multiple of the longest pause or the latency target. */
 const IDLE_TIMEOUT_FACTOR = 3;
+/**
+ * Shortest silence of a started stream before it continues elsewhere, in ms.
+ * Healthy upstreams pause for about a second, and a backup copy serves once.
+ */
+const MIN_STREAM_SILENCE_MS = 1200;
 /**
  * Idle timeouts without data at this VM after which an upstream counts as
  * stalled even if other VMs receive data from it.
@@ -64,17 +69,36 @@
     idleTimeoutMs,
     placement.predictedMs + idleTimeoutMs,
   );
-  /** Time of the last data before the silence that was last logged. */
-  let loggedAtMs: number | undefined;
+  let checkedAtMs = clock.now();
+  let silentSinceMs = running.lastReceivedMs();
+  /** Time of the silence in which this process did not run, in ms. */
+  let suspendedMs = 0;
+  let isLogged = false;
   let reportedAtMs = -Infinity;
+
+  /** Measures the silence, without the time in which data was not read. */
+  function measureSilence(nowMs: number): number {
+    const delayMs = nowMs - checkedAtMs - STALL_CHECK_MS;
+    checkedAtMs = nowMs;
+    if (silentSinceMs !== running.lastReceivedMs()) {
+      silentSinceMs = running.lastReceivedMs();
+      suspendedMs = 0;
+      isLogged = false;
+    }
+    suspendedMs += Math.max(0, delayMs);
+    return nowMs - silentSinceMs - suspendedMs;
+  }
+
   return repeat(clock, STALL_CHECK_MS, () => {
     const nowMs = clock.now();
     const isStarted = state.stream.isStarted;
-    const limitMs = isStarted ? idleTimeoutMs : firstEventTimeoutMs;
-    if (nowMs - running.lastReceivedMs() < limitMs) return;
+    const limitMs = running.hasEvents() ? idleTimeoutMs : firstEventTimeoutMs;
+    const silentMs = measureSilence(nowMs);
+    if (silentMs < limitMs) return;
+    const readMs = nowMs - suspendedMs;
     // An upstream that still responds to other calls is slow, not stalled.
-    const isStalled = nowMs - upstream.fleetLastReceivedMs >= limitMs ||
-      nowMs - upstream.lastReceivedMs >= limitMs * LOCAL_STALL_FACTOR;
+    const isStalled = readMs - upstream.fleetLastReceivedMs >= limitMs ||
+      readMs - upstream.lastReceivedMs >= limitMs * LOCAL_STALL_FACTOR;
     if (isStalled && upstream.downUntilMs <= nowMs) {
       registry.onStalled(upstream);
       network.publishLoadEvent({
@@ -84,15 +108,15 @@
     }
     const canRetry = isRetryable(route) && state.sends < route.maxAttempts;
     const canRecover = canRetry || (isStarted && state.backup !== undefined);
-    const silentSinceMs = running.lastReceivedMs();
-    if (loggedAtMs !== silentSinceMs) {
-      loggedAtMs = silentSinceMs;
+    if (!isLogged) {
+      isLogged = true;
       log.warn(LogEvent.CallSilent, {
         id: state.id,
         upstream: upstream.entry.id,
         call: placement.call,
-        quietMs: Math.round(nowMs - silentSinceMs),
-        fleetQuietMs: Math.round(nowMs - upstream.fleetLastReceivedMs),
+        quietMs: Math.round(silentMs),
+        fleetQuietMs: Math.round(readMs - upstream.fleetLastReceivedMs),
+        suspendedMs: Math.round(suspendedMs),
         limitMs: Math.round(limitMs),
         started: isStarted,
         canRetry,
@@ -100,6 +124,7 @@
       });
     }
     if (!canRecover || (isStarted && !isStalled)) return;
+    if (isStarted && silentMs < MIN_STREAM_SILENCE_MS) return;
     if (nowMs - reportedAtMs < limitMs) return;
     reportedAtMs = nowMs;
     onSilent();
