router, peers: let callers resume a stream only at its software version

A caller whose connection broke resumes its stream at any VM, with Last-Event-Id and the identifier of the attempt that brought its first event. Callers got streams of two versions this way, too: the other VM placed the request like a new one.

Cause: only the VM that began a stream knew at which version.

A VM now publishes the identifier and version of each stream that its callers can resume, when the first event goes out, to the VMs that get its load events, until the caller's deadline. If no one knows it, the request is refused as not run, with Retry-After: a VM that is cut off can't tell the version, also if it knows of one version only. A caller that names no attempt can resume only while the service has had a single version.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -12,6 +12,7 @@
   type PeerMessage,
   PeerMessageKind,
   type PushedItems,
+  type StreamStartedEvent,
 } from "./peer_messages.ts";
 
 /** Heartbeat interval of a small fleet, in milliseconds. */
@@ -33,6 +34,8 @@
 const MAX_READER_MISSED_HEARTBEATS = 2.5;
 /** Members of other data centres that a large fleet's heartbeat goes to. */
 const REMOTE_HEARTBEAT_TARGETS = 4;
+/** Members of each data centre that a large fleet's query goes to. */
+const QUERIED_PER_DATA_CENTRE = 3;
 /** Time for which load events are collected into a batch, in milliseconds. */
 const BATCH_DELAY_MS = 3;
 /** Added to that time for each member, to bound the datagram rate, in ms. */
@@ -62,6 +65,11 @@
   onLoadEvents(member: Member, events: LoadEvent[]): void;
   /** Receives the changes of published items since revision `push.after`. */
   onItems(member: Member, push: PushedItems): void;
+  /**
+   * A VM asks which software version began the stream of the request `id`.
+   * Returns the event to reply with, or undefined if it is not known.
+   */
+  onStreamQuery(id: string): StreamStartedEvent | undefined;
   /** The host runs a new process: calls of the previous one are lost. */
   onRestart(host: string): void;
   /**
@@ -89,6 +97,12 @@
    * them when a heartbeat shows the new revision.
    */
   pushItems(push: PushedItems): void;
+  /**
+   * Asks which software version began the stream of the request `id`; in a large
+   * fleet, some random members of each data centre. Those that know it reply
+   * with a load event.
+   */
+  queryStream(id: string): void;
   /** Sends the queued load events and a heartbeat immediately. */
   sendHeartbeatNow(): void;
   /**
@@ -203,6 +217,25 @@
     return local;
   }
 
+  /** Hosts of all members; in a large fleet some of each data centre. */
+  function queryTargets(): Iterable<string> {
+    if (!isLargeFleet()) return members.keys();
+    const hostsByCentre = new Map<string, string[]>();
+    for (const { host: to, dataCentre: centre } of members.values()) {
+      if (!reachableHosts.has(to)) continue;
+      const hosts = hostsByCentre.get(centre);
+      if (hosts) hosts.push(to);
+      else hostsByCentre.set(centre, [to]);
+    }
+    const targets = new Set<string>();
+    for (const hosts of hostsByCentre.values()) {
+      for (let count = 0; count < QUERIED_PER_DATA_CENTRE; count++) {
+        targets.add(hosts[randomInt(hosts.length)]!);
+      }
+    }
+    return targets;
+  }
+
   /** Hosts of the members of a data centre; of all for an empty name. */
   function* hostsIn(centre: string): Iterable<string> {
     for (const member of members.values()) {
@@ -310,6 +343,13 @@
       listener?.onItems(member, content as unknown as PushedItems);
       return;
     }
+    if (kind === PeerMessageKind.StreamQuery) {
+      const reply = listener?.onStreamQuery(String(content));
+      if (!reply) return;
+      const events = [encodeLoadEvent(reply)];
+      send([PeerMessageKind.Load, incarnation, events], [from]);
+      return;
+    }
     if (kind !== PeerMessageKind.Heartbeat) return;
     member.heartbeat = decodeHeartbeat(content);
     member.dataCentre = member.heartbeat.dataCentre;
@@ -353,6 +393,9 @@
       if (packr.pack(message).length > MAX_DATAGRAM_BYTES) return;
       send(message, hostsIn(isLargeFleet() ? dataCentre : ""));
     },
+    queryStream(id) {
+      send([PeerMessageKind.StreamQuery, incarnation, id], queryTargets());
+    },
     isStoreReader() {
       const localHosts = [host];
       const sinceMs = clock.now() -
--- a/packages/peers/src/create_peer_network_test.ts
+++ b/packages/peers/src/create_peer_network_test.ts
@@ -65,6 +65,7 @@
         onChange();
       },
       onItems() {},
+      onStreamQuery: () => undefined,
       onRestart() {},
       onMembership() {},
     });
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -8,6 +8,8 @@
   Load = 2,
   /** Published items that changed. */
   Items = 3,
+  /** Asks which software version began a stream; see `StreamStartedEvent`. */
+  StreamQuery = 4,
 }
 
 /** Kinds of change of a call or an upstream. */
@@ -22,6 +24,8 @@
    * longer time, nothing to the sender of this event.
    */
   Stalled = 5,
+  /** A stream that its caller can resume at any VM began. */
+  StreamStarted = 6,
 }
 
 /** How a call ended, as reported to the other VMs. */
@@ -84,13 +88,25 @@
   upstream: string;
 }
 
+/** A stream that its caller can resume began; also the reply to a query. */
+export interface StreamStartedEvent {
+  kind: LoadEventKind.StreamStarted;
+  /** Identifier of the caller's request. */
+  id: string;
+  /** Software version of the upstream that sent the first event. */
+  softwareVersion: string;
+  /** Time for which the caller can resume it, in milliseconds. */
+  keepMs: number;
+}
+
 /** A change of a call or an upstream that a VM sends to the others. */
 export type LoadEvent =
   | StartedEvent
   | FirstEventReceivedEvent
   | EndedEvent
   | CrashedEvent
-  | StalledEvent;
+  | StalledEvent
+  | StreamStartedEvent;
 
 /** Content of a VM's heartbeat. */
 export interface Heartbeat {
@@ -115,7 +131,8 @@
 export type PeerMessage =
   | [PeerMessageKind.Heartbeat, number, unknown[]]
   | [PeerMessageKind.Load, number, unknown[][]]
-  | [PeerMessageKind.Items, number, PushedItems];
+  | [PeerMessageKind.Items, number, PushedItems]
+  | [PeerMessageKind.StreamQuery, number, string];
 
 /** Encoded order of a load event's fields after its kind. */
 const LOAD_EVENT_FIELDS: Record<LoadEventKind, readonly string[]> = {
@@ -132,6 +149,7 @@
   [LoadEventKind.Ended]: ["call", "upstream", "end"],
   [LoadEventKind.Crashed]: ["fingerprint", "crash"],
   [LoadEventKind.Stalled]: ["upstream"],
+  [LoadEventKind.StreamStarted]: ["id", "softwareVersion", "keepMs"],
 };
 
 /** Encoded order of a heartbeat's fields. */
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -7,6 +7,7 @@
 import type { Registry, Upstream } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement } from "./create_scheduler.ts";
+import type { StreamOrigins } from "./create_stream_origins.ts";
 import { AttemptResult, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { WireProtocol } from "./ports.ts";
@@ -28,6 +29,7 @@
   registry: Registry;
   pool: ConnectionPool;
   network: Pick<PeerNetwork, "knownVmCount">;
+  origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
   /** Name of this VM. */
   vm: string;
@@ -63,12 +65,18 @@
   ): StartedAttempt;
 }
 
+/**
+ * Time beyond a request's deadline for which its origin is kept, in ms: the
+ * caller's time includes its connections.
+ */
+const ORIGIN_MARGIN_MS = 2000;
+
 /** Creates the starter, which keeps no state of its own. */
 export function createAttemptStarter(
   options: AttemptStarterOptions,
 ): AttemptStarter {
   const { clock, log, metrics, protocol, registry, pool } = options;
-  const { network, crashDetector, vm, allowanceOf } = options;
+  const { network, origins, crashDetector, vm, allowanceOf } = options;
 
   function addressOf({ entry }: Upstream): string {
     return `${entry.host}:${entry.port}`;
@@ -111,6 +119,17 @@
     return backup;
   }
 
+  /** Publishes which version began a stream that its caller can resume. */
+  function publishOrigin(state: RequestState, softwareVersion: string): void {
+    const isResume = state.request.metadata.lastEventId !== undefined;
+    if (!state.route.isResumable || isResume) return;
+    origins.publish({
+      id: state.id,
+      softwareVersion,
+      keepMs: Math.ceil(state.expiresMs - clock.now()) + ORIGIN_MARGIN_MS,
+    });
+  }
+
   /** Reports an attempt's outcome to scheduler, registry and crash detector. */
   function recordEnd(
     state: RequestState,
@@ -211,6 +230,7 @@
         response: state.response,
         onReceived: () => registry.onReceived(upstream),
         claimResponse: hooks.claimResponse,
+        onStreamStarted: () => publishOrigin(state, entry.softwareVersion),
         onEvent: () => placement.onFirstEvent(),
         onSent() {
           if (state.sends === 0) {
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -55,6 +55,8 @@
    */
   eligible(service: string): Upstream[];
   all(): Iterable<Upstream>;
+  /** The software version of a service, undefined if there were several. */
+  onlyVersionOf(service: string): string | undefined;
   /** Takes a data centre out of service or puts it back. */
   setDataCentre(dataCentre: string, isOut: boolean): void;
   /** Replaces the service definitions; known upstreams keep their state. */
@@ -109,6 +111,8 @@
   const upstreams = new Map<string, Upstream>();
   const outDataCentres = new Set<string>();
   const speeds = new Map<string, SpeedEstimate>();
+  /** All software versions seen since the start, by service. */
+  const versionsByService = new Map<string, Set<string>>();
   let findService: (name: string) => ServiceDefinition | undefined = () =>
     undefined;
 
@@ -175,6 +179,8 @@
   return {
     set(id, entry) {
       const known = upstreams.get(id);
+      const versions = versionsByService.get(entry.service) ?? new Set();
+      versionsByService.set(entry.service, versions.add(entry.softwareVersion));
       const isSameRun = known && known.entry.startedMs === entry.startedMs &&
         known.entry.softwareVersion === entry.softwareVersion &&
         known.entry.service === entry.service &&
@@ -231,6 +237,10 @@
       return list;
     },
     all: () => upstreams.values(),
+    onlyVersionOf(service) {
+      const versions = versionsByService.get(service);
+      return versions?.size === 1 ? [...versions][0] : undefined;
+    },
     setDataCentre(dataCentre, isOut) {
       const wasOut = outDataCentres.has(dataCentre);
       if (isOut) outDataCentres.add(dataCentre);
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -28,6 +28,7 @@
 import type { Registry } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement, Scheduler } from "./create_scheduler.ts";
+import type { StreamOrigins } from "./create_stream_origins.ts";
 import { AttemptResult, LogEvent, RetryDenial, RouteKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { WireProtocol } from "./ports.ts";
@@ -52,6 +53,7 @@
   scheduler: Scheduler;
   pool: ConnectionPool;
   network: PeerNetwork;
+  origins: StreamOrigins;
   quarantine: Quarantine;
   retryBounds: RetryBounds;
   /** Name of this VM. */
@@ -80,13 +82,17 @@
 /** Retry-after while this VM stops, in ms; the retry goes to another VM. */
 const STOPPING_RETRY_AFTER_MS = 50;
 
+/** Retry-after for a resume of an unknown stream, in ms. */
+const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 400;
+
 /** Creates the request server; retries are limited per service. */
 export function createRequestServer(
   options: RequestServerOptions,
 ): RequestServer {
   const { clock, log, metrics, protocol, registry, scheduler, pool, network } =
     options;
-  const { quarantine, retryBounds, vm, configuration, isCurrent } = options;
+  const { origins, quarantine, retryBounds, vm } = options;
+  const { configuration, isCurrent } = options;
   const crashDetector = createCrashDetector({
     clock,
     log,
@@ -102,6 +108,7 @@
     registry,
     pool,
     network,
+    origins,
     crashDetector,
     vm,
     allowanceOf,
@@ -246,8 +253,28 @@
     return started;
   }
 
+  /**
+   * Sets the software version at which a caller resumes a stream. Throws a
+   * `TillerError` if no VM knows which version began it.
+   */
+  async function resolveOrigin(state: RequestState): Promise<void> {
+    const { request, stream, service } = state;
+    const { lastEventId, resumedId } = request.metadata;
+    if (!stream.isStream || lastEventId === undefined) return;
+    stream.softwareVersion = resumedId
+      ? await origins.find(resumedId)
+      : registry.onlyVersionOf(service.name);
+    if (stream.softwareVersion !== undefined) return;
+    throw new TillerError(
+      ErrorKind.NotReady,
+      "no VM knows which software version began the stream",
+      { retryAfterMs: UNKNOWN_ORIGIN_RETRY_AFTER_MS },
+    );
+  }
+
   /** Runs attempts until the request has its final response. */
   async function runAttempts(state: RequestState): Promise<void> {
+    await resolveOrigin(state);
     let connectFailures = 0;
     for (;;) {
       const placement = await place(state);
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -24,6 +24,7 @@
 import { createRequestServer } from "./create_request_server.ts";
 import { createRouterMetrics } from "./create_router_metrics.ts";
 import { createScheduler } from "./create_scheduler.ts";
+import { createStreamOrigins } from "./create_stream_origins.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import {
@@ -174,6 +175,7 @@
     }),
   });
   const scheduler = createScheduler({ clock, registry, network, dataCentre });
+  const origins = createStreamOrigins({ clock, network, dataCentre });
   const metrics = createRouterMetrics({
     openRequests: () => requestServer.openCount(),
     queuedRequests: () => scheduler.queuedCount(),
@@ -191,6 +193,7 @@
     scheduler,
     pool,
     network,
+    origins,
     quarantine,
     retryBounds: settings.retries,
     vm,
@@ -336,6 +339,10 @@
         quarantine.onCrash(event.crash, [event.fingerprint]);
         continue;
       }
+      if (event.kind === LoadEventKind.StreamStarted) {
+        origins.onPeerOrigin(event);
+        continue;
+      }
       const upstream = registry.find(event.upstream);
       if (!upstream) continue;
       if (event.kind === LoadEventKind.Stalled) {
@@ -399,6 +406,7 @@
         onHeartbeat,
         onLoadEvents,
         onItems,
+        onStreamQuery: (id) => origins.replyTo(id),
         onRestart(host) {
           for (const upstream of registry.all()) {
             upstream.model.reconcile(`${host}:`, new Set());
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -53,6 +53,8 @@
    * attempt of the request forwards its events; this one then ends.
    */
   claimResponse(): boolean;
+  /** The caller is about to get the response's headers and first event. */
+  onStreamStarted(): void;
 }
 
 /** How an attempt ended. */
@@ -195,6 +197,7 @@
     if (!stream.isStarted) {
       stream.isStarted = true;
       stream.softwareVersion = options.softwareVersion;
+      options.onStreamStarted();
       response.startStream(head!.status, endToEndHeaders(head!.rawHeaders));
     }
     if (response.write(bytes)) return;
