router: finish writing responses before a planned stop ends

The request no longer counted as open once its response had been handed to the connection, and the HTTP server's close also ends connections whose response has ended but is not yet written. Class of fault: a connection is closed on the assumption that its work is done.

A request now counts until its response has been written or its connection has closed, and a stop only closes the listening socket. Later requests on open connections are refused as before.

--- a/packages/router/src/caller_exchange.ts
+++ b/packages/router/src/caller_exchange.ts
@@ -22,6 +22,11 @@
    * destroyed, and then a second time if its close event is still to come.
    */
   onDisconnect(action: () => void): void;
+  /**
+   * Runs `action` once when the response has been written to the connection, or
+   * the connection has closed.
+   */
+  onClosed(action: () => void): void;
   /** Whether the response has ended or the caller has disconnected. */
   isClosed(): boolean;
   /** Sends a complete response; sets its `Content-Length`. */
--- a/packages/router/src/create_caller_server.ts
+++ b/packages/router/src/create_caller_server.ts
@@ -11,6 +11,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { Server as NetServer } from "node:net";
 import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
 import type { CallerLimits, WireProtocol } from "./ports.ts";
 
@@ -21,7 +22,7 @@
   setLimits(limits: CallerLimits): void;
   /** Sends `Connection: close` with all further responses. */
   startDraining(): void;
-  /** Accepts no more connections and closes idle ones. */
+  /** Accepts no more connections; open ones stay until `close`. */
   stopListening(): void;
   /** Closes all connections, including those with requests in progress. */
   close(): void;
@@ -144,8 +145,9 @@
       isDraining = true;
     },
     stopListening() {
-      server.close();
-      server.closeIdleConnections();
+      // The HTTP server's own `close` also closes connections whose response
+      // has ended but is not yet written.
+      NetServer.prototype.close.call(server);
     },
     close() {
       server.closeAllConnections();
@@ -183,6 +185,10 @@
         if (!response.writableFinished) action();
       });
     },
+    onClosed(action) {
+      if (response.closed) action();
+      else response.once("close", action);
+    },
     isClosed: () => response.destroyed || response.writableEnded,
     send(status, rawHeaders, body) {
       if (response.destroyed || response.headersSent) return;
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -71,7 +71,7 @@
    * disconnected; never rejects.
    */
   serve(request: CallerRequest, response: CallerResponse): Promise<void>;
-  /** Number of requests in progress. */
+  /** Number of requests whose response has not been written completely. */
   openCount(): number;
   /** Refuses all further requests, as they could not end before the stop. */
   startRefusing(): void;
@@ -487,7 +487,8 @@
         }
       } finally {
         cancelDeadline();
-        openCount--;
+        // A stop waits until the caller has got the response.
+        response.onClosed(() => openCount--);
       }
     },
     openCount: () => openCount,
