router: complete a stream whose resume has no event left

A stream that broke between its last event and its end was cut off, although the caller had all events and the upstream at which it was resumed said that none was left: a response without any event counted as broken.

A resume without events now completes the stream if its response has a length or is chunked.

--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -210,12 +210,14 @@
     if (!wasSent) return AttemptResult.Unsent;
     if (isNotRun) return AttemptResult.NotRun;
     if (!isComplete || reason !== "") return AttemptResult.Broken;
-    if (
-      isEventStream && (splitter.pendingBytes() > 0 || firstMs === undefined)
-    ) {
+    if (isEventStream && splitter.pendingBytes() > 0) {
       reason = "the stream ended inside an event";
       return AttemptResult.Broken;
     }
+    if (isEventStream && firstMs === undefined && !isEmptyRemainder()) {
+      reason = "the stream has no event";
+      return AttemptResult.Broken;
+    }
     if (stream.isStarted && !isEventStream) {
       reason = `the stream was not resumed: status ${head?.status}`;
       return AttemptResult.Broken;
@@ -223,6 +225,17 @@
     return AttemptResult.Complete;
   }
 
+  /**
+   * Whether the response says that a resumed stream has no event left. Without
+   * a length, it may as well have ended early.
+   */
+  function isEmptyRemainder(): boolean {
+    const { headers } = head!;
+    const hasLength = headers["transfer-encoding"] !== undefined ||
+      headers["content-length"] !== undefined;
+    return stream.lastEventId !== undefined && hasLength;
+  }
+
   const running = sendAttempt(options, {
     onSent: options.onSent,
     onHead: readHead,
