router: do not resume at a backup upstream that is out of service

A stream whose upstream failed was resumed from its backup copy also when the upstream with the copy was draining, or its data centre had been taken out of service: only its registration was checked. No call may start there after a few seconds.

A backup copy is now used only at an upstream that other calls could get. Otherwise retry-denied has the cause backup-unavailable. Tests for a draining and an evacuated upstream, both failed before.

--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -370,9 +370,9 @@
   ): { placement: Placement; name: string } | undefined {
     const { upstream, name } = state.backup!;
     state.backup = undefined;
-    // A restarted upstream has lost the copy.
-    if (registry.find(upstream.entry.id) !== upstream) {
-      denyRetry(state, RetryDenial.BackupRemoved);
+    // A restarted upstream is another one and has lost the copy.
+    if (!registry.eligible(state.service.name).includes(upstream)) {
+      denyRetry(state, RetryDenial.BackupUnavailable);
       return undefined;
     }
     if (!spendRetry(state)) return undefined;
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -47,8 +47,8 @@
   Attempts = "attempts",
   /** This VM's allowance of retries for the service is used up. */
   Allowance = "allowance",
-  /** The upstream with the backup copy is no longer registered. */
-  BackupRemoved = "backup-removed",
+  /** The upstream with the backup copy is out of service, or restarted. */
+  BackupUnavailable = "backup-unavailable",
 }
 
 /** How an attempt at an upstream ended. */
