Lease the ports of test fleets while the test process lives

Developers saw tests fail by chance in whole runs of the test command, each after 30 s with "timed out waiting until the process is ready" and without a cause; `listen EADDRINUSE` stood earlier in the output.

Cause: findFreePort drew a port at random, listened on it and closed it again before the process that was to use it had started, while four test files run at once. Nobody waited for the exit of a process, so that a failed start looked like a slow one.

Change: leasePort in standins gives each port once. Fleets end their leases when they stop.

--- a/packages/bench/src/measure_capacity.ts
+++ b/packages/bench/src/measure_capacity.ts
@@ -1,5 +1,5 @@
 import type { PublishedVm } from "@rosemarytiller/link";
-import { type Fleet, startFleet, waitReady } from "@rosemarytiller/sessions";
+import { type Fleet, startFleet } from "@rosemarytiller/sessions";
 import { build } from "hdr-histogram-js";
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
@@ -222,7 +222,7 @@
   await exited;
   fleet.platform.setVms(createVmListWithClients(fleet, count));
   vm.restart("broker");
-  await waitReady(vm.brokerAddress);
+  await fleet.waitReady(vm.brokerAddress);
 }
 
 /** Loopback address on which nothing listens. */
--- a/packages/bench/src/start_local_fleet.ts
+++ b/packages/bench/src/start_local_fleet.ts
@@ -5,11 +5,11 @@
   type EntryOptions,
 } from "@rosemarytiller/entry";
 import { createHttpPlatform } from "@rosemarytiller/platform";
-import { findFreePort } from "@rosemarytiller/sessions";
 import { parseSettings } from "@rosemarytiller/settings";
 import { createSystemClock } from "@rosemarytiller/shared";
 import {
   createStandInPlatform,
+  leasePort,
   type StandInPlatform,
 } from "@rosemarytiller/standins";
 
@@ -50,7 +50,7 @@
         balancerLagMs: 0,
         entry: { port: 0 },
         entryAdmin: { port: 0 },
-        broker: { port: await findFreePort() },
+        broker: { port: await leasePort() },
       }),
       vm,
     );
--- a/packages/demo/src/run_stand_ins_test.ts
+++ b/packages/demo/src/run_stand_ins_test.ts
@@ -1,4 +1,4 @@
-import { findFreePort } from "@rosemarytiller/sessions";
+import { leasePort } from "@rosemarytiller/standins";
 import assert from "node:assert/strict";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -10,11 +10,11 @@
   const folder = await mkdtemp(join(tmpdir(), "standins-"));
   const documentFile = join(folder, "ledger.jsonc");
   const settingsFile = join(folder, "vm.jsonc");
-  const port = await findFreePort();
+  const port = await leasePort();
   const example = new URL("../../../examples/", import.meta.url);
   let text = await readFile(new URL("hive-ledger.jsonc", example), "utf8");
   for (const address of new Set(text.match(/127\.0\.0\.1:\d+/g))) {
-    text = text.replaceAll(address, `127.0.0.1:${await findFreePort()}`);
+    text = text.replaceAll(address, `127.0.0.1:${await leasePort()}`);
   }
   await writeFile(documentFile, text);
   const settings = await readFile(new URL("vm-1.jsonc", example), "utf8");
--- a/packages/sessions/src/answer_service_test.ts
+++ b/packages/sessions/src/answer_service_test.ts
@@ -1,3 +1,4 @@
+import { leasePort } from "@rosemarytiller/standins";
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { once } from "node:events";
@@ -10,7 +11,6 @@
   createScriptedUpstream,
   UpstreamStep,
 } from "./create_scripted_upstream.ts";
-import { findFreePort } from "./start_fleet.ts";
 import { startTestEntry } from "./start_test_entry.ts";
 
 const seed = Number(process.env.SEED ?? 20261203);
@@ -150,7 +150,7 @@
 ]);
 
 test("a call that could not connect to any upstream reports not-run", async (t) => {
-  const service = `http://127.0.0.1:${await findFreePort()}`;
+  const service = `http://127.0.0.1:${await leasePort()}`;
   const server = await startTestEntry({ engines: [], service });
   t.after(() => server.close());
   const answer = await callFleet(`${server.url}/v1/services/orders/pay`, {
--- a/packages/sessions/src/config_faults_test.ts
+++ b/packages/sessions/src/config_faults_test.ts
@@ -5,7 +5,7 @@
 import { after, afterEach, before, test } from "node:test";
 import { hashKey, TEST_KEY } from "./call_fleet.ts";
 import { callStream } from "./start_load.ts";
-import { type Fleet, startFleet, waitReady, waitUntil } from "./start_fleet.ts";
+import { type Fleet, startFleet, waitUntil } from "./start_fleet.ts";
 
 /** Time in which a change must take effect in all processes. */
 const MAX_PROPAGATION_MS = 4000;
@@ -174,7 +174,7 @@
   await waitInEffect(revision, kept);
   fleet.platform.restore(backup);
   restart(fleet.vms[2]);
-  await waitReady(fleet.vms[2].entryAdmin);
+  await fleet.waitReady(fleet.vms[2].entryAdmin);
   await waitInEffect(revision, kept);
   const next = formatDocument("published-after-the-restore");
   await waitInEffect(fleet.platform.publish(KEY, next, revision + 1), next);
@@ -187,7 +187,7 @@
   fleet.platform.setFaults({ down: true });
   const startedMs = performance.now();
   restart(fleet.vms[1]);
-  await waitReady(fleet.vms[1].entryAdmin);
+  await fleet.waitReady(fleet.vms[1].entryAdmin);
   const tookMs = performance.now() - startedMs;
   t.diagnostic(`ready after ${tookMs.toFixed(0)} ms`);
   await waitInEffect(revision, text);
--- a/packages/sessions/src/start_fleet.ts
+++ b/packages/sessions/src/start_fleet.ts
@@ -2,14 +2,14 @@
 import {
   createRelay,
   createStandInPlatform,
+  leasePort,
   type Relay,
+  releasePort,
   type StandInPlatform,
 } from "@rosemarytiller/standins";
 import { type ChildProcess, spawn } from "node:child_process";
-import { randomInt } from "node:crypto";
 import { once } from "node:events";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -57,11 +57,19 @@
     right: readonly string[],
     action: "cut" | "freeze" | "heal",
   ): void;
-  /** Resolves when every entry is ready. */
+  /**
+   * Resolves when every entry is ready and every broker listens. Rejects like
+   * `waitReady`.
+   */
   waitUntilReady(): Promise<void>;
   /**
-   * Kills all processes, closes the relays and the platform, and deletes the
-   * settings files.
+   * Resolves when the process with an admin address is ready. Rejects after
+   * 30 s, and as soon as a process of the fleet has exited that was not signalled.
+   */
+  waitReady(address: string): Promise<void>;
+  /**
+   * Kills all processes, closes the relays and the platform, deletes the
+   * settings files and ends the leases of the ports.
    */
   stop(): Promise<void>;
 }
@@ -94,28 +102,8 @@
 const MAIN_FILE = fileURLToPath(import.meta.resolve("rosemarytiller"))
   .replace(/index\.js$/, "main.js");
 
-/** Range of ports that the kernel does not assign to outgoing connections. */
-const FIRST_PORT = 10_100;
-const LAST_PORT = 32_000;
-
-/**
- * Finds a port of 127.0.0.1 on which a process started next can listen. The
- * port isn't reserved until then.
- */
-export async function findFreePort(): Promise<number> {
-  while (true) {
-    const port = randomInt(FIRST_PORT, LAST_PORT);
-    const server = createServer().listen(port, "127.0.0.1");
-    try {
-      await once(server, "listening");
-    } catch {
-      continue;
-    }
-    server.close();
-    await once(server, "close");
-    return port;
-  }
-}
+/** Length in characters of the output that a failed start reports. */
+const REPORTED_OUTPUT_LENGTH = 4000;
 
 /**
  * Starts a fleet and publishes its document and VM list. Resolves before its
@@ -127,24 +115,46 @@
   });
   const folder = await mkdtemp(join(tmpdir(), "rosemarytiller-"));
   const children = new Set<ChildProcess>();
+  const ports: number[] = [];
+  /** Descriptions of the processes that exited without being signalled. */
+  const unexpectedExits: string[] = [];
+
+  async function leaseFleetPort(): Promise<number> {
+    const port = await leasePort();
+    ports.push(port);
+    return port;
+  }
 
-  function startProcess(role: string, file: string): ChildProcess {
-    const { onOutput } = options;
-    const output = onOutput ? "pipe" : "inherit";
+  function startProcess(name: string, role: string): ChildProcess {
     const child = spawn(
       process.execPath,
-      [MAIN_FILE, role, "--settings", file],
-      {
-        stdio: ["ignore", output, output],
-      },
+      [MAIN_FILE, role, "--settings", settingsFile(name)],
+      { stdio: ["ignore", "pipe", "pipe"] },
     );
-    child.stdout?.on("data", (chunk) => onOutput!(String(chunk)));
-    child.stderr?.on("data", (chunk) => onOutput!(String(chunk)));
+    let lastOutput = "";
+    for (const stream of ["stdout", "stderr"] as const) {
+      child[stream].on("data", (chunk) => {
+        const text = String(chunk);
+        lastOutput = (lastOutput + text).slice(-REPORTED_OUTPUT_LENGTH);
+        if (options.onOutput) options.onOutput(text);
+        else process[stream].write(text);
+      });
+    }
     children.add(child);
     child.once("exit", () => children.delete(child));
+    child.once("close", (code, signal) => {
+      if (child.killed) return;
+      unexpectedExits.push(
+        `${name}/${role} exited with ${code ?? signal}:\n${lastOutput}`,
+      );
+    });
     return child;
   }
 
+  function settingsFile(name: string): string {
+    return join(folder, `${name}.jsonc`);
+  }
+
   const relays = new Map<string, Relay>();
   const brokerPorts = new Map<string, number>();
 
@@ -164,9 +174,9 @@
   }
 
   async function startVm(name: string, dataCentre: string): Promise<FleetVm> {
-    const [entry, entryAdmin] = [await findFreePort(), await findFreePort()];
+    const entry = await leaseFleetPort();
+    const entryAdmin = await leaseFleetPort();
     const broker = brokerPorts.get(name)!;
-    const file = join(folder, `${name}.jsonc`);
     const settings = {
       vm: name,
       dataCentre,
@@ -179,24 +189,24 @@
       linkAddresses: await startRelays(name),
       ...options.settings,
     };
-    await writeFile(file, JSON.stringify(settings, null, 2));
+    await writeFile(settingsFile(name), JSON.stringify(settings, null, 2));
     const vm: FleetVm = {
       name,
       dataCentre,
       url: `http://127.0.0.1:${entry}`,
       entryAdmin: `127.0.0.1:${entryAdmin}`,
       brokerAddress: `127.0.0.1:${broker}`,
-      entry: startProcess("entry", file),
-      broker: startProcess("broker", file),
+      entry: startProcess(name, "entry"),
+      broker: startProcess(name, "broker"),
       restart(role) {
-        vm[role] = startProcess(role, file);
+        vm[role] = startProcess(name, role);
       },
     };
     return vm;
   }
 
   for (const index of options.dataCentres.keys()) {
-    brokerPorts.set(`vm-${index + 1}`, await findFreePort());
+    brokerPorts.set(`vm-${index + 1}`, await leaseFleetPort());
   }
   const vms: FleetVm[] = [];
   for (const [index, dataCentre] of options.dataCentres.entries()) {
@@ -233,6 +243,23 @@
     platform.setVms(published.flatMap((vm) => change(vm) ?? []));
   }
 
+  /** Polls the readiness endpoint until its answer is as wanted. */
+  async function waitForAnswer(
+    address: string,
+    isWanted: (answer: Response) => boolean,
+  ): Promise<void> {
+    await waitUntil(async () => {
+      const [unexpectedExit] = unexpectedExits;
+      if (unexpectedExit) throw new Error(unexpectedExit);
+      const answer = await fetch(`http://${address}/ready`).catch(() => null);
+      return answer !== null && isWanted(answer);
+    }, `the process at ${address} is ready`);
+  }
+
+  function waitReady(address: string): Promise<void> {
+    return waitForAnswer(address, ({ status }) => status === 200);
+  }
+
   platform.publish("services/test", options.document);
   publishVms();
 
@@ -251,7 +278,9 @@
     },
     async waitUntilReady() {
       for (const vm of vms) await waitReady(vm.entryAdmin);
+      for (const vm of vms) await waitForAnswer(vm.brokerAddress, () => true);
     },
+    waitReady,
     async stop() {
       const exits = [...children].map((child) => once(child, "exit"));
       for (const child of children) {
@@ -262,21 +291,11 @@
       for (const relay of relays.values()) await relay.close();
       await platform.close();
       await rm(folder, { recursive: true });
+      for (const port of ports.splice(0)) releasePort(port);
     },
   };
 }
 
-/**
- * Polls the readiness endpoint of an admin address until it answers 200; throws
- * after 30 s.
- */
-export async function waitReady(address: string): Promise<void> {
-  await waitUntil(async () => {
-    const answer = await fetch(`http://${address}/ready`).catch(() => null);
-    return answer?.status === 200;
-  }, "the process is ready");
-}
-
 /**
  * Polls a condition every 20 ms until it holds. Throws after `timeoutMs`, by
  * default 30 s. `description` completes "waiting until" in the error.
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -2,3 +2,4 @@
 export * from "./create_stand_in_platform.ts";
 export * from "./create_stand_in_service.ts";
 export * from "./create_relay.ts";
+export * from "./lease_port.ts";
