rosemarytiller: end a process whose role failed to start

An operator whose entry could not listen on the callers' port saw the error, but the process went on without any server: main.ts only set the exit code, and the links and timers that createEntry had opened kept the process alive. A supervisor that restarts ended processes never restarted it.

Change: the command exits with its code instead of leaving that to an empty event loop.

A broker that could not listen did end.

--- a/packages/rosemarytiller/src/main.ts
+++ b/packages/rosemarytiller/src/main.ts
@@ -35,9 +35,14 @@
 
 const log = useLog(LogPart.Command);
 try {
-  process.exitCode = await runProcess(command.input[0], command.flags);
+  endProcess(await runProcess(command.input[0], command.flags));
 } catch (error) {
   log.error((error as Error).message);
-  process.exitCode = error instanceof CheckError ? 2 : 1;
+  endProcess(error instanceof CheckError ? 2 : 1);
+}
+
+/** Exits even if a role that failed to start has open links or timers. */
+function endProcess(exitCode: number): never {
+  if (exitCode === 2) log.info("See rosemarytiller --help.");
+  process.exit(exitCode);
 }
-if (process.exitCode === 2) log.info("See rosemarytiller --help.");
--- a/packages/sessions/src/start_fleet_test.ts
+++ b/packages/sessions/src/start_fleet_test.ts
@@ -67,7 +67,7 @@
 });
 
 // A process that had failed to start was reported after 30 s, without a cause.
-for (const role of ["broker"]) {
+for (const role of ["entry", "broker"]) {
   test(`a fleet whose ${role} exits at its start fails with its output`, async (t) => {
     const server = createServer().listen(0, "127.0.0.1");
     await once(server, "listening");
