entry: start no call under a permit that has expired

Weighed first: - The leader was being replaced and answered at once. Ruled out: the leader is vm-3 in this fleet and stays so; vm-1 is the paused one. A request that finds no leader waits, and the 503 carries `may-have-run`, so something was sent. - A timeout of the stream after the pause. Ruled out: nothing had been relayed, and until the first token the timeout is 100 s. - The call was sent on a connection that the upstream had closed meanwhile.

Cause: the entry checks a grant's 400 ms when it arrives, but not when it sends the call. If the process stands still between the two, it sends the call under an expired permit, which may exceed the limit, and on a kept-alive connection that the upstream closed after 5 s. That attempt counts as crashed ("other side closed"), so the retry avoids its upstream, which was the only one.

Change: a permit has the time until which its call may start, checked just before the first byte is sent. Past it, the permit is returned unused and the call waits for another, within the same time in the queue; this does not count as an attempt. A connection that takes more than 400 ms to open has the same effect, as docs/design/0002 already says.

--- a/packages/bench/src/create_baseline_permits.ts
+++ b/packages/bench/src/create_baseline_permits.ts
@@ -83,6 +83,7 @@
           permit,
           pool: formatPool(poolName),
           upstream,
+          validUntilMs: Infinity,
         });
       },
       release: (permit) => void addOutstanding(permit.upstream, -1),
--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -61,6 +61,8 @@
   permit: string;
   pool: string;
   upstream: string;
+  /** Monotonic time until which the call may start, in milliseconds. */
+  validUntilMs: number;
 }
 
 /** Limits of a permit request. */
@@ -281,9 +283,10 @@
           throw new TillerError(error, detail, { retryAfterMs });
         }
         const { permit, upstream } = answer;
+        const validUntilMs = answer.stamp + GRANT_VALID_MS;
         // No call may start if the grant expired, as after a suspension of this
         // process, or if this entry backs another leader by now.
-        const isLate = clock.now() >= answer.stamp + GRANT_VALID_MS;
+        const isLate = clock.now() >= validUntilMs;
         if (isLate || !backing.acceptGrant(pool, link)) {
           returnGrant(answer, link, pool);
           continue;
@@ -306,19 +309,21 @@
           fingerprint,
         });
         granters.set(permit, link.vm);
-        return { permit, pool, upstream };
+        return { permit, pool, upstream, validUntilMs };
       }
       throw new TillerError(ErrorKind.Overloaded, "no permit came in time", {
         retryAfterMs: NO_LEADER_RETRY_AFTER_MS,
       });
     },
-    release(permit, report) {
-      livePermits.delete(permit.permit);
-      const granter = granters.get(permit.permit) ?? "";
-      granters.delete(permit.permit);
+    release({ permit, pool, upstream }, report) {
+      livePermits.delete(permit);
+      const granter = granters.get(permit) ?? "";
+      granters.delete(permit);
       const done = {
         kind: MessageKind.PermitReturn as const,
-        ...permit,
+        permit,
+        pool,
+        upstream,
         ...report,
         firstTokenMs: Math.round(report.firstTokenMs),
         totalMs: Math.round(report.totalMs),
@@ -326,7 +331,7 @@
       // Leadership may have moved since the permit was granted.
       const recipients = new Set([
         links.get(granter)?.current(),
-        backing.leaderLink(permit.pool),
+        backing.leaderLink(pool),
       ]);
       for (const link of recipients) link?.send(done);
     },
--- a/packages/entry/src/serve_call.ts
+++ b/packages/entry/src/serve_call.ts
@@ -129,7 +129,8 @@
   const avoid: string[] = [];
   const { queueMs } = call.requestClass;
   let waitUntilMs = call.arrivedMs + queueMs;
-  for (let count = 1;; count++) {
+  let count = 1;
+  while (true) {
     const permit = await acquirePermit(call, {
       ...context,
       avoid,
@@ -138,9 +139,12 @@
     });
     const result = await runAttempt(call, permit, { ...context, response });
     if (!result.error) return;
+    // Nothing was sent, so that this does not count as an attempt.
+    if (result.error instanceof PermitExpiredError) continue;
     const isFinal = count >= MAX_ATTEMPTS || context.signal.aborted ||
       !isRetryable(call, result, response);
     if (isFinal) throw result.error;
+    count++;
     avoid.push(permit.upstream);
     if (MAY_HAVE_RUN_OUTCOMES.has(result.outcome)) {
       waitUntilMs = context.clock.now() + Math.max(queueMs, MIN_RETRY_QUEUE_MS);
@@ -174,6 +178,9 @@
       signal,
       beforeSend() {
         checkClaim(context.claim);
+        if (context.clock.now() >= permit.validUntilMs) {
+          throw new PermitExpiredError();
+        }
         run.noteSent();
       },
       onResumed: (from) =>
@@ -209,6 +216,17 @@
   tokens: 0,
 };
 
+/**
+ * The permit expired before its call was sent, as after a suspension of this
+ * process or a slow connection to the upstream.
+ */
+class PermitExpiredError extends TillerError {
+  constructor() {
+    super(ErrorKind.Overloaded, "the permit expired before the call began");
+    this.name = "PermitExpiredError";
+  }
+}
+
 /** Throws if the claim has expired, as after a suspension of this process. */
 function checkClaim(claim: Claim | undefined): void {
   if (!claim || claim.isValid()) return;
--- a/packages/sessions/src/start_test_entry.ts
+++ b/packages/sessions/src/start_test_entry.ts
@@ -1,6 +1,5 @@
 import {
   createEntry,
-  type Permit,
   type PermitClient,
   type PermitClientOptions,
 } from "@rosemarytiller/entry";
@@ -38,6 +37,11 @@
    * (5000).
    */
   requestClass?: Record<string, unknown>;
+  /**
+   * Number of permits, from the first on, that expire before their call can
+   * start; 0 by default.
+   */
+  expiredPermits?: number;
   /** Settings that override the defaults of `createTestSettings`. */
   settings?: Record<string, unknown>;
 }
@@ -113,6 +117,8 @@
 ): Promise<TestEntry> {
   const outcomes: string[] = [];
   const live = new Set<string>();
+  const clock = createSystemClock();
+  let { expiredPermits = 0 } = options;
   const text = formatTestDocument(options);
   function createPermits({ view }: PermitClientOptions): PermitClient {
     view.offerDocument({ key: "services/test", revision: 1, text }, "test");
@@ -120,13 +126,19 @@
     return {
       acquire(call, pool, { avoid }) {
         const { upstreams } = call.document;
+        const isExpired = expiredPermits > 0;
         for (const [upstream, entry] of Object.entries(upstreams)) {
           if (avoid.includes(upstream)) continue;
           if (!entry.serves.includes(pool.target)) continue;
           const permit = createId("permit");
           live.add(permit);
-          const granted = { permit, pool: "pool", upstream } as Permit;
-          return Promise.resolve(granted);
+          if (isExpired) expiredPermits--;
+          return Promise.resolve({
+            permit,
+            pool: "pool",
+            upstream,
+            validUntilMs: isExpired ? clock.now() : Infinity,
+          });
         }
         const kind = ErrorKind.NoUpstream;
         return Promise.reject(new TillerError(kind, "all were tried"));
@@ -141,7 +153,7 @@
   }
   const entry = await createEntry({
     settings: createTestSettings(options.settings),
-    clock: createSystemClock(),
+    clock,
     createPermits,
   });
   await entry.ready;
