router: do not take a caller that stops reading for a silent upstream

A stream whose caller stopped reading was sent to a second upstream, which generated it again in vain: while the router does not read, no data arrives, and the stall check counted that as silence.

An attempt now counts as not silent while its response waits for the caller. Regression test in silent_upstreams_test.ts: two calls instead of one before, one now.

--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -82,7 +82,10 @@
 export interface AttemptRun {
   /** Resolves when the attempt has ended; never rejects. */
   ended: Promise<AttemptEnd>;
-  /** Monotonic time of the last bytes, or of the attempt's start, in ms. */
+  /**
+   * Monotonic time of the last bytes, or of the attempt's start, in ms; the
+   * current time while the caller does not read.
+   */
   lastReceivedMs(): number;
   /** Whether at least one complete event was received. */
   hasEvents(): boolean;
@@ -111,6 +114,8 @@
   let warmUpMs: number | undefined;
   let firstMs: number | undefined;
   let lastReceivedMs = clock.now();
+  /** Whether nothing is read because the caller does not read. */
+  let isPaused = false;
   let aborted: AttemptResult | undefined;
   let resolveEnd: (end: AttemptEnd) => void;
   const ended = new Promise<AttemptEnd>((resolve) => {
@@ -201,8 +206,13 @@
       response.startStream(head!.status, endToEndHeaders(head!.rawHeaders));
     }
     if (response.write(bytes)) return;
+    isPaused = true;
     running.pause();
-    response.onDrain(() => running.resume());
+    response.onDrain(() => {
+      isPaused = false;
+      lastReceivedMs = clock.now();
+      running.resume();
+    });
   }
 
   function resultOf(isComplete: boolean, wasSent: boolean): AttemptResult {
@@ -261,7 +271,7 @@
 
   return {
     ended,
-    lastReceivedMs: () => lastReceivedMs,
+    lastReceivedMs: () => isPaused ? clock.now() : lastReceivedMs,
     hasEvents: () => firstMs !== undefined,
     abort(result) {
       aborted ??= result;
