router: look for a retry before a standby is placed

A silent call whose retry was denied still took a place at an upstream for a moment, announced it to the peers and used a slot of an upstream in warm-up; and a call for which no connection was left used a retry each time it was tried.

The allowance can now be asked without spending it. A standby is placed only if a retry is left, and the retry is spent once the call has a connection. Test: "asking whether a retry is left spends none".

--- a/packages/policy/src/create_retry_allowance.ts
+++ b/packages/policy/src/create_retry_allowance.ts
@@ -19,6 +19,8 @@
 /** This VM's part of the fleet's allowance for retries. */
 export interface RetryAllowance {
   onFirstSend(nowMs: number): void;
+  /** Whether `spend` would return true now. */
+  hasLeft(nowMs: number, vms: number): boolean;
   /**
    * Uses one retry of the allowance; returns false if none is left. The slack
    * is divided by `vms`, the number of VMs in the fleet.
@@ -57,12 +59,17 @@
     };
   }
 
+  function hasLeft(nowMs: number, vms: number): boolean {
+    const allowed = SAFETY_SHARE *
+      (bounds.ratio * firstSends.sum(nowMs) + bounds.slack / vms);
+    return retries.sum(nowMs) + 1 <= allowed;
+  }
+
   return {
     onFirstSend: (nowMs) => firstSends.add(nowMs),
+    hasLeft,
     spend(nowMs, vms) {
-      const allowed = SAFETY_SHARE *
-        (bounds.ratio * firstSends.sum(nowMs) + bounds.slack / vms);
-      if (retries.sum(nowMs) + 1 > allowed) return false;
+      if (!hasLeft(nowMs, vms)) return false;
       retries.add(nowMs);
       return true;
     },
--- a/packages/policy/src/create_retry_allowance_test.ts
+++ b/packages/policy/src/create_retry_allowance_test.ts
@@ -26,6 +26,15 @@
   assert.ok(sum <= BOUNDS.ratio * 100 * vms + BOUNDS.slack);
 });
 
+test("asking whether a retry is left spends none", () => {
+  const allowance = createRetryAllowance(BOUNDS);
+  for (let question = 0; question < 100; question++) {
+    assert.ok(allowance.hasLeft(1000, 2));
+  }
+  assert.equal(spendAll(allowance, 1000, 2), 21);
+  assert.equal(allowance.hasLeft(1000, 2), false);
+});
+
 test("a spent allowance is restored after a window", () => {
   const allowance = createRetryAllowance(BOUNDS);
   const first = spendAll(allowance, 1000, 2);
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -228,10 +228,10 @@
     const { hooks, signal } = options;
     const kept = state.stream.isStarted ? state.backup : undefined;
     const backup = kept && placeAtBackup(state);
-    if (kept && !backup) return undefined;
+    if (kept ? !backup : !hasRetryLeft(state)) return undefined;
     const placement = backup?.placement ??
       await place(state, AbortSignal.any([state.signal, signal]));
-    if (signal.aborted || (!backup && !claimRetry(state))) {
+    if (signal.aborted || (!backup && !hasRetryLeft(state))) {
       placement.release(CallEnd.Other);
       return undefined;
     }
@@ -247,6 +247,7 @@
       backupFrom: backup?.name,
       hooks,
     });
+    if (!backup) spendRetry(state);
     started.ended.then(({ result }) => {
       if (result === AttemptResult.Unsent) state.backup ??= kept;
     });
@@ -330,8 +331,18 @@
    * returns whether they did.
    */
   function claimRetry(state: RequestState): boolean {
-    if (state.sends < state.route.maxAttempts) return spendRetry(state);
-    return denyRetry(state, RetryDenial.Attempts);
+    return hasRetryLeft(state) && spendRetry(state);
+  }
+
+  /** Whether a call can be sent again; logs why if it cannot. */
+  function hasRetryLeft(state: RequestState): boolean {
+    const { service, route, sends } = state;
+    if (sends >= route.maxAttempts) {
+      return denyRetry(state, RetryDenial.Attempts);
+    }
+    const allowance = allowanceOf(service.name);
+    if (allowance.hasLeft(clock.now(), network.knownVmCount())) return true;
+    return denyRetry(state, RetryDenial.Allowance);
   }
 
   /**
