broker: ask an entry again for the backing that it was released from

An entry that was silent for 2 s under traffic (paused, or on a machine that stood still) never backed its leader again: the fleet kept a third less of each limit, and after one such pause of every entry the leader had no backers and served no calls at all.

Cause: the leader releases an entry that it has not heard from for 2 s. The resumed entry still renews its backing and is sent the release, upon which it takes the lease as not wanted. The list of wanted leases goes into a heartbeat only where it differs from the list sent last on the link, and it didn't, so the entry did not learn that the lease was wanted until calls had paused long enough for the list to change.

Change: the leader lists the wanted leases again after it has sent a release to an entry that had missed it. A transfer to a preferred broker is as before.

--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -87,6 +87,7 @@
     clock,
     timeline,
     listLagMs: settings.listLagMs,
+    onReleased: (link) => heartbeats.resendLeases(link),
   });
   const heartbeats = createHeartbeats(leadership, { clock, view });
   const exchange = createFleetExchange(view, { clock, role: Role.Broker });
--- a/packages/broker/src/create_heartbeats.ts
+++ b/packages/broker/src/create_heartbeats.ts
@@ -28,6 +28,8 @@
    * `HEARTBEAT_INTERVAL_MS`; it skips intervals while no lease is wanted.
    */
   sendRegular(links: Iterable<Link>, summaries: () => PoolSummary[]): void;
+  /** Lists the wanted and led leases in the next heartbeat on a link. */
+  resendLeases(link: Link): void;
   /** Drops the state of a closed link. */
   dropLink(link: Link): void;
 }
@@ -84,6 +86,7 @@
         if (link.role === Role.Entry) send(link, pools);
       }
     },
+    resendLeases: (link) => void lastSent.delete(link),
     dropLink: (link) => void lastSent.delete(link),
   };
 }
--- a/packages/broker/src/create_leadership.ts
+++ b/packages/broker/src/create_leadership.ts
@@ -134,6 +134,11 @@
   timeline: Timeline;
   /** Longest lag of the platform's VM list, in milliseconds. */
   listLagMs: number;
+  /**
+   * Called after an entry that had missed its release was sent it. The entry
+   * then takes the lease as not wanted until the next list of wanted leases.
+   */
+  onReleased(link: Link): void;
 }
 
 interface Lease {
@@ -323,6 +328,7 @@
       const { tenure } = leaseOf(name);
       if (tenure.isReleased({ vm, incarnation, term })) {
         sendRelease(link, [name], false);
+        options.onReleased(link);
         continue;
       }
       tenure.recordBacking({ vm, incarnation, term, echo, stamp, vouches });
