sessions: stop the load of a fault test that fails

A fault test whose faults or waits threw left its callers running, so that its file, and with it the test command, never ended. Seen with a test that timed out: ended by hand after 10 minutes; with the load stopped after the test, it failed after 18 s.

--- a/packages/sessions/src/test_faults.ts
+++ b/packages/sessions/src/test_faults.ts
@@ -35,6 +35,7 @@
     const load = startTestLoad(fleet, [engine], {
       callersPerVm: CALLERS_PER_VM,
     });
+    t.after(() => load.stop());
     async function waitForAnswers(answers: number): Promise<void> {
       const wanted = load.counts.complete + answers;
       await waitUntil(
