entry: let a call whose permit expired before it was sent wait again

Cause: the call asked for another permit within what was left of its queue time, here 200 ms, which a busy machine had used up, and was refused although it had been granted a permit before.

Change: such a call waits again like a retry, for at least 10 s and within the class's total time, and the pool admits it like one.

The test of expired permits now has a queue time of 20 ms and grants that take 15 ms; it fails before with 429 "no permit in time".

--- a/packages/entry/src/serve_call.ts
+++ b/packages/entry/src/serve_call.ts
@@ -24,8 +24,8 @@
 import { isRepeatable } from "./is_repeatable.ts";
 
 /**
- * Minimum time that a retry after a crashed or timed-out attempt may wait in
- * the queue.
+ * Minimum time that a call may wait in the queue again after a crashed or
+ * timed-out attempt, or after its permit expired before it was sent.
  */
 export const MIN_RETRY_QUEUE_MS = 10_000;
 /** Maximum number of attempts for one request. */
@@ -129,25 +129,32 @@
   const avoid: string[] = [];
   const { queueMs } = call.requestClass;
   let waitUntilMs = call.arrivedMs + queueMs;
+  const minRetryQueueMs = Math.max(queueMs, MIN_RETRY_QUEUE_MS);
   let count = 1;
+  let hadPermit = false;
   while (true) {
     const permit = await acquirePermit(call, {
       ...context,
       avoid,
-      retry: count > 1,
+      retry: hadPermit,
       waitUntilMs,
     });
     const result = await runAttempt(call, permit, { ...context, response });
     if (!result.error) return;
-    // Nothing was sent, so that this does not count as an attempt.
-    if (result.error instanceof PermitExpiredError) continue;
+    hadPermit = true;
+    // Nothing was sent, so that this does not count as an attempt. The call has
+    // waited its turn already and isn't refused for the time that this took.
+    if (result.error instanceof PermitExpiredError) {
+      waitUntilMs = context.clock.now() + minRetryQueueMs;
+      continue;
+    }
     const isFinal = count >= MAX_ATTEMPTS || context.signal.aborted ||
       !isRetryable(call, result, response);
     if (isFinal) throw result.error;
     count++;
     avoid.push(permit.upstream);
     if (MAY_HAVE_RUN_OUTCOMES.has(result.outcome)) {
-      waitUntilMs = context.clock.now() + Math.max(queueMs, MIN_RETRY_QUEUE_MS);
+      waitUntilMs = context.clock.now() + minRetryQueueMs;
     }
   }
 }
--- a/packages/sessions/src/expired_permit_test.ts
+++ b/packages/sessions/src/expired_permit_test.ts
@@ -11,6 +11,9 @@
   const entry = await startTestEntry({
     engines: [engine.url],
     expiredPermits: 4,
+    // The time in the queue is over before the permits have expired.
+    requestClass: { queueMs: 20 },
+    permitDelayMs: 15,
   });
   t.after(async () => {
     await entry.close();
--- a/packages/sessions/src/start_test_entry.ts
+++ b/packages/sessions/src/start_test_entry.ts
@@ -8,6 +8,7 @@
   createId,
   createSystemClock,
   ErrorKind,
+  sleep,
   TillerError,
   UpstreamKind,
 } from "@rosemarytiller/shared";
@@ -42,6 +43,8 @@
    * start; 0 by default.
    */
   expiredPermits?: number;
+  /** Delay of each grant in milliseconds; 0 by default. */
+  permitDelayMs?: number;
   /** Settings that override the defaults of `createTestSettings`. */
   settings?: Record<string, unknown>;
 }
@@ -118,13 +121,18 @@
   const outcomes: string[] = [];
   const live = new Set<string>();
   const clock = createSystemClock();
+  const { permitDelayMs = 0 } = options;
   let { expiredPermits = 0 } = options;
   const text = formatTestDocument(options);
   function createPermits({ view }: PermitClientOptions): PermitClient {
     view.offerDocument({ key: "services/test", revision: 1, text }, "test");
     view.offerVms({ revision: 1, vms: [] });
     return {
-      acquire(call, pool, { avoid }) {
+      acquire(call, pool, { avoid, waitUntilMs }) {
+        if (clock.now() >= waitUntilMs) {
+          const kind = ErrorKind.Overloaded;
+          return Promise.reject(new TillerError(kind, "no permit in time"));
+        }
         const { upstreams } = call.document;
         const isExpired = expiredPermits > 0;
         for (const [upstream, entry] of Object.entries(upstreams)) {
@@ -133,12 +141,10 @@
           const permit = createId("permit");
           live.add(permit);
           if (isExpired) expiredPermits--;
-          return Promise.resolve({
-            permit,
-            pool: "pool",
-            upstream,
-            validUntilMs: isExpired ? clock.now() : Infinity,
-          });
+          const validUntilMs = isExpired ? clock.now() : Infinity;
+          const granted = { permit, pool: "pool", upstream, validUntilMs };
+          if (permitDelayMs === 0) return Promise.resolve(granted);
+          return sleep(clock, permitDelayMs).then(() => granted);
         }
         const kind = ErrorKind.NoUpstream;
         return Promise.reject(new TillerError(kind, "all were tried"));
