router: follow a store that was restored from an older copy

A VM ordered what it knew of the platform's store by revision alone. When the store came back from an older copy, with lower revisions, callers saw none of the operators' changes and no removal of an upstream until the revisions had passed those from before; the VM read the whole store over and over meanwhile, as its watch was beyond the store's revision. If the revisions had passed its own before the next watch, it missed what was written in between. A VM that was cut off passed lost items on.

Published state is now ordered by era (a header of the store's responses, 0 without it) and then by revision. The complete state of a newer era replaces the copy, changes of an older one are ignored, and a watch that is answered in another era than it was asked in leads to a complete read. Heartbeats, pushes and pulls carry the era; messages of VMs of older versions count as era 0.

Until the lost writes are repeated: the known configuration stays in effect, also on VMs that start meanwhile (heartbeats carry its version, and a VM with a lower one requests it from that peer); missing upstreams are kept for entriesBackMs; draining upstreams stay draining; data centres stay out of service for 10 s. Log line platform-restored, gauge rosemarytiller_era.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -137,7 +137,7 @@
   /** Initial hosts, which may be unreachable; read for each heartbeat. */
   seeds(): readonly string[];
   /** Returns the state that the next heartbeat reports. */
-  heartbeatState(): Pick<Heartbeat, "revision" | "confirmedAgeMs" | "calls">;
+  heartbeatState(): Omit<Heartbeat, "dataCentre" | "members">;
 }
 
 const packr = new Packr({ useRecords: false });
--- a/packages/peers/src/exchange_published_test.ts
+++ b/packages/peers/src/exchange_published_test.ts
@@ -7,7 +7,12 @@
   createPublishedItems,
   type PublishedItem,
 } from "./create_published_items.ts";
-import { createPublishedHandler, pullPublished } from "./exchange_published.ts";
+import {
+  createConfigurationHandler,
+  createPublishedHandler,
+  pullConfiguration,
+  pullPublished,
+} from "./exchange_published.ts";
 
 /** Routes of the large configuration. */
 const ROUTES = 700;
@@ -93,3 +98,34 @@
     assert.equal(changes.items.length, 2);
   });
 });
+
+// Guards against a VM of an older era that gets only the changes after its own
+// revision, which is of another history.
+test("a pull of an older era gets the complete state", async () => {
+  const published = createPublishedItems();
+  const item = createLargeItem();
+  published.apply({ era: 2, head: 7, isWhole: true, items: [item] });
+  await withServer(createPublishedHandler(published), async (port) => {
+    const peer = { host: "127.0.0.1", port };
+    const { isWhole: isWholeOfSame, items } = await pullPublished(peer, 7, 2);
+    assert.deepEqual([isWholeOfSame, items.length], [false, 0]);
+    for (const era of [1, 0]) {
+      const changes = await pullPublished(peer, 7, era);
+      assert.deepEqual([changes.era, changes.isWhole], [2, true]);
+      assert.equal(changes.items.length, 1);
+    }
+  });
+});
+
+test("a VM pulls the item of a peer's configuration", async () => {
+  let item: PublishedItem | undefined;
+  const handler = createConfigurationHandler(() => item);
+  await withServer(handler, async (port) => {
+    const peer = { host: "127.0.0.1", port };
+    await assert.rejects(pullConfiguration(peer), /404/);
+    item = createLargeItem();
+    const { key, value } = await pullConfiguration(peer);
+    assert.equal(key, item.key);
+    assert.deepEqual(Buffer.from(value!), Buffer.from(item.value!));
+  });
+});
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -111,7 +111,7 @@
 /** Content of a VM's heartbeat. */
 export interface Heartbeat {
   dataCentre: string;
-  /** Highest published revision that the sender has applied. */
+  /** Highest published revision that the sender has applied in its era. */
   revision: number;
   /** Time since the platform last confirmed that revision, in ms. */
   confirmedAgeMs: number;
@@ -119,6 +119,13 @@
   members: string[];
   /** The sender's in-flight calls: upstream and call numbers. */
   calls: [string, number[]][];
+  /** Era of `revision`; undefined from VMs of older versions, counts as 0. */
+  era?: number;
+  /**
+   * Version of the configuration in effect at the sender, 0 if it has none;
+   * undefined from VMs of older versions.
+   */
+  configurationVersion?: number;
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
@@ -159,6 +166,8 @@
   "confirmedAgeMs",
   "members",
   "calls",
+  "era",
+  "configurationVersion",
 ];
 
 /** Encodes as a list, as field names would take up most of a datagram. */
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -57,8 +57,11 @@
   all(): Iterable<Upstream>;
   /** The software version of a service, undefined if there were several. */
   onlyVersionOf(service: string): string | undefined;
-  /** Takes a data centre out of service or puts it back. */
-  setDataCentre(dataCentre: string, isOut: boolean): void;
+  /**
+   * Takes a data centre out of service, or puts it back after `keepMs` (0 by
+   * default).
+   */
+  setDataCentre(dataCentre: string, isOut: boolean, keepMs?: number): void;
   /** Replaces the service definitions; known upstreams keep their state. */
   setServices(find: (name: string) => ServiceDefinition | undefined): void;
   /** Speed estimate shared by the engines of a service. */
@@ -109,7 +112,8 @@
 ): Registry {
   const { clock, log } = options;
   const upstreams = new Map<string, Upstream>();
-  const outDataCentres = new Set<string>();
+  /** Data centres out of service, with the time until which they are. */
+  const outUntilMs = new Map<string, number>();
   const speeds = new Map<string, SpeedEstimate>();
   /** All software versions seen since the start, by service. */
   const versionsByService = new Map<string, Set<string>>();
@@ -230,7 +234,7 @@
           continue;
         }
         if (entry.service !== service || entry.isDraining) continue;
-        if (outDataCentres.has(entry.dataCentre)) continue;
+        if ((outUntilMs.get(entry.dataCentre) ?? 0) > nowMs) continue;
         if (upstream.downUntilMs > nowMs) continue;
         list.push(upstream);
       }
@@ -241,19 +245,24 @@
       const versions = versionsByService.get(service);
       return versions?.size === 1 ? [...versions][0] : undefined;
     },
-    setDataCentre(dataCentre, isOut) {
-      const wasOut = outDataCentres.has(dataCentre);
-      if (isOut) outDataCentres.add(dataCentre);
-      else outDataCentres.delete(dataCentre);
+    setDataCentre(dataCentre, isOut, keepMs = 0) {
+      const backMs = clock.now() + keepMs;
+      const wasOut = (outUntilMs.get(dataCentre) ?? 0) > clock.now();
+      if (isOut) outUntilMs.set(dataCentre, Infinity);
+      else if (wasOut) outUntilMs.set(dataCentre, backMs);
       if (wasOut && !isOut) {
         // Upstreams that got no calls for a while may need another warm-up.
         for (const upstream of upstreams.values()) {
           if (upstream.entry.dataCentre !== dataCentre) continue;
           const warmUpMs = findService(upstream.entry.service)?.warmUpMs ?? 0;
-          upstream.warmUpUntilMs = clock.now() + warmUpMs;
+          upstream.warmUpUntilMs = backMs + warmUpMs;
         }
       }
-      log.info(LogEvent.DataCentreChanged, { dataCentre, out: isOut });
+      log.info(LogEvent.DataCentreChanged, {
+        dataCentre,
+        out: isOut,
+        ...(keepMs > 0 && { keepMs }),
+      });
     },
     setServices(find) {
       findService = find;
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -138,6 +138,29 @@
   assert.ok(registry.find("u")!.warmUpUntilMs > clock.now());
 });
 
+test("a data centre that is put back after a time gets no calls until then", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  registry.setDataCentre("north", true);
+  registry.setDataCentre("north", false, 2000);
+  assert.equal(registry.eligible("engines").length, 0);
+  clock.advance(1999);
+  assert.equal(registry.eligible("engines").length, 0);
+  clock.advance(1);
+  assert.equal(registry.eligible("engines").length, 1);
+  assert.ok(registry.find("u")!.warmUpUntilMs > clock.now());
+});
+
+test("a data centre listed as out again is not put back by an earlier removal", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  registry.setDataCentre("north", true);
+  registry.setDataCentre("north", false, 2000);
+  registry.setDataCentre("north", true);
+  clock.advance(60_000);
+  assert.equal(registry.eligible("engines").length, 0);
+});
+
 test("lost responses: a stalled upstream does not go into warm-up", () => {
   const { clock, registry } = createTestRegistry();
   registry.set("u", entryOf());
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -1,5 +1,8 @@
 import {
   CallEnd,
+  comparePositions,
+  CONFIGURATION_PATH,
+  createConfigurationHandler,
   createPeerNetwork,
   createPublishedHandler,
   createPublishedItems,
@@ -8,6 +11,9 @@
   type Member,
   PUBLISHED_PATH,
   type PublishedChanges,
+  type PublishedItem,
+  type PublishedPosition,
+  pullConfiguration,
   pullPublished,
   type PushedItems,
 } from "@rosemarytiller/peers";
@@ -30,6 +36,7 @@
 import {
   DecodedItemKind,
   type DecodeItem,
+  type UpstreamEntry,
   type WireProtocol,
 } from "./ports.ts";
 
@@ -75,9 +82,14 @@
 
 /** Receives what a source reads from the platform. */
 export interface PublishedSink {
-  /** Revision up to which all changes have been received. */
+  /** Revision up to which all changes of the era have been received. */
   head(): number;
-  /** The platform responded; `changes` may be empty. */
+  /** Era of the changes received, 0 at first. */
+  era(): number;
+  /**
+   * The platform responded; `changes` may be empty. The first of a newer era
+   * must be the complete state.
+   */
   onResponse(changes: PublishedChanges): void;
   /** Reading from the platform failed. */
   onReadError(reason: string): void;
@@ -137,6 +149,11 @@
 const MIN_CONFIRMED_STALL_MS = 250;
 /** Age of the last confirmation after which a paused VM reads again, in ms. */
 const MAX_CONFIRMATION_AGE_MS = 3200;
+/**
+ * Time for which a data centre stays out of service that a restored platform no
+ * longer lists as out, in milliseconds, unless it is listed again.
+ */
+const RESTORED_OUT_MS = 10_000;
 /** Poll interval for the end of requests during a stop, in ms. */
 const STOP_POLL_MS = 50;
 
@@ -150,6 +167,10 @@
   const pool = createConnectionPool({ clock });
   const quarantine = createQuarantine({ now: clock.now, onChange() {} });
   let index: ConfigurationIndex | undefined;
+  /** The item of `index`; after a restore, `published` may have an older one. */
+  let configurationItem: PublishedItem | undefined;
+  /** Highest version that this VM has pulled on its own, accepted or not. */
+  let pulledVersion = 0;
   /**
    * Time at which the platform last confirmed to this VM or a peer that
    * `published.head()` is the latest revision.
@@ -169,9 +190,11 @@
     dataCentre,
     seeds: () => settings.seeds,
     heartbeatState: () => ({
+      era: published.era(),
       revision: published.head(),
       confirmedAgeMs: Math.round(clock.now() - confirmedMs),
       calls: scheduler.ownCalls(),
+      configurationVersion: index?.configuration.version ?? 0,
     }),
   });
   const scheduler = createScheduler({ clock, registry, network, dataCentre });
@@ -182,6 +205,7 @@
     openConnections: () => pool.openCount(),
     presentVms: () => network.reachableVmCount(),
     revision: () => published.head(),
+    era: () => published.era(),
     droppedLines: () => log.dropped(),
   }, { loadAfterMs: METRICS_LOAD_DELAY_MS });
   const requestServer = createRequestServer({
@@ -207,8 +231,11 @@
   });
 
   function applyChanges(changes: PublishedChanges, from: string): void {
-    const headBefore = published.head();
-    for (const item of published.apply(changes)) {
+    const before = published.position();
+    const changed = published.apply(changes);
+    const isRestored = before.revision > 0 && published.era() > before.era;
+    if (isRestored) onRestored(before, from);
+    for (const item of changed) {
       let decoded;
       try {
         decoded = decode(item);
@@ -223,28 +250,63 @@
       if (!decoded) continue;
       if (decoded.kind === DecodedItemKind.Configuration) {
         if (decoded.value) {
-          acceptConfiguration(decoded.value, item.revision, from);
+          acceptConfiguration(decoded.value, item, from);
         }
       } else if (decoded.kind === DecodedItemKind.Upstream) {
-        if (decoded.value) registry.set(decoded.id, decoded.value);
-        else registry.remove(decoded.id, keepRemovedMs());
-      } else registry.setDataCentre(decoded.dataCentre, decoded.isOut);
+        if (!decoded.value) registry.remove(decoded.id, keepRemovedMs());
+        else if (isRestored) setRestoredUpstream(decoded.value);
+        else registry.set(decoded.id, decoded.value);
+      } else {
+        const { dataCentre, isOut } = decoded;
+        registry.setDataCentre(
+          dataCentre,
+          isOut,
+          isRestored ? RESTORED_OUT_MS : 0,
+        );
+      }
+    }
+    if (comparePositions(published.position(), before) > 0) {
+      scheduler.recheckQueue();
     }
-    if (published.head() > headBefore) scheduler.recheckQueue();
+  }
+
+  /** The platform, or a peer that read it, was found in a newer era. */
+  function onRestored(before: PublishedPosition, from: string): void {
+    // Entries that the restored copy lacks count like those that expired while
+    // the platform was unreachable.
+    regainedMs = clock.now();
+    log.warn(LogEvent.PlatformRestored, {
+      fromEra: before.era,
+      era: published.era(),
+      fromRevision: before.revision,
+      revision: published.head(),
+      from,
+    });
+  }
+
+  /** An upstream never stops draining: a restored entry may be from before. */
+  function setRestoredUpstream(entry: UpstreamEntry): void {
+    const known = registry.find(entry.id)?.entry;
+    const isSameRun = known?.startedMs === entry.startedMs &&
+      known?.host === entry.host && known?.port === entry.port;
+    const isDraining = entry.isDraining ||
+      (isSameRun && known?.isDraining === true);
+    registry.set(entry.id, { ...entry, isDraining });
   }
 
   function acceptConfiguration(
     configuration: ConfigurationIndex["configuration"],
-    revision: number,
+    item: PublishedItem,
     from: string,
   ): void {
     if (index && configuration.version < index.configuration.version) return;
     index = createConfigurationIndex(configuration);
+    configurationItem = item;
     registry.setServices(index.findService);
     callerServer.setLimits(configuration.limits);
     log.info(LogEvent.ConfigurationAccepted, {
       version: configuration.version,
-      revision,
+      revision: item.revision,
       routes: configuration.routes.length,
       from,
     });
@@ -261,6 +323,7 @@
 
   const sink = {
     head: () => published.head(),
+    era: () => published.era(),
     onResponse(changes: PublishedChanges) {
       if (isPlatformLost) {
         isPlatformLost = false;
@@ -270,7 +333,7 @@
       const after = published.head();
       applyChanges(changes, "platform");
       confirmedMs = clock.now();
-      if (changes.items.length === 0) return;
+      if (changes.items.length === 0 && !changes.isWhole) return;
       if (!changes.isWhole) network.pushItems({ ...changes, after });
       network.sendHeartbeatNow();
     },
@@ -293,13 +356,54 @@
       for (const call of calls?.[1] ?? []) keys.add(`${host}:${call}`);
       upstream.model.reconcile(`${host}:`, keys);
     }
-    if (heartbeat.revision === published.head() && index) {
+    const order = comparePositions(positionOf(member), published.position());
+    if (order === 0 && index) {
       confirmedMs = Math.max(
         confirmedMs,
         clock.now() - heartbeat.confirmedAgeMs,
       );
     }
-    if (heartbeat.revision > published.head() && !isPulling) pull(member);
+    if (isPulling) return;
+    const version = heartbeat.configurationVersion ?? 0;
+    const ownVersion = Math.max(
+      index?.configuration.version ?? 0,
+      pulledVersion,
+    );
+    if (order > 0) pull(member);
+    else if (version > ownVersion) void pullLostConfiguration(member, version);
+  }
+
+  /**
+   * Pulls a configuration that a restored platform has lost: a VM that started
+   * afterwards knows only the older one in the restored copy.
+   */
+  async function pullLostConfiguration(
+    { host }: Member,
+    version: number,
+  ): Promise<void> {
+    isPulling = true;
+    try {
+      const port = settings.peers.port;
+      const item = await pullConfiguration({ host, port });
+      pulledVersion = version;
+      const decoded = decode(item);
+      if (decoded?.kind !== DecodedItemKind.Configuration) return;
+      if (decoded.value) acceptConfiguration(decoded.value, item, host);
+    } catch (error) {
+      logPullFailure(host, error as Error);
+    } finally {
+      isPulling = false;
+    }
+  }
+
+  function logPullFailure(peer: string, { message }: Error): void {
+    const what = "pull from a peer";
+    log.warn(LogEvent.Failure, { what, peer, reason: message });
+  }
+
+  /** Position of published state that a member's last heartbeat reported. */
+  function positionOf({ heartbeat }: Member): PublishedPosition {
+    return { era: heartbeat.era ?? 0, revision: heartbeat.revision };
   }
 
   function pull(member: Member): void {
@@ -308,24 +412,23 @@
     const delayMs = index ? PULL_DELAY_MS : 0;
     timers.push(clock.after(delayMs, async () => {
       try {
-        if (member.heartbeat.revision <= published.head()) return;
+        const before = published.position();
+        if (comparePositions(positionOf(member), before) <= 0) return;
         const changes = await pullPublished(
           { host: member.host, port: settings.peers.port },
-          published.head(),
+          before.revision,
+          before.era,
         );
         log.info(LogEvent.PulledFromPeer, {
           peer: member.host,
-          after: published.head(),
+          after: before.revision,
+          era: changes.era ?? 0,
           revision: changes.head,
           items: changes.items.length,
         });
         applyChanges(changes, member.host);
       } catch (error) {
-        log.warn(LogEvent.Failure, {
-          what: "pull from a peer",
-          peer: member.host,
-          reason: (error as Error).message,
-        });
+        logPullFailure(member.host, error as Error);
       } finally {
         isPulling = false;
       }
@@ -374,6 +477,7 @@
   }
 
   function onItems(member: Member, push: PushedItems): void {
+    if ((push.era ?? 0) !== published.era()) return;
     // After a gap, everything missing is pulled when a heartbeat announces it.
     if (push.after > published.head() || push.head <= published.head()) return;
     applyChanges(push, member.host);
@@ -418,6 +522,9 @@
       await Promise.all([
         listen(settings.peers, {
           [PUBLISHED_PATH]: createPublishedHandler(published),
+          [CONFIGURATION_PATH]: createConfigurationHandler(() =>
+            configurationItem
+          ),
         }),
         listen(settings.ready, {
           "*": (_incoming, response) =>
--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -27,6 +27,7 @@
   openConnections(): number;
   presentVms(): number;
   revision(): number;
+  era(): number;
   droppedLines(): number;
 }
 
@@ -147,6 +148,7 @@
     ["connections", "Connections to upstreams.", gauges.openConnections],
     ["present_vms", "VMs heard lately.", gauges.presentVms],
     ["revision", "Highest published revision known.", gauges.revision],
+    ["era", "Era of the published revisions known.", gauges.era],
     ["log_lines_dropped", "Log lines left out.", gauges.droppedLines],
   ];
   for (const [name, help, read] of readings) {
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -23,6 +23,8 @@
   MemberChanged = "member-changed",
   PlatformLost = "platform-lost",
   PlatformRegained = "platform-regained",
+  /** The platform was restored from an older copy; its revisions went back. */
+  PlatformRestored = "platform-restored",
   PulledFromPeer = "pulled-from-peer",
   RequestCrashedUpstream = "request-crashed-upstream",
   Placed = "placed",
--- a/packages/sessions/src/format_router_metrics.ts
+++ b/packages/sessions/src/format_router_metrics.ts
@@ -21,6 +21,7 @@
     openConnections: () => 0,
     presentVms: () => 0,
     revision: () => 0,
+    era: () => 0,
     droppedLines: () => 0,
   }, { loadAfterMs: 0 });
   const rows: string[] = [];
