router: send no new requests to an upstream that announces its stop

Callers saw requests end at an upstream that was about to stop: it says so in a header of all its responses, also where its entry never says "draining", and the router did not read that header.

The translation of the platform's headers now reports it (`isLeaving`), and the registry leaves that run of the upstream out of `eligible`, through which placement, retries, standbys, resumes and backup copies all go. Calls that run there go on. It ends when the entry is that of another run, not by time and not when the same run's entry expires and returns. A new load event tells the other VMs; it names the run, so that late news do not take out its successor, and peers of an older version ignore the kind.

--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -26,6 +26,8 @@
   Stalled = 5,
   /** A stream that its caller can resume at any VM began. */
   StreamStarted = 6,
+  /** An upstream announced that it is about to stop. */
+  Leaving = 7,
 }
 
 /** How a call ended, as reported to the other VMs. */
@@ -99,6 +101,14 @@
   keepMs: number;
 }
 
+/** An upstream announced that it is about to stop. */
+export interface LeavingEvent {
+  kind: LoadEventKind.Leaving;
+  upstream: string;
+  /** Identifies the run; a restarted upstream has another one. */
+  run: string;
+}
+
 /** A change of a call or an upstream that a VM sends to the others. */
 export type LoadEvent =
   | StartedEvent
@@ -106,7 +116,8 @@
   | EndedEvent
   | CrashedEvent
   | StalledEvent
-  | StreamStartedEvent;
+  | StreamStartedEvent
+  | LeavingEvent;
 
 /** Content of a VM's heartbeat. */
 export interface Heartbeat {
@@ -150,6 +161,7 @@
   [LoadEventKind.Crashed]: ["fingerprint", "crash"],
   [LoadEventKind.Stalled]: ["upstream"],
   [LoadEventKind.StreamStarted]: ["id", "softwareVersion", "keepMs"],
+  [LoadEventKind.Leaving]: ["upstream", "run"],
 };
 
 /** Encoded order of a heartbeat's fields. */
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -1,10 +1,14 @@
-import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
+import {
+  CallEnd,
+  LoadEventKind,
+  type PeerNetwork,
+} from "@rosemarytiller/peers";
 import type { RetryAllowance } from "@rosemarytiller/policy";
 import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
 import { chooseBackupUpstream } from "./choose_backup_upstream.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import type { CrashDetector } from "./create_crash_detector.ts";
-import type { Registry, Upstream } from "./create_registry.ts";
+import { type Registry, runOf, type Upstream } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
@@ -28,7 +32,7 @@
   protocol: WireProtocol;
   registry: Registry;
   pool: ConnectionPool;
-  network: Pick<PeerNetwork, "knownVmCount">;
+  network: Pick<PeerNetwork, "knownVmCount" | "publishLoadEvent">;
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
   /** Name of this VM. */
@@ -130,6 +134,17 @@
     });
   }
 
+  /** Gives an upstream no more calls and notifies the other VMs. */
+  function reportLeaving({ entry }: Upstream): void {
+    const run = runOf(entry);
+    if (!registry.onLeaving(entry.id, { run, from: vm })) return;
+    network.publishLoadEvent({
+      kind: LoadEventKind.Leaving,
+      upstream: entry.id,
+      run,
+    });
+  }
+
   /** Reports an attempt's outcome to scheduler, registry and crash detector. */
   function recordEnd(
     state: RequestState,
@@ -229,6 +244,7 @@
         stream: state.stream,
         response: state.response,
         onReceived: () => registry.onReceived(upstream),
+        onLeaving: () => reportLeaving(upstream),
         claimResponse: hooks.claimResponse,
         onStreamStarted: () => publishOrigin(state, entry.softwareVersion),
         onEvent: () => placement.onFirstEvent(),
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -50,8 +50,8 @@
   remove(id: string, keepMs: number): void;
   find(id: string): Upstream | undefined;
   /**
-   * Upstreams of a service that can get calls: not down, not draining and not
-   * in a data centre out of service.
+   * Upstreams of a service that can get calls: not down, not draining, not
+   * leaving and not in a data centre out of service.
    */
   eligible(service: string): Upstream[];
   all(): Iterable<Upstream>;
@@ -73,6 +73,12 @@
    * calls for a while and needs no warm-up.
    */
   onStalled(upstream: Upstream): void;
+  /**
+   * A run of an upstream is about to stop: it gets no more calls, also if its
+   * entry expires and returns, until the entry is that of another run. Returns
+   * false if that was known, or if the entry already is that of another run.
+   */
+  onLeaving(id: string, leaving: LeavingRun): boolean;
   /** Counts an ended call in the failure share; `weight` is 0 to 1. */
   onCallEnd(upstream: Upstream, failed: boolean, weight: number): void;
   /** This VM received bytes from the upstream. */
@@ -90,6 +96,14 @@
   canAdmitInWarmUp(upstream: Upstream, vms: number): boolean;
 }
 
+/** A run of an upstream that is about to stop. */
+export interface LeavingRun {
+  /** The run, as returned by `runOf`. */
+  run: string;
+  /** VM or host that received the announcement. */
+  from: string;
+}
+
 /** Time without calls after a first failure, in ms; doubles with each more. */
 const INITIAL_DOWN_MS = 250;
 /** Longest time without calls after a failure, in milliseconds. */
@@ -103,12 +117,26 @@
 /** VMs assumed while no others are known, to keep the warm-up rate low. */
 const ASSUMED_VMS = 16;
 
+/** Leaving runs that are remembered; the oldest are forgotten first. */
+const MAX_LEAVING_RUNS = 1000;
+
+/**
+ * Identifies a run of an upstream. An entry with another value is that of a
+ * restarted upstream, or of another one with the same identifier.
+ */
+export function runOf(entry: UpstreamEntry): string {
+  const { startedMs, softwareVersion, service, host, port } = entry;
+  return [startedMs, softwareVersion, service, host, port].join(" ");
+}
+
 /** Creates an empty registry; it logs changes of upstreams. */
 export function createRegistry(
   options: { clock: Clock; log: EventLog },
 ): Registry {
   const { clock, log } = options;
   const upstreams = new Map<string, Upstream>();
+  /** Leaving runs by the upstream's identifier, in the order of their news. */
+  const leavingRuns = new Map<string, string>();
   const outDataCentres = new Set<string>();
   const speeds = new Map<string, SpeedEstimate>();
   /** All software versions seen since the start, by service. */
@@ -181,10 +209,8 @@
       const known = upstreams.get(id);
       const versions = versionsByService.get(entry.service) ?? new Set();
       versionsByService.set(entry.service, versions.add(entry.softwareVersion));
-      const isSameRun = known && known.entry.startedMs === entry.startedMs &&
-        known.entry.softwareVersion === entry.softwareVersion &&
-        known.entry.service === entry.service &&
-        known.entry.host === entry.host && known.entry.port === entry.port;
+      const isSameRun = known && runOf(known.entry) === runOf(entry);
+      if (leavingRuns.get(id) !== runOf(entry)) leavingRuns.delete(id);
       if (!isSameRun) {
         upstreams.set(id, createUpstream(entry));
       } else {
@@ -230,6 +256,7 @@
           continue;
         }
         if (entry.service !== service || entry.isDraining) continue;
+        if (leavingRuns.has(id)) continue;
         if (outDataCentres.has(entry.dataCentre)) continue;
         if (upstream.downUntilMs > nowMs) continue;
         list.push(upstream);
@@ -270,6 +297,19 @@
       );
     },
     onStalled: (upstream) => void markDown(upstream, "silent"),
+    onLeaving(id, { run, from }) {
+      const known = upstreams.get(id);
+      if (known && runOf(known.entry) !== run) return false;
+      if (leavingRuns.get(id) === run) return false;
+      leavingRuns.delete(id);
+      leavingRuns.set(id, run);
+      for (const oldest of leavingRuns.keys()) {
+        if (leavingRuns.size <= MAX_LEAVING_RUNS) break;
+        leavingRuns.delete(oldest);
+      }
+      log.info(LogEvent.UpstreamLeaving, { upstream: id, from });
+      return true;
+    },
     onCallEnd(upstream, failed, weight) {
       const gain = FAILURE_CALL_WEIGHT * weight;
       const share = failureShare(upstream);
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -1,7 +1,7 @@
 import { createFakeClock } from "@rosemarytiller/shared";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createRegistry, type Registry } from "./create_registry.ts";
+import { createRegistry, type Registry, runOf } from "./create_registry.ts";
 import { createNoopLog } from "./event_log.ts";
 import type { ServiceDefinition, UpstreamEntry } from "./ports.ts";
 
@@ -145,3 +145,35 @@
   assert.equal(registry.eligible("engines").length, 0);
   assert.ok(registry.find("u")!.warmUpUntilMs <= clock.now());
 });
+
+test("a leaving upstream gets no calls until its entry is that of another run", () => {
+  const { clock, registry } = createTestRegistry();
+  const leaving = { run: runOf(entryOf({ startedMs: 1 })), from: "vm" };
+  registry.set("u", entryOf({ startedMs: 1 }));
+  assert.equal(registry.onLeaving("u", leaving), true);
+  assert.equal(registry.onLeaving("u", leaving), false);
+  clock.advance(3_600_000);
+  assert.equal(registry.eligible("engines").length, 0);
+  registry.remove("u", 0);
+  registry.set("u", entryOf({ startedMs: 1 }));
+  assert.equal(registry.eligible("engines").length, 0);
+  registry.set("u", entryOf({ startedMs: 2 }));
+  assert.equal(registry.eligible("engines").length, 1);
+});
+
+// Guards against taking out a restarted upstream by news of the run before.
+test("late news that an earlier run leaves does not concern the current one", () => {
+  const { registry } = createTestRegistry();
+  const leaving = { run: runOf(entryOf({ startedMs: 1 })), from: "vm" };
+  registry.set("u", entryOf({ startedMs: 2 }));
+  assert.equal(registry.onLeaving("u", leaving), false);
+  assert.equal(registry.eligible("engines").length, 1);
+});
+
+test("news that an upstream leaves counts if its entry arrives later", () => {
+  const { registry } = createTestRegistry();
+  const leaving = { run: runOf(entryOf({ startedMs: 1 })), from: "vm" };
+  registry.onLeaving("u", leaving);
+  registry.set("u", entryOf({ startedMs: 1 }));
+  assert.equal(registry.eligible("engines").length, 0);
+});
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -343,6 +343,13 @@
         origins.onPeerOrigin(event);
         continue;
       }
+      if (event.kind === LoadEventKind.Leaving) {
+        registry.onLeaving(event.upstream, {
+          run: event.run,
+          from: member.host,
+        });
+        continue;
+      }
       const upstream = registry.find(event.upstream);
       if (!upstream) continue;
       if (event.kind === LoadEventKind.Stalled) {
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -19,6 +19,8 @@
   ItemRefused = "item-refused",
   UpstreamChanged = "upstream-changed",
   UpstreamDown = "upstream-down",
+  /** An upstream announced in a response that it is about to stop. */
+  UpstreamLeaving = "upstream-leaving",
   DataCentreChanged = "data-centre-changed",
   MemberChanged = "member-changed",
   PlatformLost = "platform-lost",
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -182,6 +182,8 @@
   isSealed: boolean;
   /** Remaining warm-up time of the upstream, in milliseconds. */
   warmUpMs: number | undefined;
+  /** Whether the upstream is about to stop and wants no new calls. */
+  isLeaving: boolean;
 }
 
 /** Port: reads and writes the headers of callers and upstreams. */
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -46,6 +46,8 @@
   onSent(): void;
   /** Headers or data were received from the upstream. */
   onReceived(): void;
+  /** The upstream announced that it is about to stop. */
+  onLeaving(): void;
   /** At least one complete event was received. */
   onEvent(): void;
   /**
@@ -122,6 +124,7 @@
     recordReceived();
     const metadata = protocol.readResponse(received.status, received.headers);
     warmUpMs = metadata.warmUpMs;
+    if (metadata.isLeaving) options.onLeaving();
     if (metadata.isNotRun) {
       isNotRun = true;
       return true;
