router: obey an upstream's 503 with Retry-After

Callers saw requests refused by upstreams that had just asked this VM to send nothing for a time, and were called back before any of them would return: the router did not read Retry-After of upstreams' responses.

A 503 with Retry-After, with or without the marker of a call that was not run, now pauses the upstream for this VM: `eligible` leaves it out until then. After the pause, requests return a few at a time: one may wait for its first event or response, and each success doubles that number; 2 s later there is no such limit.

While all upstreams of a service pause, requests that can still be on time after the earliest return wait for it in the queue. Others are refused at once as not run, with Retry-After from the earliest return, and so is the request that the upstream itself refused.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -14,7 +14,7 @@
 import type { StreamOrigins } from "./create_stream_origins.ts";
 import { AttemptResult, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
-import type { WireProtocol } from "./ports.ts";
+import type { ResponseMetadata, WireProtocol } from "./ports.ts";
 import { FULL_RETRY_AFTER_MS } from "./request_errors.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
 import {
@@ -74,6 +74,8 @@
  * caller's time includes its connections.
  */
 const ORIGIN_MARGIN_MS = 2000;
+/** Characters of an invalid header value that are logged. */
+const MAX_LOGGED_CHARACTERS = 64;
 
 /** Creates the starter, which keeps no state of its own. */
 export function createAttemptStarter(
@@ -145,6 +147,19 @@
     });
   }
 
+  /** Notes what a response says about the upstream's further calls. */
+  function recordHead(upstream: Upstream, metadata: ResponseMetadata): void {
+    const { isLeaving, retryAfterMs, invalidRetryAfter } = metadata;
+    if (isLeaving) reportLeaving(upstream);
+    if (retryAfterMs) registry.onPauseRequested(upstream, retryAfterMs);
+    if (invalidRetryAfter !== undefined) {
+      log.warn(LogEvent.RetryAfterIgnored, {
+        upstream: upstream.entry.id,
+        value: invalidRetryAfter.slice(0, MAX_LOGGED_CHARACTERS),
+      });
+    }
+  }
+
   /** Reports an attempt's outcome to scheduler, registry and crash detector. */
   function recordEnd(
     state: RequestState,
@@ -244,7 +259,7 @@
         stream: state.stream,
         response: state.response,
         onReceived: () => registry.onReceived(upstream),
-        onLeaving: () => reportLeaving(upstream),
+        onHead: (metadata) => recordHead(upstream, metadata),
         claimResponse: hooks.claimResponse,
         onStreamStarted: () => publishOrigin(state, entry.softwareVersion),
         onEvent: () => placement.onFirstEvent(),
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -33,6 +33,15 @@
   removeAtMs: number | undefined;
   /** Times of all VMs' calls in warm-up, within `WARM_UP_WINDOW_MS`. */
   recentSends: number[];
+  /** Time until which it asked this VM to send it nothing. */
+  pausedUntilMs: number;
+  /**
+   * Calls that this VM may have sent since the pause without a first event or
+   * complete response yet.
+   */
+  returnLimit: number;
+  /** Calls of this VM that count against `returnLimit`. */
+  returningCalls: number;
   /** Start of this VM's next warm-up slot, in which it can send one call. */
   nextWarmUpSlotMs: number;
   /** Time between two warm-up slots of this VM, in milliseconds. */
@@ -51,7 +60,7 @@
   find(id: string): Upstream | undefined;
   /**
    * Upstreams of a service that can get calls: not down, not draining, not
-   * leaving and not in a data centre out of service.
+   * leaving, not paused and not in a data centre out of service.
    */
   eligible(service: string): Upstream[];
   all(): Iterable<Upstream>;
@@ -79,6 +88,31 @@
    * false if that was known, or if the entry already is that of another run.
    */
   onLeaving(id: string, leaving: LeavingRun): boolean;
+  /**
+   * The upstream asked this VM to send it nothing for `pauseMs`, of which at
+   * most `MAX_PAUSE_MS` count.
+   */
+  onPauseRequested(upstream: Upstream, pauseMs: number): void;
+  /**
+   * Whether an upstream can admit a call from this VM after a pause. For
+   * `RETURN_MS`, only few calls may wait for their first event or response.
+   */
+  canAdmitAfterPause(upstream: Upstream): boolean;
+  /**
+   * Counts a call of this VM to an upstream that returns from a pause. The
+   * result is to be called at its first event or end; each success doubles the
+   * number of calls that the upstream admits.
+   */
+  startReturningCall(upstream: Upstream): (isSuccess: boolean) => void;
+  /**
+   * Earliest end of a pause if all upstreams of a service that could get calls
+   * are paused or were within `RETURN_MS`; a monotonic time in ms. `filter`
+   * limits the upstreams, by default to none.
+   */
+  earliestReturnMs(
+    service: string,
+    filter?: (upstream: Upstream) => boolean,
+  ): number | undefined;
   /** Counts an ended call in the failure share; `weight` is 0 to 1. */
   onCallEnd(upstream: Upstream, failed: boolean, weight: number): void;
   /** This VM received bytes from the upstream. */
@@ -117,6 +151,10 @@
 /** VMs assumed while no others are known, to keep the warm-up rate low. */
 const ASSUMED_VMS = 16;
 
+/** Longest pause that an upstream gets by one response, in milliseconds. */
+const MAX_PAUSE_MS = 30_000;
+/** Time after a pause in which calls return a few at a time, in ms. */
+const RETURN_MS = 2000;
 /** Leaving runs that are remembered; the oldest are forgotten first. */
 const MAX_LEAVING_RUNS = 1000;
 
@@ -168,6 +206,9 @@
       fleetLastReceivedMs: 0,
       removeAtMs: undefined,
       recentSends: [],
+      pausedUntilMs: -Infinity,
+      returnLimit: 1,
+      returningCalls: 0,
       nextWarmUpSlotMs: 0,
       warmUpSlotIntervalMs: WARM_UP_WINDOW_MS,
     };
@@ -198,6 +239,28 @@
     return true;
   }
 
+  /** Upstreams of a service, those that are down or paused included. */
+  function listInService(service: string): Upstream[] {
+    const nowMs = clock.now();
+    const list: Upstream[] = [];
+    for (const [id, upstream] of upstreams) {
+      const { entry, removeAtMs } = upstream;
+      if (removeAtMs !== undefined && removeAtMs <= nowMs) {
+        upstreams.delete(id);
+        continue;
+      }
+      if (entry.service !== service || entry.isDraining) continue;
+      if (leavingRuns.has(id)) continue;
+      if (outDataCentres.has(entry.dataCentre)) continue;
+      list.push(upstream);
+    }
+    return list;
+  }
+
+  function isReturning({ pausedUntilMs }: Upstream): boolean {
+    return clock.now() < pausedUntilMs + RETURN_MS;
+  }
+
   function countRecent(times: number[]): number {
     const sinceMs = clock.now() - WARM_UP_WINDOW_MS;
     while (times.length > 0 && times[0]! <= sinceMs) times.shift();
@@ -248,20 +311,9 @@
     find: (id) => upstreams.get(id),
     eligible(service) {
       const nowMs = clock.now();
-      const list: Upstream[] = [];
-      for (const [id, upstream] of upstreams) {
-        const { entry, removeAtMs } = upstream;
-        if (removeAtMs !== undefined && removeAtMs <= nowMs) {
-          upstreams.delete(id);
-          continue;
-        }
-        if (entry.service !== service || entry.isDraining) continue;
-        if (leavingRuns.has(id)) continue;
-        if (outDataCentres.has(entry.dataCentre)) continue;
-        if (upstream.downUntilMs > nowMs) continue;
-        list.push(upstream);
-      }
-      return list;
+      return listInService(service).filter(({ downUntilMs, pausedUntilMs }) =>
+        downUntilMs <= nowMs && pausedUntilMs <= nowMs
+      );
     },
     all: () => upstreams.values(),
     onlyVersionOf(service) {
@@ -310,6 +362,44 @@
       log.info(LogEvent.UpstreamLeaving, { upstream: id, from });
       return true;
     },
+    onPauseRequested(upstream, pauseMs) {
+      const boundedMs = Math.min(MAX_PAUSE_MS, pauseMs);
+      upstream.pausedUntilMs = Math.max(
+        upstream.pausedUntilMs,
+        clock.now() + boundedMs,
+      );
+      upstream.returnLimit = 1;
+      upstream.returningCalls = 0;
+      log.info(LogEvent.UpstreamPaused, {
+        upstream: upstream.entry.id,
+        pauseMs: Math.round(boundedMs),
+      });
+    },
+    canAdmitAfterPause: (upstream) =>
+      !isReturning(upstream) ||
+      upstream.returningCalls < upstream.returnLimit,
+    startReturningCall(upstream) {
+      if (!isReturning(upstream)) return () => {};
+      const { pausedUntilMs } = upstream;
+      let isOpen = true;
+      upstream.returningCalls++;
+      return (isSuccess) => {
+        // Another pause starts the counts anew.
+        if (!isOpen || upstream.pausedUntilMs !== pausedUntilMs) return;
+        isOpen = false;
+        upstream.returningCalls--;
+        if (isSuccess) upstream.returnLimit *= 2;
+      };
+    },
+    earliestReturnMs(service, filter = () => true) {
+      let earliestMs: number | undefined;
+      for (const upstream of listInService(service)) {
+        if (!filter(upstream)) continue;
+        if (!isReturning(upstream)) return undefined;
+        earliestMs = Math.min(earliestMs ?? Infinity, upstream.pausedUntilMs);
+      }
+      return earliestMs;
+    },
     onCallEnd(upstream, failed, weight) {
       const gain = FAILURE_CALL_WEIGHT * weight;
       const share = failureShare(upstream);
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -146,6 +146,65 @@
   assert.ok(registry.find("u")!.warmUpUntilMs <= clock.now());
 });
 
+test("a paused upstream gets no calls for the time, at most 30 s", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  const upstream = registry.find("u")!;
+  registry.onPauseRequested(upstream, 700);
+  // A shorter pause does not end a longer one.
+  registry.onPauseRequested(upstream, 100);
+  clock.advance(699);
+  assert.equal(registry.eligible("engines").length, 0);
+  clock.advance(1);
+  assert.equal(registry.eligible("engines").length, 1);
+  registry.onPauseRequested(upstream, Infinity);
+  clock.advance(29_999);
+  assert.equal(registry.eligible("engines").length, 0);
+  clock.advance(1);
+  assert.equal(registry.eligible("engines").length, 1);
+});
+
+test("calls return after a pause one at first, twice as many per success", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  const upstream = registry.find("u")!;
+  /** Starts as many calls as the upstream admits, at most 100. */
+  const startAll = () => {
+    const ends = [];
+    while (ends.length < 100 && registry.canAdmitAfterPause(upstream)) {
+      ends.push(registry.startReturningCall(upstream));
+    }
+    return ends;
+  };
+  assert.equal(startAll().length, 100);
+  registry.onPauseRequested(upstream, 500);
+  clock.advance(500);
+  const [first, ...others] = startAll();
+  assert.equal(others.length, 0);
+  first!(true);
+  const second = startAll();
+  assert.equal(second.length, 2);
+  second[0]!(false);
+  assert.equal(startAll().length, 1);
+  registry.onPauseRequested(upstream, 500);
+  clock.advance(500);
+  second[1]!(true);
+  assert.equal(startAll().length, 1);
+  clock.advance(2000);
+  assert.equal(startAll().length, 100);
+});
+
+test("the earliest return is known while all usable upstreams are paused", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  registry.set("v", entryOf({ id: "v" }));
+  registry.set("w", entryOf({ id: "w", isDraining: true }));
+  registry.onPauseRequested(registry.find("u")!, 900);
+  assert.equal(registry.earliestReturnMs("engines"), undefined);
+  registry.onPauseRequested(registry.find("v")!, 700);
+  assert.equal(registry.earliestReturnMs("engines"), clock.now() + 700);
+});
+
 test("a leaving upstream gets no calls until its entry is that of another run", () => {
   const { clock, registry } = createTestRegistry();
   const leaving = { run: runOf(entryOf({ startedMs: 1 })), from: "vm" };
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -35,6 +35,7 @@
 import {
   createDeadlineError,
   createNotExecutedError,
+  createPauseError,
   createUnreachableError,
   withRunState,
 } from "./request_errors.ts";
@@ -307,7 +308,7 @@
       }
       if (ended.result === AttemptResult.NotRun) {
         if (claimRetry(state)) continue;
-        throw createNotExecutedError();
+        throw createPauseErrorOf(state) ?? createNotExecutedError();
       }
       if (state.backup && state.stream.isStarted) {
         if (await resumeFromBackup(state)) return;
@@ -325,6 +326,13 @@
     }
   }
 
+  /** Error while all upstreams of the request's service pause. */
+  function createPauseErrorOf({ service }: RequestState) {
+    const returnMs = registry.earliestReturnMs(service.name);
+    if (returnMs === undefined || returnMs <= clock.now()) return undefined;
+    return createPauseError(returnMs - clock.now());
+  }
+
   /**
    * Takes one retry if the route's attempts and the allowance permit it;
    * returns whether they did.
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -17,6 +17,7 @@
 } from "@rosemarytiller/shared";
 import type { Registry, Upstream } from "./create_registry.ts";
 import type { Prompt, ServiceDefinition } from "./ports.ts";
+import { createPauseError } from "./request_errors.ts";
 
 /** A request to be placed at an upstream. */
 export interface PlacementRequest {
@@ -142,12 +143,8 @@
 
   /** Eligible upstreams of the software version that may serve a request. */
   function listEligible(request: PlacementRequest): Upstream[] {
-    const { service, softwareVersion } = request;
-    const list = registry.eligible(service.name);
-    if (softwareVersion === undefined) return list;
-    return list.filter(({ entry }) =>
-      entry.softwareVersion === softwareVersion
-    );
+    return registry.eligible(request.service.name)
+      .filter((upstream) => isVersionServing(upstream, request));
   }
 
   function listCandidates(request: PlacementRequest): Upstream[] {
@@ -156,6 +153,7 @@
     const vms = isLarge ? network.localVmCount() : network.knownVmCount();
     for (const upstream of listEligible(request)) {
       if (request.avoid.has(upstream.entry.id)) continue;
+      if (!registry.canAdmitAfterPause(upstream)) continue;
       if (upstream.warmUpUntilMs > clock.now()) {
         // In a large fleet, only VMs in the upstream's data centre call it
         // during warm-up.
@@ -270,6 +268,7 @@
     upstream.model.start(key, work, nowMs);
     upstream.model.addToCache(parts);
     registry.onSent(upstream, true);
+    const endReturn = registry.startReturningCall(upstream);
     let calls = callsByUpstream.get(id);
     if (!calls) callsByUpstream.set(id, calls = new Set());
     calls.add(call);
@@ -293,6 +292,7 @@
         hasFirstEvent = true;
         const eventMs = clock.now();
         upstream.model.onFirstEvent(key, eventMs);
+        endReturn(true);
         if (request.prompt) {
           speed.observe(aheadTokens + choice.uncachedTokens, eventMs - nowMs);
         }
@@ -306,6 +306,7 @@
         if (!isOpen) return;
         isOpen = false;
         upstream.model.end(key, clock.now());
+        endReturn(end === CallEnd.Completed);
         if (end !== CallEnd.Other) {
           registry.onCallEnd(upstream, end === CallEnd.Failed, 1);
         }
@@ -325,6 +326,13 @@
     choice?: EngineChoice<Candidate>,
   ): TillerError {
     const list = listEligible(request);
+    const returnMs = registry.earliestReturnMs(
+      request.service.name,
+      (upstream) => isVersionServing(upstream, request),
+    );
+    if (returnMs !== undefined && returnMs > clock.now()) {
+      return createPauseError(returnMs - clock.now());
+    }
     const kind = list.length === 0
       ? ErrorKind.NoUpstream
       : ErrorKind.Overloaded;
@@ -367,6 +375,20 @@
 
   /** Whether a request that no upstream can admit has been queued too long. */
   function hasQueueTimeEnded(request: PlacementRequest): boolean {
+    const returnMs = registry.earliestReturnMs(
+      request.service.name,
+      (upstream) =>
+        isVersionServing(upstream, request) &&
+        !request.avoid.has(upstream.entry.id),
+    );
+    if (returnMs !== undefined) {
+      // It waits for a return after which it can still be on time.
+      const latestMs = Math.min(
+        request.expiresMs,
+        request.arrivedMs + request.targetMs * ON_TIME_SHARE,
+      );
+      return Math.max(clock.now(), returnMs) >= latestMs;
+    }
     const untilMs = Math.min(
       request.expiresMs,
       request.arrivedMs + request.targetMs * MAX_QUEUE_SHARE,
@@ -455,6 +477,15 @@
   };
 }
 
+/** Whether an upstream has the software version that may serve a request. */
+function isVersionServing(
+  { entry }: Upstream,
+  { softwareVersion }: PlacementRequest,
+): boolean {
+  return softwareVersion === undefined ||
+    entry.softwareVersion === softwareVersion;
+}
+
 /** Whether a request precedes another in the queue; only within a service. */
 function hasPrecedence(
   request: PlacementRequest,
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -21,6 +21,10 @@
   UpstreamDown = "upstream-down",
   /** An upstream announced in a response that it is about to stop. */
   UpstreamLeaving = "upstream-leaving",
+  /** An upstream asked this VM to send nothing for a time. */
+  UpstreamPaused = "upstream-paused",
+  /** A response's retry-after can't be read. */
+  RetryAfterIgnored = "retry-after-ignored",
   DataCentreChanged = "data-centre-changed",
   MemberChanged = "member-changed",
   PlatformLost = "platform-lost",
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -184,6 +184,10 @@
   warmUpMs: number | undefined;
   /** Whether the upstream is about to stop and wants no new calls. */
   isLeaving: boolean;
+  /** For how long a 503 asks this VM to send nothing, in milliseconds. */
+  retryAfterMs?: number;
+  /** Retry-after value of a 503 that can't be read. */
+  invalidRetryAfter?: string;
 }
 
 /** Port: reads and writes the headers of callers and upstreams. */
--- a/packages/router/src/request_errors.ts
+++ b/packages/router/src/request_errors.ts
@@ -18,6 +18,22 @@
   );
 }
 
+/** Most time added to the return of a paused upstream, in milliseconds. */
+const RETURN_JITTER_MS = 250;
+
+/**
+ * Error for a request while all upstreams of its service have asked for a
+ * pause, which ends at the earliest in `returnInMs`. Callers come back spread
+ * over `RETURN_JITTER_MS`.
+ */
+export function createPauseError(returnInMs: number): TillerError {
+  return new TillerError(
+    ErrorKind.Overloaded,
+    "all upstreams asked for a pause",
+    { retryAfterMs: returnInMs + Math.random() * RETURN_JITTER_MS },
+  );
+}
+
 /**
  * Error for a request that an upstream declared not executed; the retry-after
  * has jitter.
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -5,7 +5,7 @@
 import { createEventSplitter } from "./create_event_splitter.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { AttemptResult } from "./enums.ts";
-import type { WireProtocol } from "./ports.ts";
+import type { ResponseMetadata, WireProtocol } from "./ports.ts";
 import {
   readIdleLimit,
   type ResponseHead,
@@ -46,8 +46,8 @@
   onSent(): void;
   /** Headers or data were received from the upstream. */
   onReceived(): void;
-  /** The upstream announced that it is about to stop. */
-  onLeaving(): void;
+  /** The status and headers of a response were received. */
+  onHead(metadata: ResponseMetadata): void;
   /** At least one complete event was received. */
   onEvent(): void;
   /**
@@ -124,7 +124,7 @@
     recordReceived();
     const metadata = protocol.readResponse(received.status, received.headers);
     warmUpMs = metadata.warmUpMs;
-    if (metadata.isLeaving) options.onLeaving();
+    options.onHead(metadata);
     if (metadata.isNotRun) {
       isNotRun = true;
       return true;
