--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -1,16 +1,20 @@
-import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
+import {
+  CallEnd,
+  LoadEventKind,
+  type PeerNetwork,
+} from "@rosemarytiller/peers";
 import type { RetryAllowance } from "@rosemarytiller/policy";
 import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
 import { chooseBackupUpstream } from "./choose_backup_upstream.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import type { CrashDetector } from "./create_crash_detector.ts";
-import type { Registry, Upstream } from "./create_registry.ts";
+import { type Registry, runOf, type Upstream } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
 import { AttemptResult, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
-import type { WireProtocol } from "./ports.ts";
+import type { ResponseMetadata, WireProtocol } from "./ports.ts";
 import { FULL_RETRY_AFTER_MS } from "./request_errors.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
 import {
@@ -28,7 +32,7 @@
   protocol: WireProtocol;
   registry: Registry;
   pool: ConnectionPool;
-  network: Pick<PeerNetwork, "knownVmCount">;
+  network: Pick<PeerNetwork, "knownVmCount" | "publishLoadEvent">;
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
   /** Name of this VM. */
@@ -70,6 +74,8 @@
  * caller's time includes its connections.
  */
 const ORIGIN_MARGIN_MS = 2000;
+/** Characters of an invalid header value that are logged. */
+const MAX_LOGGED_CHARACTERS = 64;
 
 /** Creates the starter, which keeps no state of its own. */
 export function createAttemptStarter(
@@ -130,6 +136,30 @@
     });
   }
 
+  /** Gives an upstream no more calls and notifies the other VMs. */
+  function reportLeaving({ entry }: Upstream): void {
+    const run = runOf(entry);
+    if (!registry.onLeaving(entry.id, { run, from: vm })) return;
+    network.publishLoadEvent({
+      kind: LoadEventKind.Leaving,
+      upstream: entry.id,
+      run,
+    });
+  }
+
+  /** Notes what a response says about the upstream's further calls. */
+  function recordHead(upstream: Upstream, metadata: ResponseMetadata): void {
+    const { isLeaving, retryAfterMs, invalidRetryAfter } = metadata;
+    if (isLeaving) reportLeaving(upstream);
+    if (retryAfterMs) registry.onPauseRequested(upstream, retryAfterMs);
+    if (invalidRetryAfter !== undefined) {
+      log.warn(LogEvent.RetryAfterIgnored, {
+        upstream: upstream.entry.id,
+        value: invalidRetryAfter.slice(0, MAX_LOGGED_CHARACTERS),
+      });
+    }
+  }
+
   /** Reports an attempt's outcome to scheduler, registry and crash detector. */
   function recordEnd(
     state: RequestState,
@@ -229,6 +259,7 @@
         stream: state.stream,
         response: state.response,
         onReceived: () => registry.onReceived(upstream),
+        onHead: (metadata) => recordHead(upstream, metadata),
         claimResponse: hooks.claimResponse,
         onStreamStarted: () => publishOrigin(state, entry.softwareVersion),
         onEvent: () => placement.onFirstEvent(),
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -33,6 +33,15 @@
   removeAtMs: number | undefined;
   /** Times of all VMs' calls in warm-up, within `WARM_UP_WINDOW_MS`. */
   recentSends: number[];
+  /** Time until which it asked this VM to send it nothing. */
+  pausedUntilMs: number;
+  /**
+   * Calls that this VM may have sent since the pause without a first event or
+   * complete response yet.
+   */
+  returnLimit: number;
+  /** Calls of this VM that count against `returnLimit`. */
+  returningCalls: number;
   /** Start of this VM's next warm-up slot, in which it can send one call. */
   nextWarmUpSlotMs: number;
   /** Time between two warm-up slots of this VM, in milliseconds. */
@@ -50,8 +59,8 @@
   remove(id: string, keepMs: number): void;
   find(id: string): Upstream | undefined;
   /**
-   * Upstreams of a service that can get calls: not down, not draining and not
-   * in a data centre out of service.
+   * Upstreams of a service that can get calls: not down, not draining, not
+   * leaving, not paused and not in a data centre out of service.
    */
   eligible(service: string): Upstream[];
   all(): Iterable<Upstream>;
@@ -76,6 +85,37 @@
    * calls for a while and needs no warm-up.
    */
   onStalled(upstream: Upstream): void;
+  /**
+   * A run of an upstream is about to stop: it gets no more calls, also if its
+   * entry expires and returns, until the entry is that of another run. Returns
+   * false if that was known, or if the entry already is that of another run.
+   */
+  onLeaving(id: string, leaving: LeavingRun): boolean;
+  /**
+   * The upstream asked this VM to send it nothing for `pauseMs`, of which at
+   * most `MAX_PAUSE_MS` count.
+   */
+  onPauseRequested(upstream: Upstream, pauseMs: number): void;
+  /**
+   * Whether an upstream can admit a call from this VM after a pause. For
+   * `RETURN_MS`, only few calls may wait for their first event or response.
+   */
+  canAdmitAfterPause(upstream: Upstream): boolean;
+  /**
+   * Counts a call of this VM to an upstream that returns from a pause. The
+   * result is to be called at its first event or end; each success doubles the
+   * number of calls that the upstream admits.
+   */
+  startReturningCall(upstream: Upstream): (isSuccess: boolean) => void;
+  /**
+   * Earliest end of a pause if all upstreams of a service that could get calls
+   * are paused or were within `RETURN_MS`; a monotonic time in ms. `filter`
+   * limits the upstreams, by default to none.
+   */
+  earliestReturnMs(
+    service: string,
+    filter?: (upstream: Upstream) => boolean,
+  ): number | undefined;
   /** Counts an ended call in the failure share; `weight` is 0 to 1. */
   onCallEnd(upstream: Upstream, failed: boolean, weight: number): void;
   /** This VM received bytes from the upstream. */
@@ -93,6 +133,14 @@
   canAdmitInWarmUp(upstream: Upstream, vms: number): boolean;
 }
 
+/** A run of an upstream that is about to stop. */
+export interface LeavingRun {
+  /** The run, as returned by `runOf`. */
+  run: string;
+  /** VM or host that received the announcement. */
+  from: string;
+}
+
 /** Time without calls after a first failure, in ms; doubles with each more. */
 const INITIAL_DOWN_MS = 250;
 /** Longest time without calls after a failure, in milliseconds. */
@@ -106,6 +154,22 @@
 /** VMs assumed while no others are known, to keep the warm-up rate low. */
 const ASSUMED_VMS = 16;
 
+/** Longest pause that an upstream gets by one response, in milliseconds. */
+const MAX_PAUSE_MS = 30_000;
+/** Time after a pause in which calls return a few at a time, in ms. */
+const RETURN_MS = 2000;
+/** Leaving runs that are remembered; the oldest are forgotten first. */
+const MAX_LEAVING_RUNS = 1000;
+
+/**
+ * Identifies a run of an upstream. An entry with another value is that of a
+ * restarted upstream, or of another one with the same identifier.
+ */
+export function runOf(entry: UpstreamEntry): string {
+  const { startedMs, softwareVersion, service, host, port } = entry;
+  return [startedMs, softwareVersion, service, host, port].join(" ");
+}
+
 /** Creates an empty registry; it logs changes of upstreams. */
 export function createRegistry(
   options: { clock: Clock; log: EventLog },
@@ -114,6 +178,8 @@
   const upstreams = new Map<string, Upstream>();
   /** Data centres out of service, with the time until which they are. */
   const outUntilMs = new Map<string, number>();
+  /** Leaving runs by the upstream's identifier, in the order of their news. */
+  const leavingRuns = new Map<string, string>();
   const speeds = new Map<string, SpeedEstimate>();
   /** All software versions seen since the start, by service. */
   const versionsByService = new Map<string, Set<string>>();
@@ -144,6 +210,9 @@
       fleetLastReceivedMs: 0,
       removeAtMs: undefined,
       recentSends: [],
+      pausedUntilMs: -Infinity,
+      returnLimit: 1,
+      returningCalls: 0,
       nextWarmUpSlotMs: 0,
       warmUpSlotIntervalMs: WARM_UP_WINDOW_MS,
     };
@@ -174,6 +243,28 @@
     return true;
   }
 
+  /** Upstreams of a service, those that are down or paused included. */
+  function listInService(service: string): Upstream[] {
+    const nowMs = clock.now();
+    const list: Upstream[] = [];
+    for (const [id, upstream] of upstreams) {
+      const { entry, removeAtMs } = upstream;
+      if (removeAtMs !== undefined && removeAtMs <= nowMs) {
+        upstreams.delete(id);
+        continue;
+      }
+      if (entry.service !== service || entry.isDraining) continue;
+      if (leavingRuns.has(id)) continue;
+      if ((outUntilMs.get(entry.dataCentre) ?? 0) > nowMs) continue;
+      list.push(upstream);
+    }
+    return list;
+  }
+
+  function isReturning({ pausedUntilMs }: Upstream): boolean {
+    return clock.now() < pausedUntilMs + RETURN_MS;
+  }
+
   function countRecent(times: number[]): number {
     const sinceMs = clock.now() - WARM_UP_WINDOW_MS;
     while (times.length > 0 && times[0]! <= sinceMs) times.shift();
@@ -185,10 +276,8 @@
       const known = upstreams.get(id);
       const versions = versionsByService.get(entry.service) ?? new Set();
       versionsByService.set(entry.service, versions.add(entry.softwareVersion));
-      const isSameRun = known && known.entry.startedMs === entry.startedMs &&
-        known.entry.softwareVersion === entry.softwareVersion &&
-        known.entry.service === entry.service &&
-        known.entry.host === entry.host && known.entry.port === entry.port;
+      const isSameRun = known && runOf(known.entry) === runOf(entry);
+      if (leavingRuns.get(id) !== runOf(entry)) leavingRuns.delete(id);
       if (!isSameRun) {
         upstreams.set(id, createUpstream(entry));
       } else {
@@ -226,19 +315,9 @@
     find: (id) => upstreams.get(id),
     eligible(service) {
       const nowMs = clock.now();
-      const list: Upstream[] = [];
-      for (const [id, upstream] of upstreams) {
-        const { entry, removeAtMs } = upstream;
-        if (removeAtMs !== undefined && removeAtMs <= nowMs) {
-          upstreams.delete(id);
-          continue;
-        }
-        if (entry.service !== service || entry.isDraining) continue;
-        if ((outUntilMs.get(entry.dataCentre) ?? 0) > nowMs) continue;
-        if (upstream.downUntilMs > nowMs) continue;
-        list.push(upstream);
-      }
-      return list;
+      return listInService(service).filter(({ downUntilMs, pausedUntilMs }) =>
+        downUntilMs <= nowMs && pausedUntilMs <= nowMs
+      );
     },
     all: () => upstreams.values(),
     onlyVersionOf(service) {
@@ -279,6 +358,57 @@
       );
     },
     onStalled: (upstream) => void markDown(upstream, "silent"),
+    onLeaving(id, { run, from }) {
+      const known = upstreams.get(id);
+      if (known && runOf(known.entry) !== run) return false;
+      if (leavingRuns.get(id) === run) return false;
+      leavingRuns.delete(id);
+      leavingRuns.set(id, run);
+      for (const oldest of leavingRuns.keys()) {
+        if (leavingRuns.size <= MAX_LEAVING_RUNS) break;
+        leavingRuns.delete(oldest);
+      }
+      log.info(LogEvent.UpstreamLeaving, { upstream: id, from });
+      return true;
+    },
+    onPauseRequested(upstream, pauseMs) {
+      const boundedMs = Math.min(MAX_PAUSE_MS, pauseMs);
+      upstream.pausedUntilMs = Math.max(
+        upstream.pausedUntilMs,
+        clock.now() + boundedMs,
+      );
+      upstream.returnLimit = 1;
+      upstream.returningCalls = 0;
+      log.info(LogEvent.UpstreamPaused, {
+        upstream: upstream.entry.id,
+        pauseMs: Math.round(boundedMs),
+      });
+    },
+    canAdmitAfterPause: (upstream) =>
+      !isReturning(upstream) ||
+      upstream.returningCalls < upstream.returnLimit,
+    startReturningCall(upstream) {
+      if (!isReturning(upstream)) return () => {};
+      const { pausedUntilMs } = upstream;
+      let isOpen = true;
+      upstream.returningCalls++;
+      return (isSuccess) => {
+        // Another pause starts the counts anew.
+        if (!isOpen || upstream.pausedUntilMs !== pausedUntilMs) return;
+        isOpen = false;
+        upstream.returningCalls--;
+        if (isSuccess) upstream.returnLimit *= 2;
+      };
+    },
+    earliestReturnMs(service, filter = () => true) {
+      let earliestMs: number | undefined;
+      for (const upstream of listInService(service)) {
+        if (!filter(upstream)) continue;
+        if (!isReturning(upstream)) return undefined;
+        earliestMs = Math.min(earliestMs ?? Infinity, upstream.pausedUntilMs);
+      }
+      return earliestMs;
+    },
     onCallEnd(upstream, failed, weight) {
       const gain = FAILURE_CALL_WEIGHT * weight;
       const share = failureShare(upstream);
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -5,7 +5,7 @@
 import { createEventSplitter } from "./create_event_splitter.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { AttemptResult } from "./enums.ts";
-import type { WireProtocol } from "./ports.ts";
+import type { ResponseMetadata, WireProtocol } from "./ports.ts";
 import {
   readIdleLimit,
   type ResponseHead,
@@ -46,6 +46,8 @@
   onSent(): void;
   /** Headers or data were received from the upstream. */
   onReceived(): void;
+  /** The status and headers of a response were received. */
+  onHead(metadata: ResponseMetadata): void;
   /** At least one complete event was received. */
   onEvent(): void;
   /**
@@ -127,6 +129,7 @@
     recordReceived();
     const metadata = protocol.readResponse(received.status, received.headers);
     warmUpMs = metadata.warmUpMs;
+    options.onHead(metadata);
     if (metadata.isNotRun) {
       isNotRun = true;
       return true;
