router: limit the bytes of an upstream's response

A faulty upstream can send bytes without end. The router kept reading until the request's deadline and kept all of a body in memory; a status line, headers of informational responses and chunk extensions without end kept a core busy.

A body of more than 16 MiB, or beyond 64 MiB of all responses that a VM reads at the same time, an event of more than 1 MiB and more than 256 KiB of bytes that are no data (16 per byte of data are added) now end the call as broken. The body of a refusal is not kept. In time, a response is limited as before by its request's deadline and its route's timeout.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -77,13 +77,19 @@
 /** Characters of an invalid header value that are logged. */
 const MAX_LOGGED_CHARACTERS = 64;
 
-/** Creates the starter, which keeps no state of its own. */
+/** Bytes of the bodies of responses in progress, over all calls. */
+const MAX_BODIES_BYTES = 64 * 1024 * 1024;
+
+/** Creates the starter, which limits the memory of its attempts together. */
 export function createAttemptStarter(
   options: AttemptStarterOptions,
 ): AttemptStarter {
   const { clock, log, metrics, protocol, registry, pool } = options;
   const { network, origins, crashDetector, vm, allowanceOf } = options;
 
+  /** Bytes of the bodies of all responses in progress. */
+  let bodiesBytes = 0;
+
   function addressOf({ entry }: Upstream): string {
     return `${entry.host}:${entry.port}`;
   }
@@ -245,6 +251,7 @@
         }),
       ];
       const startedMs = clock.now();
+      let bodyBytes = 0;
       const isResume = state.stream.isStarted;
       const running = runAttempt({
         clock,
@@ -261,6 +268,12 @@
         onReceived: () => registry.onReceived(upstream),
         onHead: (metadata) => recordHead(upstream, metadata),
         claimResponse: hooks.claimResponse,
+        reserveBytes(bytes) {
+          if (bodiesBytes + bytes > MAX_BODIES_BYTES) return false;
+          bodiesBytes += bytes;
+          bodyBytes += bytes;
+          return true;
+        },
         onStreamStarted: () => publishOrigin(state, entry.softwareVersion),
         onEvent: () => placement.onFirstEvent(),
         onSent() {
@@ -278,6 +291,7 @@
 
       async function finish(): Promise<AttemptEnd> {
         const ended = await running.ended;
+        bodiesBytes -= bodyBytes;
         state.signal.removeEventListener("abort", onAbort);
         if (ended.isReusable) {
           if (ended.idleLimitMs !== undefined) {
--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -7,6 +7,10 @@
 /** Connection to an upstream; carries one call at a time. */
 export interface Connection {
   client: UndiciClient;
+  /** Bytes received since it was opened. */
+  bytesReceived(): number;
+  /** Called after bytes were received; set by the call that uses it. */
+  onReceived: (() => void) | undefined;
   /** Whether the upstream reset the connection. */
   wasReset: boolean;
   isClosed: boolean;
@@ -59,6 +63,8 @@
     const name = nameOf(address);
     const connection: Connection = {
       client: undefined as unknown as UndiciClient,
+      bytesReceived: () => 0,
+      onReceived: undefined,
       wasReset: false,
       isClosed: false,
       idleSinceMs: clock.now(),
@@ -86,6 +92,9 @@
           isConnected = true;
           cancelTimeout();
           callback(null, socket);
+          connection.bytesReceived = () => socket.bytesRead;
+          // May run before the HTTP client has read the same bytes.
+          socket.on("readable", () => connection.onReceived?.());
         });
         socket.on("end", () => {
           // A reset right after data is reported as an end, but the socket then
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -55,6 +55,11 @@
    * attempt of the request forwards its events; this one then ends.
    */
   claimResponse(): boolean;
+  /**
+   * Takes bytes of memory for a response's body until the attempt has ended.
+   * Returns false if the VM has none left.
+   */
+  reserveBytes(bytes: number): boolean;
   /** The caller is about to get the response's headers and first event. */
   onStreamStarted(): void;
 }
@@ -98,6 +103,13 @@
  */
 const GAP_REASON = "the stream has a gap";
 
+/** Memory that a chunk of a body takes besides its data, in bytes. */
+const CHUNK_BYTES = 128;
+/** Largest body of a response that is not an event stream, in bytes. */
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** Largest event of a stream, in bytes. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+
 /**
  * Sends a request to an upstream once and forwards a stream's complete events
  * to the caller. Other responses are returned when they have ended.
@@ -110,6 +122,7 @@
   let isEventStream = false;
   let isNotRun = false;
   let reason = "";
+  let bodyBytes = 0;
   let warmUpMs: number | undefined;
   let firstMs: number | undefined;
   let lastReceivedMs = clock.now();
@@ -157,10 +170,14 @@
   function readData(chunk: Buffer): void {
     recordReceived();
     if (!isEventStream) {
-      chunks.push(chunk);
+      readBody(chunk);
       return;
     }
     const events = splitter.push(chunk);
+    if (splitter.pendingBytes() > MAX_EVENT_BYTES) {
+      breakOff("the stream has too long an event");
+      return;
+    }
     if (!events) return;
     if (!options.claimResponse()) {
       aborted = AttemptResult.Superseded;
@@ -186,6 +203,26 @@
     forward(events.bytes.subarray(start));
   }
 
+  function readBody(chunk: Buffer): void {
+    const takenBytes = chunk.length + CHUNK_BYTES;
+    bodyBytes += takenBytes;
+    if (bodyBytes > MAX_BODY_BYTES) {
+      breakOff("the body is too long");
+    } else if (isNotRun) {
+      // The body of a refusal is not forwarded.
+    } else if (options.reserveBytes(takenBytes)) {
+      chunks.push(chunk);
+    } else {
+      breakOff("no memory is left for the body");
+    }
+  }
+
+  function breakOff(message: string): void {
+    chunks.length = 0;
+    reason = message;
+    running.abort();
+  }
+
   /** Only numeric identifiers are compared; any other event counts as next. */
   function positionOf(id: string): EventPosition {
     const last = stream.lastEventId;
--- a/packages/router/src/send_attempt.ts
+++ b/packages/router/src/send_attempt.ts
@@ -41,6 +41,14 @@
   resume(): void;
 }
 
+/**
+ * Bytes of a response besides its body's data, whatever its length; more than
+ * a socket buffers before the HTTP client reads.
+ */
+const MAX_FRAMING_BYTES = 262_144;
+/** Bytes of a response besides its body's data, for each byte of data. */
+const MAX_FRAMING_PER_BYTE = 16;
+
 /** Sends a call once, without retries, over a connection that is not in use. */
 export function sendAttempt(
   call: AttemptCall,
@@ -50,10 +58,28 @@
   let controller: Dispatcher.DispatchController | undefined;
   let wasSent = false;
   let isEnded = false;
+  let sentAtBytes = 0;
+  let dataBytes = 0;
+
+  /** Ends a response of endless headers, informational ones or framing. */
+  function checkFraming(): void {
+    const bytes = connection.bytesReceived() - sentAtBytes - dataBytes;
+    if (bytes <= MAX_FRAMING_BYTES + dataBytes * MAX_FRAMING_PER_BYTE) return;
+    abort("the response has too many bytes besides its data");
+  }
+
+  function abort(reason: string): void {
+    // The connection of an ended call may already carry another one.
+    if (isEnded) return;
+    end(false, reason);
+    controller?.abort(new Error(reason));
+    connection.client.destroy().catch(() => {});
+  }
 
   function end(isComplete: boolean, reason: string): void {
     if (isEnded) return;
     isEnded = true;
+    connection.onReceived = undefined;
     listener.onEnd({ isComplete, wasSent, reason });
   }
 
@@ -70,6 +96,8 @@
         return;
       }
       wasSent = true;
+      sentAtBytes = connection.bytesReceived();
+      connection.onReceived = checkFraming;
       listener.onSent();
     },
     onResponseStart(responseController, status, headers) {
@@ -85,7 +113,9 @@
       }
     },
     onResponseData(_controller, chunk) {
-      if (!isEnded) listener.onData(chunk);
+      if (isEnded) return;
+      dataBytes += chunk.length;
+      listener.onData(chunk);
     },
     onResponseEnd() {
       end(!connection.wasReset, connection.wasReset ? "reset" : "");
@@ -95,13 +125,7 @@
     },
   });
   return {
-    abort() {
-      // The connection of an ended call may already carry another one.
-      if (isEnded) return;
-      end(false, "aborted");
-      controller?.abort(new Error("aborted"));
-      connection.client.destroy().catch(() => {});
-    },
+    abort: () => abort("aborted"),
     pause: () => controller?.pause(),
     resume: () => controller?.resume(),
   };
