--- a/packages/peers/src/exchange_published.ts
+++ b/packages/peers/src/exchange_published.ts
@@ -1,5 +1,6 @@
+import { readLimited } from "@rosemarytiller/shared";
 import { Packr } from "msgpackr";
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import { type IncomingMessage, request, type ServerResponse } from "node:http";
 import { constants, gunzipSync, gzipSync } from "node:zlib";
 import type {
@@ -12,6 +13,9 @@
 /** Timeout of a pull, in milliseconds: many round trips. */
 const PULL_TIMEOUT_MS = 700;
 
+/** Largest response to a pull, before and after decompression, in bytes. */
+const MAX_PULL_BYTES = 16 * 1024 * 1024;
+
 /** Content coding of compressed responses. */
 const GZIP = "gzip";
 
@@ -66,18 +70,13 @@
       agent: false,
       headers: { "Accept-Encoding": GZIP },
     }, (response) => {
-      const chunks: Buffer[] = [];
-      response.on("data", (chunk: Buffer) => chunks.push(chunk));
-      response.on("end", () => {
-        try {
-          const bytes = Buffer.concat(chunks);
-          const isCompressed = response.headers["content-encoding"] === GZIP;
-          resolve(packr.unpack(isCompressed ? gunzipSync(bytes) : bytes));
-        } catch (error) {
-          reject(error);
-        }
-      });
-      response.on("error", reject);
+      readLimited(response, MAX_PULL_BYTES).then((bytes) => {
+        const isCompressed = response.headers["content-encoding"] === GZIP;
+        const packed = isCompressed
+          ? gunzipSync(bytes, { maxOutputLength: MAX_PULL_BYTES })
+          : bytes;
+        resolve(packr.unpack(packed));
+      }).catch(reject);
     });
     const timer = setTimeout(
       () => outgoing.destroy(new Error("the peer did not respond in time")),
--- a/packages/peers/src/exchange_published_test.ts
+++ b/packages/peers/src/exchange_published_test.ts
@@ -3,6 +3,7 @@
 import { createServer, type RequestListener } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { test } from "node:test";
+import { gzipSync } from "node:zlib";
 import {
   createPublishedItems,
   type PublishedItem,
@@ -93,3 +94,34 @@
     assert.equal(changes.items.length, 2);
   });
 });
+
+// Guards against a VM that reads a faulty peer's bytes until its memory is used
+// up.
+test("a pull whose response has no end is cut off", async () => {
+  const chunk = Buffer.alloc(65_536);
+  await withServer((_incoming, response) => {
+    const send = () => {
+      for (let writes = 0; writes < 2000; writes++) {
+        if (!response.write(chunk)) return;
+      }
+    };
+    response.on("drain", send);
+    send();
+  }, async (port, sockets) => {
+    const pull = pullPublished({ host: "127.0.0.1", port }, 3);
+    await assert.rejects(pull, /exceeds/);
+    const sentBytes = sockets[0]!.bytesWritten;
+    assert.ok(sentBytes < 48 * 1024 * 1024, `${sentBytes} bytes`);
+  });
+});
+
+test("a pull whose response expands without bound is cut off", async () => {
+  const bytes = gzipSync(Buffer.alloc(64 * 1024 * 1024));
+  await withServer((_incoming, response) => {
+    response.writeHead(200, { "Content-Encoding": "gzip" });
+    response.end(bytes);
+  }, async (port) => {
+    const pull = pullPublished({ host: "127.0.0.1", port }, 3);
+    await assert.rejects(pull, /larger than/);
+  });
+});
