peers: do not leave removals out after a complete read

A VM that read the complete state knows no removals of items that it had never known, but answered a peer at an earlier revision with the changes alone. The peer's revision moved on, and it kept an item that the platform had removed, until its next complete read: such as an upstream that had left, or a data centre out of service.

Peers at a revision before the last complete read now get the complete state, as after dropped removals. The regression test failed before: no change where the removal of "b" is expected.

--- a/packages/peers/src/create_published_items.ts
+++ b/packages/peers/src/create_published_items.ts
@@ -139,6 +139,8 @@
           items.set(key, removal);
           changed.push(removal);
         }
+        // Earlier removals of items that were never known are not listed.
+        cutoff = Math.max(cutoff, changes.head);
       }
       head = Math.max(head, changes.head);
       dropOldRemovals();
--- a/packages/peers/src/create_published_items_test.ts
+++ b/packages/peers/src/create_published_items_test.ts
@@ -75,6 +75,22 @@
   assert.equal(published.since(5990).isWhole, false);
 });
 
+// Guards against a VM that keeps a removed item for ever because the peer from
+// which it pulls read the complete state and never knew that item.
+test("a complete state leaves no earlier removal out of later changes", () => {
+  const reader = createPublishedItems();
+  reader.apply(changes(3, [item("a", 3, "x")]));
+  const behind = createPublishedItems();
+  behind.apply(changes(4, [item("a", 3, "x"), item("b", 4, "y")]));
+  // The item "b" was removed at revision 5.
+  reader.apply(changes(6, [item("a", 3, "x")], true));
+  const changed = behind.apply(reader.since(behind.head()));
+  assert.deepEqual(changed.map(({ key, value }) => [key, value]), [[
+    "b",
+    undefined,
+  ]]);
+});
+
 /** Changes as read from a store of the given era. */
 function inEra(era: number, read: ReturnType<typeof changes>) {
   return { ...read, era };
