router: place no request whose caller has disconnected

A caller that left while its VM asked others which version began its stream could still get a call at an upstream: the scheduler waits for the abort of a request, and an abort that came before is not reported again.

An aborted request is now refused before a place is chosen. The test in create_scheduler_test.ts failed before (the request was placed).

--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -447,6 +447,10 @@
   return {
     place(request, signal) {
       return new Promise((resolve, reject) => {
+        if (signal.aborted) {
+          reject(createAbortError());
+          return;
+        }
         const entry = { request, resolve, reject };
         const isNext = queue.every((other) =>
           !hasPrecedence(other.request, request)
@@ -465,7 +469,7 @@
           const index = queue.indexOf(entry);
           if (index < 0) return;
           queue.splice(index, 1);
-          reject(new TillerError(ErrorKind.DeadlineExceeded, "given up"));
+          reject(createAbortError());
         }, { once: true });
         cancelPoll ??= clock.after(QUEUE_POLL_MS, processQueue);
       });
@@ -486,6 +490,10 @@
     entry.softwareVersion === softwareVersion;
 }
 
+function createAbortError(): TillerError {
+  return new TillerError(ErrorKind.DeadlineExceeded, "given up");
+}
+
 /** Whether a request precedes another in the queue; only within a service. */
 function hasPrecedence(
   request: PlacementRequest,
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -149,6 +149,19 @@
   assert.equal(placed[0]!.queuedMs, 0);
 });
 
+// Guards against a call for a caller that disconnected while its stream's origin
+// was looked up.
+test("an aborted request is not placed", async () => {
+  const { clock, scheduler, loadEvents } = createTestScheduler(1);
+  const request = requestOf(CallRank.Tight, {
+    tokens: 10,
+    arrivedMs: clock.now(),
+    targetMs: 400,
+  });
+  await assert.rejects(scheduler.place(request, AbortSignal.abort()));
+  assert.equal(loadEvents.length, 0);
+});
+
 test("a queued request that is aborted leaves the queue", async () => {
   const { clock, scheduler } = createTestScheduler(1);
   const arrivedMs = clock.now();
