shared: run no timer of the system clock early

The router's log shows the cause: cut, kind deadline-exceeded, ms 299.

Deadlines, idle timeouts and retries could all be early by milliseconds.

The system clock now waits again until the time has passed.

--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -9,17 +9,31 @@
   now(): number;
   /** Wall time in milliseconds since 1970; never used for decisions. */
   wall(): number;
-  /** Runs `action` once after `delayMs`; returns a function that cancels it. */
+  /** Runs `action` once `delayMs` have passed; returns a function that cancels it. */
   after(delayMs: number, action: () => void): CancelTimer;
 }
 
+/** Longest delay of one of Node's timers, in milliseconds. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Creates a clock on the system time and timers of this process. */
 export function createSystemClock(): Clock {
   return {
     now: () => performance.now(),
     wall: () => Date.now(),
     after(delayMs, action) {
-      const timer = setTimeout(action, delayMs);
+      const dueMs = performance.now() + delayMs;
+      let timer: ReturnType<typeof setTimeout>;
+      // Node counts from the start of the event loop's iteration and may fire
+      // early by the time that has passed since then.
+      function arm(leftMs: number): void {
+        timer = setTimeout(() => {
+          const remainingMs = dueMs - performance.now();
+          if (remainingMs > 0) arm(remainingMs);
+          else action();
+        }, Math.min(Math.ceil(leftMs), MAX_TIMER_MS));
+      }
+      arm(delayMs);
       return () => clearTimeout(timer);
     },
   };
