router: keep healthy upstreams in use while they are silent

Seen: while the only upstream of a service was silent within a stream for 1 or 2 s, other requests to the service got 503.

Cause: an upstream that had sent nothing for the idle timeout, at least 600 ms, got no new calls for 250 ms to 1.5 s at this VM and at all others. Healthy upstreams fall silent for a second or two and go on. The router sends no health checks, so calls are the only place where silence counts.

Change: a silent upstream stays eligible. Other upstreams are preferred to it, as if all of its recent calls had failed, until it sends something or 1.5 s have passed. It gets no calls for a while only after 2.5 s of silence at this VM. Reports of peers only change the preference. The limits that bear on silence are named in silence_limits.ts.

--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -8,6 +8,7 @@
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ServiceDefinition, UpstreamEntry } from "./ports.ts";
+import { SILENCE_MEMORY_MS } from "./silence_limits.ts";
 
 /** An upstream with its estimated state; times are monotonic, in ms. */
 export interface Upstream {
@@ -17,6 +18,8 @@
   warmUpUntilMs: number;
   /** Time until which it gets no calls after a failure. */
   downUntilMs: number;
+  /** Time until which other upstreams are preferred after a silence. */
+  silentUntilMs: number;
   /** Failures to connect and stalls since this VM last received bytes. */
   consecutiveFailures: number;
   /** Fraction of recent calls that failed, as of `failureAtMs`. */
@@ -80,6 +83,11 @@
    * from now on.
    */
   onConnectFailed(upstream: Upstream, reason: string): void;
+  /**
+   * The upstream is silent, as healthy ones are at times: other upstreams are
+   * preferred until it sends something or `SILENCE_MEMORY_MS` have passed.
+   */
+  onSilent(upstream: Upstream): void;
   /**
    * The upstream sent nothing for too long, but may only be slow: it gets no
    * calls for a while and needs no warm-up.
@@ -122,7 +130,10 @@
   onReceived(upstream: Upstream): void;
   /** Another VM reported a first event or complete response. */
   onPeerReceived(upstream: Upstream): void;
-  /** Fraction of recent calls that failed; decays with time. */
+  /**
+   * Fraction of calls that are expected to fail: that of recent calls, which
+   * decays with time, or 1 while the upstream is silent.
+   */
   failureShare(upstream: Upstream): number;
   /** Counts a call sent by this VM (`isOwn`) or another one. */
   onSent(upstream: Upstream, isOwn: boolean): void;
@@ -203,6 +214,7 @@
       model: createEngineModel(size, speedOf(entry.service).speed),
       warmUpUntilMs: clock.now() + entry.warmUpMs,
       downUntilMs: 0,
+      silentUntilMs: 0,
       consecutiveFailures: 0,
       failureShare: 0,
       failureAtMs: 0,
@@ -218,7 +230,7 @@
     };
   }
 
-  function failureShare(upstream: Upstream): number {
+  function recentFailureShare(upstream: Upstream): number {
     const ageMs = clock.now() - upstream.failureAtMs;
     return upstream.failureShare * 2 ** (-ageMs / FAILURE_HALF_LIFE_MS);
   }
@@ -357,6 +369,9 @@
         clock.now() + warmUpMs,
       );
     },
+    onSilent(upstream) {
+      upstream.silentUntilMs = clock.now() + SILENCE_MEMORY_MS;
+    },
     onStalled: (upstream) => void markDown(upstream, "silent"),
     onLeaving(id, { run, from }) {
       const known = upstreams.get(id);
@@ -411,7 +426,7 @@
     },
     onCallEnd(upstream, failed, weight) {
       const gain = FAILURE_CALL_WEIGHT * weight;
-      const share = failureShare(upstream);
+      const share = recentFailureShare(upstream);
       upstream.failureShare = share + gain * ((failed ? 1 : 0) - share);
       upstream.failureAtMs = clock.now();
     },
@@ -419,11 +434,14 @@
       upstream.lastReceivedMs = clock.now();
       upstream.fleetLastReceivedMs = upstream.lastReceivedMs;
       upstream.consecutiveFailures = 0;
+      upstream.silentUntilMs = 0;
     },
     onPeerReceived(upstream) {
       upstream.fleetLastReceivedMs = clock.now();
+      upstream.silentUntilMs = 0;
     },
-    failureShare,
+    failureShare: (upstream) =>
+      upstream.silentUntilMs > clock.now() ? 1 : recentFailureShare(upstream),
     onSent(upstream, isOwn) {
       const nowMs = clock.now();
       if (upstream.warmUpUntilMs < nowMs) {
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -169,6 +169,24 @@
   assert.ok(registry.find("u")!.warmUpUntilMs <= clock.now());
 });
 
+// Guards against taking a healthy upstream out of use for its silence.
+test("a silent upstream is eligible and expected to fail until it sends", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  const upstream = registry.find("u")!;
+  registry.onSilent(upstream);
+  assert.equal(registry.eligible("engines").length, 1);
+  assert.equal(registry.failureShare(upstream), 1);
+  registry.onReceived(upstream);
+  assert.equal(registry.failureShare(upstream), 0);
+  registry.onSilent(upstream);
+  registry.onPeerReceived(upstream);
+  assert.equal(registry.failureShare(upstream), 0);
+  registry.onSilent(upstream);
+  clock.advance(1500);
+  assert.equal(registry.failureShare(upstream), 0);
+});
+
 test("a paused upstream gets no calls for the time, at most 30 s", () => {
   const { clock, registry } = createTestRegistry();
   registry.set("u", entryOf());
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -39,6 +39,7 @@
   type UpstreamEntry,
   type WireProtocol,
 } from "./ports.ts";
+import { MIN_CONFIRMED_SILENCE_MS } from "./silence_limits.ts";
 
 /** Host and port to listen on. */
 export interface ListenAddress {
@@ -141,12 +142,6 @@
 const PULL_DELAY_MS = 60;
 /** Weight of calls reported by VMs of other data centres in failure shares. */
 const REMOTE_CALL_WEIGHT = 0.3;
-/**
- * Time without data from an upstream here, and without a first event or
- * complete response reported by another VM, after which a peer's report of its
- * stall is accepted, in milliseconds.
- */
-const MIN_CONFIRMED_STALL_MS = 250;
 /** Age of the last confirmation after which a paused VM reads again, in ms. */
 const MAX_CONFIRMATION_AGE_MS = 3200;
 /**
@@ -457,7 +452,7 @@
       if (!upstream) continue;
       if (event.kind === LoadEventKind.Stalled) {
         const quietMs = nowMs - upstream.fleetLastReceivedMs;
-        if (quietMs >= MIN_CONFIRMED_STALL_MS) registry.onStalled(upstream);
+        if (quietMs >= MIN_CONFIRMED_SILENCE_MS) registry.onSilent(upstream);
         continue;
       }
       const key = `${member.host}:${event.call}`;
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -111,6 +111,22 @@
 const LONG_PROMPT = { tokens: 9000, targetMs: 1200 };
 const SHORT_PROMPT = { tokens: 600, targetMs: 300 };
 
+// Guards against taking a healthy upstream out of use for its silence.
+test("a silent engine gets calls only while the others are full", async () => {
+  const { registry, scheduler } = createTestScheduler(2);
+  registry.onSilent(registry.find("u0")!);
+  const chosen: string[] = [];
+  for (let number = 0; number < 17; number++) {
+    const { upstream } = await scheduler.place(
+      requestOf(CallRank.Tight, { tokens: 10, arrivedMs: 0, targetMs: 60_000 }),
+      new AbortController().signal,
+    );
+    chosen.push(upstream.entry.id);
+  }
+  assert.deepEqual(new Set(chosen.slice(0, 16)), new Set(["u1"]));
+  assert.equal(chosen[16], "u0");
+});
+
 test("burst of long prompts: excess requests are refused with a retry-after", async () => {
   const { clock, scheduler } = createTestScheduler(1);
   const arrivedMs = clock.now();
--- a/packages/router/src/watch_stall.ts
+++ b/packages/router/src/watch_stall.ts
@@ -6,6 +6,14 @@
 import type { EventLog } from "./event_log.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
 import type { AttemptRun } from "./run_attempt.ts";
+import {
+  IDLE_TIMEOUT_FACTOR,
+  LOCAL_SILENCE_FACTOR,
+  MIN_IDLE_TIMEOUT_MS,
+  MIN_OUTAGE_SILENCE_MS,
+  MIN_STREAM_SILENCE_MS,
+  SILENCE_CHECK_MS,
+} from "./silence_limits.ts";
 
 /** A call in progress. */
 export interface WatchedCall {
@@ -27,29 +35,13 @@
   network: Pick<PeerNetwork, "publishLoadEvent">;
 }
 
-/** Interval of the stall check, in milliseconds. */
-const STALL_CHECK_MS = 100;
-/** Shortest idle timeout of a call, in milliseconds. */
-const MIN_IDLE_TIMEOUT_MS = 600;
-/** Idle timeout, as a multiple of the longest pause or the latency target. */
-const IDLE_TIMEOUT_FACTOR = 3;
-/**
- * Shortest silence of a started stream before it continues elsewhere, in ms.
- * Healthy upstreams pause for about a second, and a backup copy serves once.
- */
-const MIN_STREAM_SILENCE_MS = 1200;
-/**
- * Idle timeouts without data at this VM after which an upstream counts as
- * stalled even if other VMs receive data from it.
- */
-const LOCAL_STALL_FACTOR = 2.5;
-
 /**
  * Checks a call for an idle timeout until cancelled. If its upstream sends
- * nothing to any VM, or nothing to this VM for `LOCAL_STALL_FACTOR` timeouts,
- * it gets no new calls for a while and the other VMs are notified. `onSilent` is
- * called if the call can be retried or resumed; for a started stream only if its
- * upstream has stalled. The call itself goes on.
+ * nothing to any VM, or nothing to this VM for `LOCAL_SILENCE_FACTOR` timeouts,
+ * new calls prefer other upstreams and the other VMs are notified; only after
+ * `MIN_OUTAGE_SILENCE_MS` it gets no new calls for a while. `onSilent` is called
+ * if the call can be retried or resumed; for a started stream only if its
+ * upstream is silent for all calls. The call itself goes on.
  */
 export function watchStall(
   call: WatchedCall,
@@ -78,7 +70,7 @@
 
   /** Measures the silence, without the time in which data was not read. */
   function measureSilence(nowMs: number): number {
-    const delayMs = nowMs - checkedAtMs - STALL_CHECK_MS;
+    const delayMs = nowMs - checkedAtMs - SILENCE_CHECK_MS;
     checkedAtMs = nowMs;
     if (silentSinceMs !== running.lastReceivedMs()) {
       silentSinceMs = running.lastReceivedMs();
@@ -89,7 +81,7 @@
     return nowMs - silentSinceMs - suspendedMs;
   }
 
-  return repeat(clock, STALL_CHECK_MS, () => {
+  return repeat(clock, SILENCE_CHECK_MS, () => {
     const nowMs = clock.now();
     const isStarted = state.stream.isStarted;
     const limitMs = running.hasEvents() ? idleTimeoutMs : firstEventTimeoutMs;
@@ -97,10 +89,13 @@
     if (silentMs < limitMs) return;
     const readMs = nowMs - suspendedMs;
     // An upstream that still responds to other calls is slow, not stalled.
+    const localSilentMs = readMs - upstream.lastReceivedMs;
     const isStalled = readMs - upstream.fleetLastReceivedMs >= limitMs ||
-      readMs - upstream.lastReceivedMs >= limitMs * LOCAL_STALL_FACTOR;
-    if (isStalled && upstream.downUntilMs <= nowMs) {
-      registry.onStalled(upstream);
+      localSilentMs >= limitMs * LOCAL_SILENCE_FACTOR;
+    const isOut = Math.min(silentMs, localSilentMs) >= MIN_OUTAGE_SILENCE_MS;
+    if (isStalled && isOut) registry.onStalled(upstream);
+    if (isStalled && upstream.silentUntilMs <= nowMs) {
+      registry.onSilent(upstream);
       network.publishLoadEvent({
         kind: LoadEventKind.Stalled,
         upstream: upstream.entry.id,
--- a/packages/router/src/watch_stall_test.ts
+++ b/packages/router/src/watch_stall_test.ts
@@ -57,6 +57,7 @@
   });
   return {
     silences,
+    isEligible: () => registry.eligible("engines").length > 0,
     advance: (ms: number) => fake.advance(ms),
     /** Lets time pass in which no timer runs. */
     suspend(ms: number) {
@@ -93,3 +94,12 @@
   advance(200);
   assert.equal(silences.length, 1);
 });
+
+// Guards against taking a healthy upstream out of use for its silence.
+test("an upstream gets no calls for a while only after a silence of 2.5 s", () => {
+  const { isEligible, advance } = watchSilentStream({ isStarted: true });
+  advance(2400);
+  assert.equal(isEligible(), true);
+  advance(100);
+  assert.equal(isEligible(), false);
+});
