--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -339,8 +339,9 @@
     const predicted = choice
       ? `, a first event predicted in ${Math.round(choice.predictedMs)} ms`
       : "";
-    const detail = `no upstream has room in time: ${list.length} known, ` +
-      `${queue.length} requests held${predicted}`;
+    const detail =
+      `no upstream can take the request in time: ${list.length} available, ` +
+      `${queue.length} requests queued${predicted}`;
     return new TillerError(kind, detail, {
       retryAfterMs: retryAfterMs(request, list),
     });
@@ -491,7 +492,7 @@
 }
 
 function createAbortError(): TillerError {
-  return new TillerError(ErrorKind.DeadlineExceeded, "given up");
+  return new TillerError(ErrorKind.DeadlineExceeded, "the request was aborted");
 }
 
 /** Whether a request precedes another in the queue; only within a service. */
--- a/packages/router/src/request_errors.ts
+++ b/packages/router/src/request_errors.ts
@@ -54,11 +54,18 @@
   { possibleRuns }: RequestState,
 ): TillerError {
   if (possibleRuns > 0) {
-    return new TillerError(ErrorKind.DeadlineExceeded, "the time is up");
+    return new TillerError(
+      ErrorKind.DeadlineExceeded,
+      "the deadline passed before the response was complete",
+    );
   }
-  return new TillerError(ErrorKind.Overloaded, "no upstream in time", {
-    retryAfterMs: FULL_RETRY_AFTER_MS,
-  });
+  return new TillerError(
+    ErrorKind.Overloaded,
+    "no upstream could take the request before its deadline",
+    {
+      retryAfterMs: FULL_RETRY_AFTER_MS,
+    },
+  );
 }
 
 /**
--- a/packages/router/src/send_attempt.ts
+++ b/packages/router/src/send_attempt.ts
@@ -92,7 +92,7 @@
     onRequestStart(startedController) {
       controller = startedController;
       if (isEnded) {
-        startedController.abort(new Error("given up before the start"));
+        startedController.abort(new Error("aborted before it was sent"));
         return;
       }
       wasSent = true;
