broker: grant no permit to an entry that is paused

A slot went to a paused entry and stayed in use for as long as its VM had no new process: with a limit of two, one slot was missing for the 16 s that the trial went on after the entry had been killed.

Cause: the leader takes an entry for unreachable after 2 s without a message and drops its permits then, once. Its permit requests stayed in the queue while its link was open, so a slot that became free later went to it, and nothing dropped that permit.

Change: the pools take the requests of an unreachable entry out of their queues and queue them again, with their first deadlines, upon its next message.

The test holds both slots of a service, pauses an entry whose call waits, and counts the calls at the service after both slots are free.

--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -155,6 +155,7 @@
     ...exchange.handlers,
     [MessageKind.PermitRequest](message, link) {
       leadership.onPermitRequest(message.pool, message.stamp, link);
+      resumeRequests(link);
       heartbeats.sendWantedLeases(links);
       poolOf(message.pool).onPermitRequest(message, link);
     },
@@ -172,6 +173,7 @@
       const { adopted, ended } = leadership.onBacking(message, link);
       dropPermits(ended);
       for (const permit of adopted) poolOf(permit.pool).adopt(permit);
+      resumeRequests(link);
       for (const pool of pools.values()) pool.processQueue();
     },
   };
@@ -182,6 +184,18 @@
     }
   }
 
+  /** Keeps permits from being granted to entries that would not use them. */
+  function suspendUnreachable(): void {
+    for (const link of links) {
+      if (link.role !== Role.Entry || leadership.isReachable(link)) continue;
+      for (const pool of pools.values()) pool.suspendLink(link);
+    }
+  }
+
+  function resumeRequests(link: Link): void {
+    for (const pool of pools.values()) pool.resumeLink(link);
+  }
+
   async function serve(link: Link): Promise<void> {
     if (link.role === Role.Claimer) return await serveClaims(link, claims);
     links.add(link);
@@ -252,6 +266,7 @@
     for (const pool of pools.values()) pool.processQueue();
     recordPoolGauges(metrics, pools.values());
     dropPermits(leadership.checkLeases());
+    suspendUnreachable();
     heartbeats.sendRegular(
       links,
       () => [...pools.values()].map((one) => one.summary()),
--- a/packages/broker/src/create_leadership.ts
+++ b/packages/broker/src/create_leadership.ts
@@ -84,6 +84,11 @@
   ledLeases(): string[];
   /** Whether no lease is wanted, for lack of permit requests. */
   isIdle(): boolean;
+  /**
+   * Whether the entry at the other end of a link is reachable, by the last
+   * `checkLeases` and its messages since.
+   */
+  isReachable(link: Link): boolean;
   /**
    * Records changes of leadership and transfers leases for which most backers
    * prefer another broker, each at most once in
@@ -468,6 +473,7 @@
     ledLeases: () =>
       [...leases.values()].filter(({ isLed }) => isLed).map(({ name }) => name),
     isIdle,
+    isReachable: (link) => !entries.get(link.vm)?.isUnreachable,
     checkLeases() {
       const nowMs = clock.now();
       for (const lease of leases.values()) {
--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -41,7 +41,10 @@
   createPoolUpstreams,
   type PoolUpstream,
 } from "./create_pool_upstreams.ts";
-import { createPendingRequests } from "./create_pending_requests.ts";
+import {
+  createPendingRequests,
+  type PendingRequest,
+} from "./create_pending_requests.ts";
 import {
   countByClass,
   describeUpstreams,
@@ -101,6 +104,10 @@
   applyQuarantine(fingerprint: string): void;
   /** Drops the pending permit requests of a link that has closed. */
   dropLink(link: Link): void;
+  /** Takes a link's permit requests out of the queue until `resumeLink`. */
+  suspendLink(link: Link): void;
+  /** Queues the suspended permit requests of a link again. */
+  resumeLink(link: Link): void;
   /** Refuses the requests that timed out and grants those that can start. */
   processQueue(): void;
   summary(): PoolSummary;
@@ -122,6 +129,8 @@
   const placements = createPlacements();
   const containment = createContainment(quarantine);
   const pendingRequests = createPendingRequests();
+  /** Requests that are not granted for now, by link and id. */
+  const suspended = new Map<Link, Map<string, PendingRequest>>();
   const isolation = createIsolation({
     queue,
     pendingRequests,
@@ -311,6 +320,38 @@
   function remove(id: string): void {
     queue.remove(id);
     pendingRequests.remove(id);
+    for (const requests of suspended.values()) requests.delete(id);
+  }
+
+  function pendingOf(link: Link): PendingRequest[] {
+    return [...pendingRequests.all()].filter((one) => one.link === link);
+  }
+
+  function suspendLink(link: Link): void {
+    const requests = suspended.get(link) ?? new Map();
+    for (const pending of pendingOf(link)) {
+      remove(pending.request.id);
+      requests.set(pending.request.id, pending);
+    }
+    if (requests.size > 0) suspended.set(link, requests);
+  }
+
+  function resumeLink(link: Link): void {
+    const requests = suspended.get(link);
+    if (!requests) return;
+    suspended.delete(link);
+    const openUpstreams = upstreams.current();
+    for (const pending of requests.values()) {
+      const { request } = pending;
+      request.isolation = undefined;
+      isolation.onArrived(request, openUpstreams);
+      pendingRequests.add(pending);
+      if (isQuarantined(request)) {
+        refuse(request, ErrorKind.Quarantined, QUARANTINED_DETAIL);
+      } else queue.add(request);
+    }
+    shedOverflow();
+    processQueue();
   }
 
   function onDone(message: PermitReturnMessage): void {
@@ -357,10 +398,11 @@
     },
     applyQuarantine,
     dropLink(link) {
-      for (const pending of [...pendingRequests.all()]) {
-        if (pending.link === link) remove(pending.request.id);
-      }
+      suspended.delete(link);
+      for (const { request } of pendingOf(link)) remove(request.id);
     },
+    suspendLink,
+    resumeLink,
     processQueue,
     summary: () =>
       summarizePool(fullName, { upstreams, admission, nowMs: clock.now() }),
