claims: let a sole remaining VM grant claims after the horizon

A VM that was left alone after a list of more than three refused every claim until the list changed again, however long ago that was.

Cause: a holder that decides alone waits while it keeps the record of a change from more than three VMs, and such records are dropped only at the next change of the list. Waiting for the horizon alone would be too short: VMs that have the new list late may still grant a claim under the former one, without this VM.

Change: it waits for the horizon and the longest lag of the list, after which every claim under the former list has expired. The test lets four VMs of five grant a claim when the lag ends; before, the sole VM still answers "young" when that claim has expired.

--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -107,6 +107,7 @@
     vm: settings.vm,
     clock,
     horizonMs: settings.retryHorizonMs,
+    listLagMs: settings.listLagMs,
   });
   const claimSync = syncClaims(claims, {
     identity,
--- a/packages/claims/src/create_claim_holder.ts
+++ b/packages/claims/src/create_claim_holder.ts
@@ -57,6 +57,8 @@
   clock: Clock;
   /** How long a claim is kept, in milliseconds. */
   horizonMs: number;
+  /** Longest lag of the VM list, in milliseconds. */
+  listLagMs: number;
   /** Number of stored claims from which new ones are refused. */
   capacity?: number;
 }
@@ -68,7 +70,7 @@
  */
 export function createClaimHolder(options: ClaimHolderOptions): ClaimHolder {
   const { vm, clock, horizonMs, capacity = MAX_CLAIM_RECORDS } = options;
-  const history = createHolderHistory({ vm, clock, horizonMs });
+  const history = createHolderHistory(options);
   /** Claims by key, in the order in which the keys were added here. */
   const claimsByKey = new Map<string, StoredClaim[]>();
   let size = 0;
--- a/packages/claims/src/create_claim_holder_test.ts
+++ b/packages/claims/src/create_claim_holder_test.ts
@@ -16,6 +16,7 @@
 } from "./list_claim_holders.ts";
 
 const HORIZON_MS = 60_000;
+const LIST_LAG_MS = 10_000;
 const LIST = ["a", "b", "c", "d", "e"];
 
 function startHolders(clock: FakeClock): Map<string, ClaimHolder> {
@@ -26,11 +27,15 @@
 }
 
 function startHolder(vm: string, clock: FakeClock): ClaimHolder {
-  const holder = createClaimHolder({ vm, clock, horizonMs: HORIZON_MS });
+  const holder = createClaimHolder(optionsOf(vm, clock));
   holder.setList(LIST);
   return holder;
 }
 
+function optionsOf(vm: string, clock: FakeClock) {
+  return { vm, clock, horizonMs: HORIZON_MS, listLagMs: LIST_LAG_MS };
+}
+
 function claimOf(id: string, change: Partial<ClaimMessage> = {}): ClaimMessage {
   const key = "key";
   const kind = MessageKind.Claim as const;
@@ -75,7 +80,7 @@
 
 test("a full holder refuses new claims and keeps the stored ones", () => {
   const clock = createFakeClock();
-  const options = { vm: "a", clock, horizonMs: HORIZON_MS, capacity: 1 };
+  const options = { ...optionsOf("a", clock), capacity: 1 };
   const holder = createClaimHolder(options);
   holder.setList(LIST);
   clock.advance(HORIZON_MS);
@@ -129,7 +134,7 @@
   const next = ["a", "b", "f", "g", "h"];
   const holders = new Map<string, ClaimHolder>();
   for (const vm of [...previous, ...next]) {
-    const holder = createClaimHolder({ vm, clock, horizonMs: HORIZON_MS });
+    const holder = createClaimHolder(optionsOf(vm, clock));
     holder.setList(previous);
     holders.set(vm, holder);
   }
@@ -145,3 +150,22 @@
   assert.equal(gaining.vote({ ...claim, key: "y" }).vote, Vote.Granted);
   assert.equal(gaining.vote(claim).vote, Vote.Taken);
 });
+
+// It granted no claim again until the VM list changed.
+test("a sole remaining VM grants claims once earlier ones have expired", () => {
+  const clock = createFakeClock();
+  const holders = startHolders(clock);
+  const holder = holders.get("a")!;
+  holder.setList(["a"]);
+  // The others have the new list late and grant a claim without this VM.
+  clock.advance(LIST_LAG_MS);
+  for (const vm of ["b", "c", "d", "e"]) {
+    assert.equal(holders.get(vm)!.vote(claimOf("one")).vote, Vote.Granted);
+  }
+  clock.advance(HORIZON_MS - 1);
+  const alone = { holders: ["a"] };
+  assert.equal(holder.vote(claimOf("two", alone)).vote, Vote.Unverified);
+  clock.advance(1);
+  const claim = claimOf("three", { ...alone, key: "other" });
+  assert.equal(holder.vote(claim).vote, Vote.Granted);
+});
--- a/packages/claims/src/create_holder_history.ts
+++ b/packages/claims/src/create_holder_history.ts
@@ -59,9 +59,9 @@
 
 /** Creates the history of a holder without a VM list. */
 export function createHolderHistory(
-  options: { vm: string; clock: Clock; horizonMs: number },
+  options: { vm: string; clock: Clock; horizonMs: number; listLagMs: number },
 ): HolderHistory {
-  const { vm, clock, horizonMs } = options;
+  const { vm, clock, horizonMs, listLagMs } = options;
   const epochs: Epoch[] = [];
 
   const last = (): Epoch | undefined => epochs.at(-1);
@@ -131,13 +131,17 @@
   }
 
   /**
-   * Whether this holder is the only VM while an epoch kept here follows a list
-   * of more than three. Up to three holders all record a granted claim; of
-   * more, some may lack it, and a holder that decides alone must not lack any.
+   * Whether this holder is the only VM and claims granted under a list of more
+   * than three may not have expired. Up to three holders all record a granted
+   * claim; of more, some may lack it, and a holder that decides alone must not
+   * lack any. VMs that have the new list late may still grant under the former.
    */
   function isOnlyVmAfterShrink(): boolean {
     if (last()!.vms.length > 1) return false;
-    return epochs.some((epoch) => (epoch.previous?.length ?? 0) > 3);
+    const expiredMs = clock.now() - horizonMs - listLagMs;
+    return epochs.some(({ previous, startedMs }) =>
+      previous !== undefined && previous.length > 3 && startedMs > expiredMs
+    );
   }
 
   function isCompleteFor(key: string): boolean {
--- a/packages/sessions/src/run_claim_history.ts
+++ b/packages/sessions/src/run_claim_history.ts
@@ -125,7 +125,8 @@
   }
 
   function startHolder(vm: string, known: string[]): ClaimHolder {
-    const holder = createClaimHolder({ vm, clock, horizonMs });
+    const listLagMs = MAX_LIST_LAG_MS;
+    const holder = createClaimHolder({ vm, clock, horizonMs, listLagMs });
     holder.setList(known);
     return holder;
   }
