policy: predict waits from the calls in progress and their ages

A trace of the broker at each refusal showed the whole limit allowed (4 of 4 at both upstreams, both entries backing, nothing unaccounted, no pause, timers at most 33 ms late), so backing, leases and missed heartbeats are ruled out. In one refusal 10 requests were ahead of 8 calls of about 500 ms, and 977 ms were expected where 8 calls in 500 ms make 625 ms. Cause: the calls that fill a pool start together and end together. The expected rate was (grants + calls in progress) / (time of queueing + length of a call), which at the end of the second round is two thirds of the real rate. Change: in its place, each call in progress counts as one end within the average duration of a call, or within its own age if that is longer. The pool keeps when each call started.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -113,12 +113,12 @@
   const { view, clock, timeline, metrics, quarantine } = options;
   const name = parsePool(fullName);
   const queue = createRequestQueue();
+  const upstreams = createPoolUpstreams(name, options);
   const admission = createAdmission({
     queue,
     random: options.random,
-    outstanding: () => upstreams.outstanding(),
+    running: upstreams.running,
   });
-  const upstreams = createPoolUpstreams(name, options);
   const placements = createPlacements();
   const containment = createContainment(quarantine);
   const pendingRequests = createPendingRequests();
@@ -189,7 +189,7 @@
       client: message.client,
       fingerprint: message.fingerprint,
     };
-    upstreams.find(upstreamName)!.live.set(permit, live);
+    upstreams.startCall(live);
     placements.record(message.prefix, upstreamName);
     containment.onGranted(live, clock.now());
     options.onGranted?.(live, link);
@@ -342,7 +342,7 @@
     onDone,
     adopt(permit) {
       upstreams.current();
-      upstreams.find(permit.upstream)?.live.set(permit.permit, permit);
+      upstreams.startCall(permit);
     },
     dropPermit(permit) {
       for (const upstream of upstreams.current()) upstream.live.delete(permit);
--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -9,6 +9,7 @@
 import {
   createUpstreamLimit,
   type QueuedRequest,
+  type RunningCalls,
   type UpstreamCandidate,
   type UpstreamLimit,
 } from "@rosemarytiller/policy";
@@ -21,8 +22,14 @@
   limit: UpstreamLimit;
   /** Whether it could receive new calls when `current` was last called. */
   isOpen: boolean;
-  /** Permits of calls in flight, by permit id. */
-  readonly live: Map<string, LivePermit>;
+  /** Calls in flight by permit id, in the order of `startedMs`. */
+  readonly live: Map<string, LiveCall>;
+}
+
+/** Permit of a call in flight. */
+export interface LiveCall extends LivePermit {
+  /** Monotonic time at which it was granted here, or adopted. */
+  startedMs: number;
 }
 
 /** The upstreams of a pool. */
@@ -32,6 +39,8 @@
    * list. Also updates the upstreams to that document.
    */
   current(): PoolUpstream[];
+  /** Adds a call in flight, unless it is known or its upstream isn't. */
+  startCall(permit: LivePermit): void;
   /** An upstream by name, also one that has since left the document. */
   find(name: string): PoolUpstream | undefined;
   /**
@@ -43,7 +52,7 @@
     upstreams: readonly PoolUpstream[],
   ): UpstreamCandidate[];
   /** Calls in flight at the upstreams that may receive new calls. */
-  outstanding(): number;
+  readonly running: RunningCalls;
   /** Free capacity: number of calls that could start now. */
   freeCapacity(): number;
   /**
@@ -89,7 +98,7 @@
   function update(name: string, entry: UpstreamEntry): PoolUpstream {
     let upstream = known.get(name);
     if (!upstream) {
-      const live = new Map<string, LivePermit>();
+      const live = new Map<string, LiveCall>();
       const limit = newLimit(entry, live);
       upstream = { name, entry, limit, isOpen: true, live };
       known.set(name, upstream);
@@ -124,6 +133,11 @@
 
   return {
     current,
+    startCall(permit) {
+      const live = known.get(permit.upstream)?.live;
+      if (!live || live.has(permit.permit)) return;
+      live.set(permit.permit, { ...permit, startedMs: clock.now() });
+    },
     find: (name) => known.get(name),
     candidatesFor(request, upstreams) {
       const allowed = listAllowed(view.documentOf(pool.service), request);
@@ -145,10 +159,14 @@
       }
       return false;
     },
-    outstanding() {
-      let count = 0;
-      for (const { live } of current()) count += live.size;
-      return count;
+    running: {
+      endRate(callMs, nowMs) {
+        let rate = 0;
+        for (const { live } of current()) {
+          rate += endRateOf(live, callMs, nowMs);
+        }
+        return rate;
+      },
     },
     freeCapacity() {
       let freeCapacity = 0;
@@ -171,6 +189,23 @@
   return [];
 }
 
+/** The end rate of one upstream's calls; see `RunningCalls`. */
+function endRateOf(
+  live: ReadonlyMap<string, LiveCall>,
+  callMs: number,
+  nowMs: number,
+): number {
+  let rate = 0;
+  let older = 0;
+  for (const { startedMs } of live.values()) {
+    const ageMs = nowMs - startedMs;
+    if (ageMs <= callMs) break;
+    rate += 1 / ageMs;
+    older++;
+  }
+  return rate + (live.size - older) / callMs;
+}
+
 function newLimit(
   entry: UpstreamEntry,
   live: ReadonlyMap<string, LivePermit>,
--- a/packages/policy/src/create_admission.ts
+++ b/packages/policy/src/create_admission.ts
@@ -1,4 +1,4 @@
-import { createDrainRate } from "./create_drain_rate.ts";
+import { createDrainRate, type RunningCalls } from "./create_drain_rate.ts";
 import type { RequestQueue } from "./create_request_queue.ts";
 import { createRetryBudget } from "./create_retry_budget.ts";
 import type { QueuedRequest } from "./queued_request.ts";
@@ -55,8 +55,7 @@
 /** Options of `createAdmission`. */
 export interface AdmissionOptions {
   queue: RequestQueue;
-  /** Calls of the pool in progress. */
-  outstanding: () => number;
+  running: RunningCalls;
   /** Source of random numbers from 0 to 1 for the jitter. */
   random?: () => number;
 }
@@ -67,7 +66,7 @@
  * their deadline.
  */
 export function createAdmission(options: AdmissionOptions): Admission {
-  const { queue, outstanding, random = Math.random } = options;
+  const { queue, running, random = Math.random } = options;
   const drainRate = createDrainRate();
   const retryBudget = createRetryBudget();
   const firstTokenMsByClass = new Map<string, number>();
@@ -83,7 +82,7 @@
       ahead,
       aheadInClass,
       floorShare,
-      outstanding: outstanding(),
+      endRate: (callMs) => running.endRate(callMs, nowMs),
     }, nowMs);
   }
 
--- a/packages/policy/src/create_drain_rate.ts
+++ b/packages/policy/src/create_drain_rate.ts
@@ -6,6 +6,15 @@
 /** Weight of the newest call in the average duration of calls. */
 const CALL_WEIGHT = 0.1;
 
+/** Calls in progress in a pool, one of which must end before a grant. */
+export interface RunningCalls {
+  /**
+   * Rate in calls per millisecond at which they end if each ends once within
+   * `callMs`, or within its own age if that is longer.
+   */
+  endRate(callMs: number, nowMs: number): number;
+}
+
 /** Position of a request in the queue of its pool. */
 export interface QueuePosition {
   tier: number;
@@ -15,8 +24,8 @@
   aheadInClass: number;
   /** Share of grants guaranteed to its class, 0 to 1. */
   floorShare: number;
-  /** Calls in progress, one of which must end before a grant. */
-  outstanding: number;
+  /** As in `RunningCalls`, at the time of the prediction. */
+  endRate: (callMs: number) => number;
 }
 
 /** Rate at which a queue drains, measured while requests are queued. */
@@ -64,15 +73,12 @@
   }
 
   /** Grants per millisecond while requests are queued. */
-  function grantRate(outstanding: number): number {
+  function grantRate(endRate: QueuePosition["endRate"]): number {
     // Counts one grant more than observed, so that nothing is refused before
     // there is a measurement.
     const measured = (grants + 1) / queueingMs;
-    // Calls that have just started together can't have ended yet. Each counts
-    // as one that ends within the average duration of a call.
-    const spanMs = queueingMs < callMs ? callMs : queueingMs + callMs;
-    const expected = (grants + outstanding) / spanMs;
-    return Math.max(measured, expected);
+    // Calls that started together end together, with no grants in between.
+    return Math.max(measured, endRate(callMs));
   }
 
   return {
@@ -86,7 +92,8 @@
     },
     onCallEnded(totalMs) {
       // The first measured duration replaces the assumed one.
-      callMs = hasEnded ? callMs + (totalMs - callMs) * CALL_WEIGHT : totalMs;
+      const endedMs = Math.max(1, totalMs);
+      callMs = hasEnded ? callMs + (endedMs - callMs) * CALL_WEIGHT : endedMs;
       hasEnded = true;
     },
     setQueueing(next, nowMs) {
@@ -94,10 +101,10 @@
       isQueueing = next;
     },
     predictMs(request, nowMs) {
-      const { tier, ahead, aheadInClass, floorShare, outstanding } = request;
+      const { tier, ahead, aheadInClass, floorShare, endRate } = request;
       advance(nowMs);
       if (ahead === 0 || aheadInClass === 0) return 0;
-      const rate = grantRate(outstanding);
+      const rate = grantRate(endRate);
       const netRate = rate - arrivalRate(tier);
       const byTier = netRate > 0 ? ahead / netRate : Infinity;
       const byFloor = aheadInClass / (rate * floorShare);
