broker: leave the queue time whole for non-streaming responses

Seen: overload_tiers_test, where the queue time is 1000 ms: top-tier requests refused at once because less than 500 to 870 ms were left to them, and others refused in the queue after 690 to 730 ms. Cause: the useful wait is the queue time less what the class's first tokens miss their target by. A non-streaming response has no first token; the time of the whole response, 400 to 700 ms here, stood in for it against a target of 200 ms, so that slower calls also left less time to wait for one. Change: a permit's return says whether the response was streamed, and only first tokens of streams and first bytes of plain services shorten the queue time. A broker that gets a return without the field shortens nothing. Limits still use the times of all responses. Test: "non-streaming responses do not shorten the time in the queue", seen failing first; it also checks that late streams do.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -314,7 +314,7 @@
   }
 
   function onDone(message: PermitReturnMessage): void {
-    const { permit, outcome, firstTokenMs } = message;
+    const { permit, outcome, firstTokenMs, streamed } = message;
     const upstream = upstreams.find(message.upstream);
     const live = upstream?.live.get(permit);
     if (!upstream || !live) return;
@@ -324,7 +324,7 @@
     upstream.live.delete(permit);
     timeline.record(EventKind.PermitReturned, "", { permit, outcome });
     if (outcome === CallOutcome.Crashed) placements.forget(upstream.name);
-    admission.onFirstToken(live.className, firstTokenMs);
+    if (streamed) admission.onFirstToken(live.className, firstTokenMs);
     if (outcome === CallOutcome.Complete) {
       admission.onCallEnded(message.totalMs);
     }
--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -111,7 +111,11 @@
     assert.equal(reply?.kind, MessageKind.Grant, `${id} is not granted`);
     return reply as GrantMessage;
   }
-  function finish(id: string, outcome: CallOutcome, firstTokenMs = 100): void {
+  function finish(
+    id: string,
+    outcome: CallOutcome,
+    { firstTokenMs = 100, streamed = true } = {},
+  ): void {
     const { permit, upstream } = grantOf(id);
     pool.onDone({
       kind: MessageKind.PermitReturn,
@@ -122,6 +126,7 @@
       firstTokenMs,
       totalMs: 500,
       tokens: 1,
+      streamed,
     });
   }
   return { pool, clock, requestPermit, replyTo, grantOf, finish };
@@ -191,6 +196,26 @@
   assert.equal(fixture.pool.summary().waitMs[3], 4000);
 });
 
+// Guards against requests that are refused after half of their queue time since
+// whole answers, which are far longer than a first token, counted as late.
+test("non-streaming responses do not shorten the time in the queue", () => {
+  const fixture = createTestPool();
+  for (const streamed of [false, true]) {
+    const late = { firstTokenMs: 700, streamed };
+    const request = () => fixture.requestPermit();
+    const finished = Array.from({ length: 4 }, request);
+    for (const id of finished) fixture.finish(id, CallOutcome.Complete, late);
+    const running = Array.from({ length: 4 }, request);
+    const queued = request();
+    // The target is 400 ms and `queueMs` is 1000.
+    fixture.clock.advance(999);
+    assert.equal(fixture.replyTo(queued) !== undefined, streamed);
+    fixture.clock.advance(1);
+    assert.equal(fixture.replyTo(queued)?.kind, MessageKind.Refuse);
+    for (const id of running) fixture.finish(id, CallOutcome.Complete, late);
+  }
+});
+
 test("a suspect runs alone on an upstream reserved for it", () => {
   const fixture = createTestPool();
   const ids = Array.from(
--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -27,6 +27,7 @@
   repeat,
   sleep,
   TillerError,
+  UpstreamKind,
 } from "@rosemarytiller/shared";
 import type { Timeline } from "@rosemarytiller/timeline";
 import type { Call } from "./call.ts";
@@ -121,8 +122,8 @@
   const links = new Map<string, ReconnectingLink>();
   const pending = new Map<string, PendingRequest>();
   const livePermits = new Map<string, LivePermit>();
-  /** VM of the broker that granted each live permit. */
-  const granters = new Map<string, string>();
+  /** VM of the broker that granted each live permit, and the kind of call. */
+  const granted = new Map<string, { vm: string; streamed: boolean }>();
 
   const backing = createBacking({
     vm: identity.vm,
@@ -159,6 +160,7 @@
       pool,
       upstream,
       ...UNUSED_REPORT,
+      streamed: false,
     });
   }
 
@@ -308,7 +310,7 @@
           client,
           fingerprint,
         });
-        granters.set(permit, link.vm);
+        granted.set(permit, { vm: link.vm, streamed: isStreamed(call) });
         return { permit, pool, upstream, validUntilMs };
       }
       throw new TillerError(ErrorKind.Overloaded, "no permit came in time", {
@@ -317,8 +319,8 @@
     },
     release({ permit, pool, upstream }, report) {
       livePermits.delete(permit);
-      const granter = granters.get(permit) ?? "";
-      granters.delete(permit);
+      const { vm: granter = "", streamed = false } = granted.get(permit) ?? {};
+      granted.delete(permit);
       const done = {
         kind: MessageKind.PermitReturn as const,
         permit,
@@ -327,6 +329,7 @@
         ...report,
         firstTokenMs: Math.round(report.firstTokenMs),
         totalMs: Math.round(report.totalMs),
+        streamed,
       };
       // Leadership may have moved since the permit was granted.
       const recipients = new Set([
@@ -345,6 +348,11 @@
   };
 }
 
+/** As in `PermitReturnMessage`; a plain service's response is relayed. */
+function isStreamed({ kind, stream }: Call): boolean {
+  return kind !== UpstreamKind.ModelRunner || stream;
+}
+
 const UNUSED_REPORT: CallReport = {
   outcome: CallOutcome.Unused,
   firstTokenMs: -1,
--- a/packages/link/src/message_shapes.ts
+++ b/packages/link/src/message_shapes.ts
@@ -34,6 +34,7 @@
     "firstTokenMs",
     "totalMs",
     "tokens",
+    "streamed",
   ],
   // Heartbeat
   ["kind", "stamp", "idle", "pools", "revision", "listRevision"],
--- a/packages/link/src/message_shapes_test.ts
+++ b/packages/link/src/message_shapes_test.ts
@@ -53,6 +53,7 @@
     firstTokenMs: 123,
     totalMs: 2345,
     tokens: 212,
+    streamed: true,
   },
   beat: {
     kind: MessageKind.Heartbeat,
--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -129,6 +129,8 @@
   totalMs: number;
   /** Tokens received; 1 for a non-streaming response, 0 for a plain service. */
   tokens: number;
+  /** False for a non-streaming response of a model, which has no first token. */
+  streamed: boolean;
 }
 
 /**
