--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -120,12 +120,12 @@
   const { view, clock, timeline, metrics, quarantine } = options;
   const name = parsePool(fullName);
   const queue = createRequestQueue();
+  const upstreams = createPoolUpstreams(name, options);
   const admission = createAdmission({
     queue,
     random: options.random,
-    outstanding: () => upstreams.outstanding(),
+    running: upstreams.running,
   });
-  const upstreams = createPoolUpstreams(name, options);
   const placements = createPlacements();
   const containment = createContainment(quarantine);
   const pendingRequests = createPendingRequests();
@@ -198,7 +198,7 @@
       client: message.client,
       fingerprint: message.fingerprint,
     };
-    upstreams.find(upstreamName)!.live.set(permit, live);
+    upstreams.startCall(live);
     placements.record(message.prefix, upstreamName);
     containment.onGranted(live, clock.now());
     options.onGranted?.(live, link);
@@ -355,7 +355,7 @@
   }
 
   function onDone(message: PermitReturnMessage): void {
-    const { permit, outcome, firstTokenMs } = message;
+    const { permit, outcome, firstTokenMs, streamed } = message;
     const upstream = upstreams.find(message.upstream);
     const live = upstream?.live.get(permit);
     if (!upstream || !live) return;
@@ -365,7 +365,7 @@
     upstream.live.delete(permit);
     timeline.record(EventKind.PermitReturned, "", { permit, outcome });
     if (outcome === CallOutcome.Crashed) placements.forget(upstream.name);
-    admission.onFirstToken(live.className, firstTokenMs);
+    if (streamed) admission.onFirstToken(live.className, firstTokenMs);
     if (outcome === CallOutcome.Complete) {
       admission.onCallEnded(message.totalMs);
     }
@@ -383,7 +383,7 @@
     onDone,
     adopt(permit) {
       upstreams.current();
-      upstreams.find(permit.upstream)?.live.set(permit.permit, permit);
+      upstreams.startCall(permit);
     },
     dropPermit(permit) {
       for (const upstream of upstreams.current()) upstream.live.delete(permit);
