policy: expect no wait of NaN before there is a measurement

With floorShare 0, requests ahead and nothing measured, DrainRate.predictMs returned NaN, and retryAfterMs passed it to the caller as its retry time.

Until there is a measurement, the rate of grants is infinite, and infinity times a floor share of 0 is not a number.

predictMs now returns 0 unless the rate is finite, which is what it returned with a floor share and nothing measured. The test fails before (NaN in four of its six cases) and passes now.

--- a/packages/policy/src/create_drain_rate.ts
+++ b/packages/policy/src/create_drain_rate.ts
@@ -28,7 +28,7 @@
   onCallEnded(totalMs: number): void;
   /** Sets whether requests are queued from now on. */
   setQueueing(isQueueing: boolean, nowMs: number): void;
-  /** Expected wait in milliseconds; 0 with nothing ahead. */
+  /** Expected wait in ms; 0 with nothing ahead or nothing measured. */
   predictMs(request: QueuePosition, nowMs: number): number;
 }
 
@@ -98,6 +98,8 @@
       advance(nowMs);
       if (ahead === 0 || aheadInClass === 0) return 0;
       const rate = grantRate(outstanding);
+      // Infinite or not a number until there is a measurement.
+      if (!Number.isFinite(rate)) return 0;
       const netRate = rate - arrivalRate(tier);
       const byTier = netRate > 0 ? ahead / netRate : Infinity;
       const byFloor = aheadInClass / (rate * floorShare);
--- a/packages/policy/src/create_drain_rate_test.ts
+++ b/packages/policy/src/create_drain_rate_test.ts
@@ -27,3 +27,20 @@
   drainRate.onCallEnded(4000);
   assert.ok(drainRate.predictMs(POSITION, 350) < before * 2);
 });
+
+// Guards against a wait and a retry time of NaN.
+test("without a measurement, the expected wait is 0 with and without a floor", () => {
+  for (const floorShare of [0, 0.05]) {
+    const unmeasured = createDrainRate();
+    assert.equal(unmeasured.predictMs({ ...POSITION, floorShare }, 0), 0);
+    const idle = createDrainRate();
+    idle.setQueueing(true, 0);
+    idle.setQueueing(false, 1000);
+    // By then, the measured time has decayed to less than 1e-308 ms.
+    assert.equal(idle.predictMs({ ...POSITION, floorShare }, 2_180_000), 0);
+    const immediate = createDrainRate();
+    immediate.onCallEnded(0);
+    const position = { ...POSITION, floorShare, outstanding: 0 };
+    assert.equal(immediate.predictMs(position, 0), 0);
+  }
+});
