--- a/packages/bench/src/measure_data_path.ts
+++ b/packages/bench/src/measure_data_path.ts
@@ -137,7 +137,7 @@
       else gaps.recordValue((nowMs - lastMs) * 1000);
       lastMs = nowMs;
       const text = chunk.toString("latin1");
-      received += text.split("data: {").length - 1;
+      received += text.split('"content":').length - 1;
       if (text.includes("[DONE]")) whole++;
     }
   }
--- a/packages/demo/src/demo_test.ts
+++ b/packages/demo/src/demo_test.ts
@@ -56,6 +56,76 @@
   assert.match(output, /^member-accounts .* yes$/m);
 });
 
+/** Chunk of a chat completions stream, as client libraries read it. */
+interface CompletionChunk {
+  choices: {
+    index: number;
+    delta: { content?: string };
+    finish_reason?: string | null;
+  }[];
+}
+
+/**
+ * Reads a chat completions stream as client libraries do: up to `[DONE]`, with
+ * an error unless a chunk before it says why the completion finished.
+ */
+async function readCompletion(
+  response: Response,
+): Promise<{ content: string; finishReason: string; last: CompletionChunk }> {
+  let text = "";
+  const decoder = new TextDecoder();
+  for await (const bytes of response.body!) {
+    text += decoder.decode(bytes, { stream: true });
+  }
+  let content = "";
+  let finishReason: string | undefined;
+  let last: CompletionChunk | undefined;
+  for (const event of text.split("\n\n")) {
+    const data = /^data: (.*)$/m.exec(event)?.[1];
+    if (data === undefined) continue;
+    if (data === "[DONE]") {
+      if (!finishReason) throw new Error("missing finish_reason");
+      return { content, finishReason, last: last! };
+    }
+    last = JSON.parse(data) as CompletionChunk;
+    const [choice] = last.choices;
+    content += choice.delta.content ?? "";
+    finishReason = choice.finish_reason ?? finishReason;
+  }
+  throw new Error("the stream ended without [DONE]");
+}
+
+// Guards against streams that client libraries reject as unfinished.
+test("a client library reads the demo's stream to a finish_reason", async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), "demo-"));
+  t.after(() => rm(folder, { recursive: true }));
+  const page = join(folder, "timeline.html");
+  const demo = startDemo(page, "--document", DOCUMENT);
+  t.after(async () => {
+    const exit = once(demo, "exit");
+    demo.kill("SIGINT");
+    await exit;
+  });
+  let output = "";
+  for await (const chunk of demo.stdout!) {
+    output += chunk;
+    if (/^curl .*\n/m.test(output)) break;
+  }
+  const command = /^curl .*$/m.exec(output)![0];
+  const url = /http:\S+/.exec(command)![0];
+  const headers = [...command.matchAll(/-H '([^:]+): ([^']*)'/g)]
+    .map(([, name, value]): [string, string] => [name, value]);
+  const body = / -d '([^']*)'/.exec(command)![1];
+  const response = await fetch(url, { method: "POST", headers, body });
+  assert.equal(response.status, 200);
+  const { content, finishReason, last } = await readCompletion(response);
+  assert.notEqual(content, "");
+  assert.equal(finishReason, "stop");
+  assert.deepEqual(last.choices, [
+    { index: 0, delta: {}, finish_reason: "stop" },
+  ]);
+});
+
 test("SIGINT stops the demo and its processes", async (t) => {
   const folder = await mkdtemp(join(tmpdir(), "demo-"));
   t.after(() => rm(folder, { recursive: true }));
