Say in plain words what happened to a request and what to do

Details of errors read as in-house words to a caller: "the wait was too long", "no permit came in time", "1 of 3 VMs could vouch for the key", "the answer is another call's", "X came in place of a stream", or the bare text of a socket error such as "other side closed".

Each detail of the entry, the broker and the claims now says what happened and, after a semicolon, what the caller can do, in the words of docs/ERRORS.md. Errors of a connection say that it was the one to the upstream. Kinds, fields and statuses are as before.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -50,7 +50,12 @@
 } from "./describe_pool.ts";
 
 /** Error detail that the caller of a quarantined request receives. */
-const QUARANTINED_DETAIL = "upstreams crashed with this request in flight";
+const QUARANTINED_DETAIL =
+  "upstreams crashed while this request was in progress; do not send it again " +
+  "unchanged";
+/** Error detail that the caller receives when its queue time is over. */
+const EXPIRED_DETAIL =
+  "no upstream became free while the request was queued; retry later";
 
 /** What a broker passes to each of its pools. */
 export interface PoolOptions {
@@ -210,7 +215,7 @@
 
   function processQueue(): void {
     for (const request of queue.takeExpired(clock.now())) {
-      refuse(request, ErrorKind.Overloaded, "the wait was too long");
+      refuse(request, ErrorKind.Overloaded, EXPIRED_DETAIL);
     }
     const openUpstreams = upstreams.current();
     containment.reserve(isolation.pending(), {
@@ -270,7 +275,7 @@
       return;
     }
     if (upstreams.candidatesFor(request, openUpstreams).length === 0) {
-      refuse(request, ErrorKind.NoUpstream, "no upstream can serve it");
+      refuse(request, ErrorKind.NoUpstream, describeNoUpstream(message));
       return;
     }
     const reason = admission.refuseOnArrival(request, {
@@ -287,6 +292,12 @@
     processQueue();
   }
 
+  function describeNoUpstream({ avoid }: PermitRequestMessage): string {
+    const upstream = avoid.length > 0 ? "other upstream" : "upstream";
+    return `no ${upstream} in data centre "${name.dataCentre}" can take the ` +
+      "request now; retry later";
+  }
+
   function isQuarantined({ fingerprint }: QueuedRequest): boolean {
     return quarantine.stateOf(fingerprint) === FingerprintState.Quarantined;
   }
@@ -304,7 +315,7 @@
     while (queue.boundedSize() > MAX_QUEUED) {
       const victim = queue.takeVictim();
       if (!victim) return;
-      refuse(victim, ErrorKind.Overloaded, "the queue is full");
+      refuse(victim, ErrorKind.Overloaded, "the queue is full; retry later");
     }
   }
 
--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -138,9 +138,25 @@
   fixture.clock.advance(1);
   const reply = fixture.replyTo(late) as RefuseMessage;
   assert.equal(reply.error, ErrorKind.Overloaded);
+  assert.equal(
+    reply.detail,
+    "no upstream became free while the request was queued; retry later",
+  );
   assert.ok(reply.retryAfterMs > 0);
 });
 
+test("a refusal says whether other upstreams were tried", () => {
+  const fixture = createTestPool();
+  const all = fixture.requestPermit({ avoid: ["runner-1", "runner-2"] });
+  const reply = fixture.replyTo(all) as RefuseMessage;
+  assert.equal(reply.error, ErrorKind.NoUpstream);
+  assert.equal(
+    reply.detail,
+    'no other upstream in data centre "north" can take the request now; ' +
+      "retry later",
+  );
+});
+
 test("a full queue sheds the newest requests of the lowest tier first", () => {
   const fixture = createTestPool();
   const low = Array.from(
--- a/packages/claims/src/claim_key.ts
+++ b/packages/claims/src/claim_key.ts
@@ -162,13 +162,15 @@
   if (taken.some((one) => !one.sameBody)) {
     return new TillerError(
       ErrorKind.KeyMismatch,
-      "the key was sent with another request; this one was not run",
+      "the idempotency key was used for a different request, so this one was " +
+        "not run; use a new key",
     );
   }
   if (taken.some((one) => one.state === ClaimState.Ran)) {
     return new TillerError(
       ErrorKind.DuplicateKey,
-      "a request with this key has been answered before",
+      "a request with this idempotency key has been answered; look up its " +
+        "result",
       { run: RunState.Ran },
     );
   }
@@ -179,13 +181,15 @@
   if (taken.length > 0 && !othersFailed) {
     return new TillerError(
       ErrorKind.DuplicateKey,
-      "a request with this key was sent before and may have run",
+      "a request with this idempotency key was sent before and may have run; " +
+        "check whether it took effect",
       { run: RunState.MayHaveRun },
     );
   }
   return new TillerError(
     ErrorKind.ClaimUnavailable,
-    `${granted} of ${holders.length} VMs could vouch for the key`,
+    `only ${granted} of ${holders.length} VMs confirmed that the idempotency ` +
+      "key is new; send the request again with the same key",
     { retryAfterMs: CLAIM_RETRY_AFTER_MS },
   );
 }
--- a/packages/document/src/check_document.ts
+++ b/packages/document/src/check_document.ts
@@ -55,7 +55,9 @@
     if (!earlier) continue;
     found.push({
       path: ["classes", index, "match"],
-      message: `class "${earlier.name}" takes every request of this class`,
+      message:
+        `class "${earlier.name}" comes first and matches every request of ` +
+        "this class",
       mend: `move it before "${earlier.name}" or change its match`,
     });
   }
@@ -114,7 +116,7 @@
     if (queueMs < totalMs) continue;
     found.push({
       path: ["classes", index, "queueMs"],
-      message: `the wait leaves no time of the ${totalMs} ms in totalMs`,
+      message: `the queue time leaves none of the ${totalMs} ms of totalMs`,
       mend: "make queueMs less than totalMs",
     });
   }
@@ -127,7 +129,7 @@
     if (upstream.coldConcurrent <= upstream.maxConcurrent) continue;
     found.push({
       path: ["upstreams", name, "coldConcurrent"],
-      message: "a cold upstream would get more calls than a warm one",
+      message: "a cold upstream may get more calls than a warm one",
       mend: `use at most maxConcurrent, ${upstream.maxConcurrent}`,
     });
   }
@@ -142,7 +144,7 @@
     if (/^https?:$/.test(protocol) && isIP(host) !== 0) continue;
     found.push({
       path: ["upstreams", name, "address"],
-      message: "the address is not an HTTP URL with an IP number",
+      message: "the address is not an HTTP URL with an IP address",
       mend: "write it such as http://10.0.0.1:8000",
     });
   }
--- a/packages/entry/src/acquire_permit.ts
+++ b/packages/entry/src/acquire_permit.ts
@@ -50,7 +50,8 @@
   }
   throw mergeRefusals(refusals) ?? new TillerError(
     ErrorKind.NoUpstream,
-    `no data centre in service may serve "${call.target}"`,
+    `no data centre that class "${call.requestClass.name}" allows is in ` +
+      `service for "${call.target}"; retry later`,
   );
 }
 
--- a/packages/entry/src/classify_stream_event.ts
+++ b/packages/entry/src/classify_stream_event.ts
@@ -39,7 +39,7 @@
   if (event.data === END_MARK) return StreamEventKind.End;
   const chunk = parseObject(event.data);
   if (event.event === "error" || "error" in chunk) {
-    throw new InvalidResponseError("the stream carries an error", {
+    throw new InvalidResponseError("the upstream sent an error in the stream", {
       resumable: false,
     });
   }
@@ -47,16 +47,17 @@
     return StreamEventKind.Misrouted;
   }
   if (!Array.isArray(chunk.choices)) {
-    throw new InvalidResponseError("an event has no choices", {
-      resumable: true,
-    });
+    throw new InvalidResponseError(
+      'the upstream sent an event without "choices"',
+      { resumable: true },
+    );
   }
   if (!event.id) return StreamEventKind.Token;
   const index = Number(event.id);
   if (index === expected.next) return StreamEventKind.Token;
   if (index < expected.next) return StreamEventKind.Repeated;
   throw new InvalidResponseError(
-    `token ${event.id} came in place of token ${expected.next}`,
+    `the upstream sent token ${event.id} instead of token ${expected.next}`,
     { resumable: true },
   );
 }
@@ -68,19 +69,21 @@
 export function checkNonStreamingResponse(text: string, attempt: string): void {
   const response = parseObject(text);
   if ("error" in response) {
-    throw new InvalidResponseError("the answer is an error", {
+    throw new InvalidResponseError("the upstream sent an error", {
       resumable: false,
     });
   }
   if (isOtherAttempt(response.id, attempt)) {
-    throw new InvalidResponseError("the answer is another call's", {
-      resumable: false,
-    });
+    throw new InvalidResponseError(
+      "the upstream sent the response to another call",
+      { resumable: false },
+    );
   }
   if (Array.isArray(response.choices) && response.choices.length > 0) return;
-  throw new InvalidResponseError("the answer has no choices", {
-    resumable: false,
-  });
+  throw new InvalidResponseError(
+    'the upstream sent a response without "choices"',
+    { resumable: false },
+  );
 }
 
 /** Prefix of the attempt identifiers that this system generates. */
@@ -100,14 +103,15 @@
   try {
     value = JSON.parse(text);
   } catch {
-    throw new InvalidResponseError("the answer is not valid JSON", {
+    throw new InvalidResponseError("the upstream sent invalid JSON", {
       resumable: true,
     });
   }
   if (typeof value === "object" && value !== null) {
     return value as Record<string, unknown>;
   }
-  throw new InvalidResponseError("the answer is not an object", {
-    resumable: true,
-  });
+  throw new InvalidResponseError(
+    "the upstream sent JSON that is not an object",
+    { resumable: true },
+  );
 }
--- a/packages/entry/src/create_caller_server.ts
+++ b/packages/entry/src/create_caller_server.ts
@@ -20,10 +20,17 @@
  */
 const REQUEST_TIMEOUT_MARGIN_MS = 5000;
 
-/** Error kinds by error code of Node's HTTP parser and server. */
-const CLIENT_ERROR_KINDS: Record<string, ErrorKind> = {
-  HPE_HEADER_OVERFLOW: ErrorKind.HeadersTooLarge,
-  ERR_HTTP_REQUEST_TIMEOUT: ErrorKind.RequestTimeout,
+/** Errors for the caller by error code of Node's HTTP parser and server. */
+const CLIENT_ERRORS: Record<string, { kind: ErrorKind; detail: string }> = {
+  HPE_HEADER_OVERFLOW: {
+    kind: ErrorKind.HeadersTooLarge,
+    detail: `the headers have more than ${MAX_HEADER_BYTES} bytes; send fewer`,
+  },
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    kind: ErrorKind.RequestTimeout,
+    detail: "the request did not arrive in time; send it again over a faster " +
+      "connection",
+  },
 };
 
 /**
@@ -59,9 +66,11 @@
     server.emit("request", request, response);
   });
   server.on("clientError", (cause: Error & { code?: string }, socket) => {
-    const kind = CLIENT_ERROR_KINDS[cause.code ?? ""] ??
-      ErrorKind.InvalidRequest;
-    const error = new TillerError(kind, cause.message, { cause });
+    const { kind, detail } = CLIENT_ERRORS[cause.code ?? ""] ?? {
+      kind: ErrorKind.InvalidRequest,
+      detail: `the request is not valid HTTP: ${cause.message}`,
+    };
+    const error = new TillerError(kind, detail, { cause });
     // An error must not be written into a response that is in progress.
     const isBusy = (openResponses.get(socket) ?? 0) > 0;
     if (cause.code === "ECONNRESET" || !socket.writable || isBusy) {
--- a/packages/entry/src/create_entry.ts
+++ b/packages/entry/src/create_entry.ts
@@ -141,10 +141,16 @@
 
   function assertServing(): void {
     if (stopped) {
-      throw new TillerError(ErrorKind.Stopping, "this process is stopping");
+      throw new TillerError(
+        ErrorKind.Stopping,
+        "this process is stopping; send the request again",
+      );
     }
     if (!view.isReady()) {
-      throw new TillerError(ErrorKind.NotReady, "no document is in force yet");
+      throw new TillerError(
+        ErrorKind.NotReady,
+        "this process has no configuration yet; retry later",
+      );
     }
   }
 
--- a/packages/entry/src/create_idle_timer.ts
+++ b/packages/entry/src/create_idle_timer.ts
@@ -56,7 +56,7 @@
       return;
     }
     fired = true;
-    controller.abort(new Error("the upstream stayed silent"));
+    controller.abort(new Error("the upstream sent nothing for too long"));
   }
 
   return {
--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -311,9 +311,12 @@
         granters.set(permit, link.vm);
         return { permit, pool, upstream, validUntilMs };
       }
-      throw new TillerError(ErrorKind.Overloaded, "no permit came in time", {
-        retryAfterMs: NO_LEADER_RETRY_AFTER_MS,
-      });
+      throw new TillerError(
+        ErrorKind.Overloaded,
+        "no broker assigned an upstream while the request was queued; " +
+          "retry later",
+        { retryAfterMs: NO_LEADER_RETRY_AFTER_MS },
+      );
     },
     release({ permit, pool, upstream }, report) {
       livePermits.delete(permit);
--- a/packages/entry/src/deliver_stream.ts
+++ b/packages/entry/src/deliver_stream.ts
@@ -88,7 +88,9 @@
   } finally {
     idleTimer.disarm();
   }
-  if (!progress.ended) throw new Error("the stream ended before its end mark");
+  if (!progress.ended) {
+    throw new Error(`the upstream ended the stream before ${END_MARK}`);
+  }
 }
 
 /**
@@ -152,7 +154,8 @@
   const type = String(upstreamResponse.headers["content-type"] ?? "");
   if (type.startsWith("text/event-stream")) return;
   upstreamResponse.body.destroy();
-  throw new InvalidResponseError(`"${type}" came in place of a stream`, {
-    resumable: false,
-  });
+  throw new InvalidResponseError(
+    `the upstream sent the content type "${type}" instead of an event stream`,
+    { resumable: false },
+  );
 }
--- a/packages/entry/src/read_body.ts
+++ b/packages/entry/src/read_body.ts
@@ -18,7 +18,10 @@
   let size = 0;
   return new Promise((resolve, reject) => {
     const cancelTimer = options.clock.after(settings.bodyTimeoutMs, () => {
-      fail(ErrorKind.RequestTimeout, "the body came too slowly");
+      const detail =
+        `the body did not arrive within ${settings.bodyTimeoutMs} ` +
+        "ms; send it again over a faster connection";
+      fail(ErrorKind.RequestTimeout, detail);
     });
     function stop(): void {
       cancelTimer();
@@ -32,7 +35,8 @@
       reject(new TillerError(kind, detail));
     }
     function failTooLarge(): void {
-      const detail = `the body may have ${settings.maxBodyBytes} bytes at most`;
+      const detail = `the body has more than ${settings.maxBodyBytes} bytes; ` +
+        "send a smaller one";
       fail(ErrorKind.BodyTooLarge, detail);
     }
     function onData(chunk: Buffer): void {
@@ -45,7 +49,10 @@
       resolve(Buffer.concat(chunks));
     }
     function onClose(): void {
-      fail(ErrorKind.InvalidRequest, "the caller went away");
+      fail(
+        ErrorKind.InvalidRequest,
+        "the connection closed before the body was complete",
+      );
     }
     // A failed connection emits `error` and then `close`, which handles it.
     request.on("error", () => {});
--- a/packages/entry/src/read_call.ts
+++ b/packages/entry/src/read_call.ts
@@ -58,7 +58,7 @@
   if (scheme?.toLowerCase() !== "bearer" || !key) {
     throw new TillerError(
       ErrorKind.Unauthenticated,
-      "send the API key as a bearer token",
+      'the request has no API key; send "Authorization: Bearer KEY"',
     );
   }
   const hash = createHash("sha256").update(key).digest("hex");
@@ -67,7 +67,10 @@
       if (entry.keys.includes(hash)) return { client, document };
     }
   }
-  throw new TillerError(ErrorKind.Unauthenticated, "the API key is not known");
+  throw new TillerError(
+    ErrorKind.Unauthenticated,
+    "no client account has this API key; check the key",
+  );
 }
 
 /** Dependencies of `readCall`. */
@@ -139,7 +142,8 @@
   }
   throw new TillerError(
     ErrorKind.UnknownRoute,
-    `${request.method} ${path} is not served here`,
+    `there is no ${request.method} ${path}; use POST ${CHAT_PATH}, ` +
+      `GET ${MODELS_PATH} or ${SERVICES_PATH}NAME`,
   );
 }
 
@@ -207,7 +211,11 @@
       kind === UpstreamKind.ModelRunner
         ? ErrorKind.UnknownModel
         : ErrorKind.UnknownService,
-      `"${name}" is not served for this client`,
+      kind === UpstreamKind.ModelRunner
+        ? `no upstream serves the model "${name}" for this client; ` +
+          `GET ${MODELS_PATH} lists its models`
+        : `no upstream serves the plain service "${name}" for this client; ` +
+          "check the path",
     );
   }
   const { headers } = request;
@@ -219,7 +227,8 @@
   if (requestClass) return requestClass;
   throw new TillerError(
     ErrorKind.NoClass,
-    `no class of "${document.service}" matches client "${client}" and "${name}"`,
+    `no class of "${document.service}" matches client "${client}" and ` +
+      `"${name}"; ask the operators to add one`,
   );
 }
 
@@ -239,7 +248,7 @@
   if ((request.headersDistinct[name]?.length ?? 0) <= 1) return;
   throw new TillerError(
     ErrorKind.InvalidRequest,
-    `the header ${name} was sent more than once`,
+    `the header ${name} was sent more than once; send it once`,
   );
 }
 
--- a/packages/entry/src/run_model_attempt.ts
+++ b/packages/entry/src/run_model_attempt.ts
@@ -8,6 +8,7 @@
 import { checkNonStreamingResponse } from "./classify_stream_event.ts";
 import { createIdleTimer, type IdleTimer } from "./create_idle_timer.ts";
 import { deliverStream } from "./deliver_stream.ts";
+import { describeFailure } from "./describe_failure.ts";
 import {
   ignoreUnreadBodyErrors,
   resolveUpstreamUrl,
@@ -150,7 +151,9 @@
   readonly status: number;
 
   constructor(status: number, text: string) {
-    super(`the upstream answered ${status}: ${text}`);
+    super(
+      `the upstream responded with status ${status}${text ? `: ${text}` : ""}`,
+    );
     this.name = "StatusError";
     this.status = status;
   }
@@ -179,7 +182,7 @@
   const outcome = outcomeOf(cause, attempt, idleTimer);
   const reason = cause instanceof UnsentError ? cause.cause : cause;
   if (reason instanceof TillerError) return { outcome, error: reason };
-  const detail = reason instanceof Error ? reason.message : String(reason);
+  const detail = describeFailure(reason);
   const kind = ERROR_KINDS[outcome] ?? ErrorKind.UpstreamFailed;
   return { outcome, error: new TillerError(kind, detail, { cause }) };
 }
--- a/packages/entry/src/run_service_attempt.ts
+++ b/packages/entry/src/run_service_attempt.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { pipeline } from "node:stream/promises";
 import type { AttemptOptions, AttemptRunner } from "./attempt.ts";
+import { describeFailure } from "./describe_failure.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import {
   sendUpstream,
@@ -82,6 +83,6 @@
 function errorOf(cause: unknown): TillerError {
   const reason = cause instanceof UnsentError ? cause.cause : cause;
   if (reason instanceof TillerError) return reason;
-  const detail = reason instanceof Error ? reason.message : String(reason);
+  const detail = describeFailure(reason);
   return new TillerError(ErrorKind.UpstreamFailed, detail, { cause });
 }
--- a/packages/entry/src/send_upstream.ts
+++ b/packages/entry/src/send_upstream.ts
@@ -42,7 +42,10 @@
         interceptStart(handler, () => {
           // undici may retry a request on a new connection by itself.
           if (started) {
-            throw new TillerError(ErrorKind.OutcomeUnknown, "connection lost");
+            throw new TillerError(
+              ErrorKind.OutcomeUnknown,
+              "the connection to the upstream was lost before its response",
+            );
           }
           attempt.beforeSend();
           started = true;
--- a/packages/entry/src/serve_call.ts
+++ b/packages/entry/src/serve_call.ts
@@ -110,7 +110,7 @@
   response.once("close", onClose);
   const cancelTimer = clock.after(
     call.requestClass.totalMs,
-    () => abort(ErrorKind.DeadlineExceeded, "the call took too long"),
+    () => abort(ErrorKind.DeadlineExceeded, describeTimeout(call)),
   );
   return {
     signal: controller.signal,
@@ -121,6 +121,12 @@
   };
 }
 
+function describeTimeout({ requestClass }: Call): string {
+  const { name, totalMs } = requestClass;
+  return `the response was not complete after ${totalMs} ms, the limit of ` +
+    `class "${name}"`;
+}
+
 async function runWithRetries(
   call: Call,
   response: ServerResponse,
@@ -239,7 +245,8 @@
   if (!claim || claim.isValid()) return;
   throw new TillerError(
     ErrorKind.ClaimUnavailable,
-    "the claim on the idempotency key ran out before the call began",
+    "the check of the idempotency key expired before the call was sent; " +
+      "send it again with the same key",
   );
 }
 
@@ -255,7 +262,7 @@
   if (entry) return entry.address;
   throw new TillerError(
     ErrorKind.NoUpstream,
-    `upstream "${upstream}" is no longer in the document`,
+    `upstream "${upstream}" was removed before the call was sent; retry later`,
   );
 }
 
--- a/packages/sessions/src/bad_input_test.ts
+++ b/packages/sessions/src/bad_input_test.ts
@@ -60,8 +60,12 @@
   "content-type: application/json",
 ];
 
+function parseProblem(text: string): { kind: string; detail: string } {
+  return JSON.parse(text.slice(text.lastIndexOf("\r\n\r\n")));
+}
+
 function parseErrorKind(text: string): string {
-  return JSON.parse(text.slice(text.lastIndexOf("\r\n\r\n"))).kind;
+  return parseProblem(text).kind;
 }
 
 interface BadBody {
@@ -203,6 +207,8 @@
   const text = await sendRaw(formatHead(lines) + '{"model"');
   assert.match(text, /^HTTP\/1.1 413 /);
   assert.equal(parseErrorKind(text), "body-too-large");
+  const detail = "the body has more than 2048 bytes; send a smaller one";
+  assert.equal(parseProblem(text).detail, detail);
 });
 
 test("a chunked body over the size limit is refused while it is received", async () => {
@@ -218,12 +224,18 @@
   const text = await sendRaw(formatHead(lines) + '{"model"');
   assert.match(text, /^HTTP\/1.1 408 /);
   assert.equal(parseErrorKind(text), "request-timeout");
+  const detail = "the body did not arrive within 300 ms; send it again over " +
+    "a faster connection";
+  assert.equal(parseProblem(text).detail, detail);
 });
 
 test("incomplete headers are answered with 408 after a timeout", async () => {
   const text = await sendRaw("POST /v1/chat/completions HTTP/1.1\r\nhost: e");
   assert.match(text, /^HTTP\/1.1 408 /);
   assert.equal(parseErrorKind(text), "request-timeout");
+  const detail = "the request did not arrive in time; send it again over a " +
+    "faster connection";
+  assert.equal(parseProblem(text).detail, detail);
 });
 
 test("a caller that disconnects while sending its body has its connection closed and leaves no open permit", async () => {
@@ -237,12 +249,15 @@
   const text = await sendRaw(formatHead([...CHAT_HEAD, flood]));
   assert.match(text, /^HTTP\/1.1 431 /);
   assert.equal(parseErrorKind(text), "headers-too-large");
+  const detail = "the headers have more than 16384 bytes; send fewer";
+  assert.equal(parseProblem(text).detail, detail);
 });
 
 test("bytes that are not HTTP are answered with 400", async () => {
   const text = await sendRaw("hello\r\n\r\n");
   assert.match(text, /^HTTP\/1.1 400 /);
   assert.equal(parseErrorKind(text), "invalid-request");
+  assert.match(parseProblem(text).detail, /^the request is not valid HTTP: /);
 });
 
 for (const name of ["authorization", "idempotency-key"]) {
--- a/packages/sessions/src/claim_fleet_test.ts
+++ b/packages/sessions/src/claim_fleet_test.ts
@@ -198,8 +198,14 @@
 
   await t.test("claimed from the minority side of a partition", async () => {
     fleet.setRelays(["vm-1"], ["vm-2", "vm-3"], "cut");
-    const minority = readProblem(await order(0, "cut"));
+    const answer = await order(0, "cut");
+    const minority = readProblem(answer);
     assert.deepEqual(minority, { kind: "claim-unavailable", run: "not-run" });
+    assert.equal(
+      JSON.parse(answer.text).detail,
+      "only 1 of 3 VMs confirmed that the idempotency key is new; send the " +
+        "request again with the same key",
+    );
     assert.equal(service.runs.get("cut"), undefined);
     fleet.setRelays(["vm-1"], ["vm-2", "vm-3"], "heal");
     await waitUntil(
