--- a/packages/entry/src/create_permit_client.ts
+++ b/packages/entry/src/create_permit_client.ts
@@ -313,9 +313,12 @@
         granted.set(permit, { vm: link.vm, streamed: isStreamed(call) });
         return { permit, pool, upstream, validUntilMs };
       }
-      throw new TillerError(ErrorKind.Overloaded, "no permit came in time", {
-        retryAfterMs: NO_LEADER_RETRY_AFTER_MS,
-      });
+      throw new TillerError(
+        ErrorKind.Overloaded,
+        "no broker assigned an upstream while the request was queued; " +
+          "retry later",
+        { retryAfterMs: NO_LEADER_RETRY_AFTER_MS },
+      );
     },
     release({ permit, pool, upstream }, report) {
       livePermits.delete(permit);
