claims: let copied records expire with the claims they are copies of

A key stayed taken for up to two horizons after a holder had restarted.

Cause: a holder drops expired claims from the oldest key on and stops at the first that has none. A claim copied from another holder is older than its place in that order, so that a younger claim before it kept it alive; it was also handed on to further holders.

Change: a vote drops the expired claims of its key first, and expired records are not sent. They still take up capacity until their turn, at most one horizon after the copy. The test restarts a holder that records a claim of its own and then copies an older one: before, the key is still "taken" when the copied claim has expired.

--- a/packages/claims/src/create_claim_holder.ts
+++ b/packages/claims/src/create_claim_holder.ts
@@ -75,15 +75,21 @@
   const claimsByKey = new Map<string, StoredClaim[]>();
   let size = 0;
 
-  function dropExpired(): void {
+  /** Drops the expired claims of a key; returns whether there were any. */
+  function dropExpiredOf(key: string, claims: StoredClaim[]): boolean {
     const expiredMs = clock.now() - horizonMs;
+    const live = claims.filter((claim) => claim.recordedMs > expiredMs);
+    if (live.length === claims.length) return false;
+    replace(key, live);
+    return true;
+  }
+
+  function dropExpired(): void {
     // Stops at the first key without expired claims, as the keys after it were
     // added later. Claims copied from other holders may be older than their
-    // place in the order; they are dropped late.
+    // place in the order; they take up capacity until their turn.
     for (const [key, claims] of claimsByKey) {
-      const live = claims.filter((claim) => claim.recordedMs > expiredMs);
-      if (live.length === claims.length) return;
-      replace(key, live);
+      if (!dropExpiredOf(key, claims)) return;
     }
   }
 
@@ -137,7 +143,9 @@
     for (const [key, claims] of claimsByKey) {
       if (!listClaimHolders(key, vms).includes(requester)) continue;
       for (const { claim, fingerprint, state, recordedMs } of claims) {
-        yield { key, claim, fingerprint, state, ageMs: nowMs - recordedMs };
+        const ageMs = nowMs - recordedMs;
+        if (ageMs >= horizonMs) continue;
+        yield { key, claim, fingerprint, state, ageMs };
       }
     }
   }
@@ -145,8 +153,9 @@
   return {
     setList: history.setList,
     vote(claim) {
+      const { id, key } = claim;
       dropExpired();
-      const { id } = claim;
+      dropExpiredOf(key, claimsByKey.get(key) ?? []);
       return { kind: MessageKind.ClaimVote, id, ...decide(claim) };
     },
     applyOutcome({ key, id, state }) {
--- a/packages/claims/src/create_claim_holder_test.ts
+++ b/packages/claims/src/create_claim_holder_test.ts
@@ -169,3 +169,19 @@
   const claim = claimOf("three", { ...alone, key: "other" });
   assert.equal(holder.vote(claim).vote, Vote.Granted);
 });
+
+// The copy kept its key taken for up to another horizon.
+test("a copied claim expires with the claim that it is a copy of", () => {
+  const clock = createFakeClock();
+  const holders = startHolders(clock);
+  const others = ["b", "c", "d"];
+  for (const vm of others) holders.get(vm)!.vote(claimOf("one"));
+  clock.advance(HORIZON_MS - SYNC_DELAY_MS - 1);
+  const restarted = startHolder("a", clock);
+  restarted.vote(claimOf("own", { key: "own" }));
+  clock.advance(SYNC_DELAY_MS);
+  for (const vm of others) fetchRecords(restarted, holders.get(vm)!, vm);
+  assert.equal(restarted.vote(claimOf("two")).vote, Vote.Taken);
+  clock.advance(1);
+  assert.equal(restarted.vote(claimOf("three")).vote, Vote.Granted);
+});
