platform: report no age of the platform before its first response

A process that had started while the platform was down told its peers that the platform had responded when it started. A leader whose VM list was out of date then counted it as confirmed for another listLagMs.

Cause: a view counted the time since the last response from its own creation, in its digests too, and peers take the smallest age.

Change: the age is Infinity until this process or a peer has had a response.

--- a/packages/link/src/messages.ts
+++ b/packages/link/src/messages.ts
@@ -330,7 +330,7 @@
   settled: boolean;
   /**
    * Time since the sender or one of its peers last received from the platform,
-   * in milliseconds.
+   * in milliseconds; `Infinity` if none has.
    */
   platformAgeMs: number;
 }
--- a/packages/platform/src/create_fleet_view.ts
+++ b/packages/platform/src/create_fleet_view.ts
@@ -98,13 +98,12 @@
   isAhead(digest: DigestMessage): boolean;
   /**
    * Records that this process or a peer received a response of the platform
-   * `ageMs` ago. A peer that has received none sends the age of its view.
+   * `ageMs` ago; `Infinity` if there was none.
    */
   recordPlatformContact(ageMs: number): void;
   /**
    * Time in milliseconds since the platform's last response to this process or
-   * to any peer that reported one. Before its first response, a process counts
-   * from the creation of its view, also in its digests.
+   * to any peer that reported one; `Infinity` before the first.
    */
   platformAgeMs(): number;
   /** Changes, emitted as they take effect. */
@@ -141,7 +140,7 @@
   let hasUpstreamVms = false;
   let listRevision = 0;
   let vmsConfirmedAtMs = -Infinity;
-  let platformContactAtMs = clock.now();
+  let platformContactAtMs = -Infinity;
   let isSynced = false;
   let hasSyncTimer = false;
   let resolveReady = () => {};
--- a/packages/platform/src/create_fleet_view_test.ts
+++ b/packages/platform/src/create_fleet_view_test.ts
@@ -101,3 +101,17 @@
   clock.advance(1);
   assert.equal(view.isReady(), true);
 });
+
+// A process that started while the platform was down made its peers believe
+// that the platform had just responded.
+test("a process without a platform response reports none to its peers", () => {
+  const clock = createFakeClock();
+  const peer = createFleetView({ clock });
+  peer.recordPlatformContact(0);
+  clock.advance(20_000);
+  const started = createFleetView({ clock });
+  peer.recordPlatformContact(started.digest().platformAgeMs);
+  assert.equal(peer.platformAgeMs(), 20_000);
+  started.recordPlatformContact(peer.digest().platformAgeMs);
+  assert.equal(started.platformAgeMs(), 20_000);
+});
--- a/packages/platform/src/watch_platform.ts
+++ b/packages/platform/src/watch_platform.ts
@@ -44,10 +44,13 @@
 ): { stop(): void; isWatching(): boolean } {
   const { platform, clock, random = Math.random } = options;
   const idleTimeoutMs = PLATFORM_IDLE_TIMEOUT_MS * (1 + random());
+  const startedMs = clock.now();
   let stopped = false;
   function shouldWatch(): boolean {
     if (!view.hasData() || isWatcher(view, options)) return true;
-    return view.platformAgeMs() > idleTimeoutMs;
+    // A process that has just started gives its peers time to report a response.
+    const idleMs = Math.min(view.platformAgeMs(), clock.now() - startedMs);
+    return idleMs > idleTimeoutMs;
   }
   for (const replica of platform.replicas) {
     watchReplica(view, replica, {
