router: run the action for a disconnected caller once

If a response had been destroyed and its close event was still to come, the action ran at once and again upon the event: a caller that had left was logged twice. The request was aborted twice too, which had no further effect.

The action now runs at once and no listener is added.

--- a/packages/router/src/caller_exchange.ts
+++ b/packages/router/src/caller_exchange.ts
@@ -17,9 +17,9 @@
 /** Port: writes the response to one request. */
 export interface CallerResponse {
   /**
-   * Runs `action` if the connection closes before the response was completely
-   * written, also after `destroy`; at once if the response is already
-   * destroyed, and then a second time if its close event is still to come.
+   * Runs `action` once if the connection closes before the response was
+   * completely written, also after `destroy`; at once if the response is
+   * already destroyed.
    */
   onDisconnect(action: () => void): void;
   /**
--- a/packages/router/src/create_caller_server.ts
+++ b/packages/router/src/create_caller_server.ts
@@ -162,7 +162,7 @@
 }
 
 /** Adapts a response of Node's HTTP server. */
-function createCallerResponse(
+export function createCallerResponse(
   response: ServerResponse,
   isDraining: () => boolean,
 ): CallerResponse {
@@ -180,7 +180,7 @@
 
   return {
     onDisconnect(action) {
-      if (response.destroyed) action();
+      if (response.destroyed) return action();
       response.once("close", () => {
         if (!response.writableFinished) action();
       });
