router: count the log lines that found no room in the buffer

Lines beyond the 1 MB that is buffered while nobody reads standard output were lost without a count. The destination reports each of them with its "drop" event, which now adds to the dropped lines. The test writes 5 MB to a stalled reader: before, no line is counted; after, written and dropped lines add up.

--- a/packages/router/src/event_log.ts
+++ b/packages/router/src/event_log.ts
@@ -10,7 +10,7 @@
   info(event: LogEvent, fields: LogFields): void;
   /** Logs a failure; has its own, higher rate limit. */
   warn(event: LogEvent, fields: LogFields): void;
-  /** Lines dropped by the rate limits since the start. */
+  /** Lines dropped since the start by the rate limits or for lack of buffer. */
   dropped(): number;
   /** Writes all buffered lines synchronously. */
   flush(): void;
@@ -22,7 +22,7 @@
 const MAX_WARN_PER_SECOND = 1000;
 /** Bytes buffered before a write, as one write costs as much as one line. */
 const MIN_WRITE_BYTES = 8192;
-/** Bytes buffered while standard output is not read; more is lost uncounted. */
+/** Bytes buffered while standard output is not read; further lines are lost. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 /** Longest time that a line is buffered, in milliseconds. */
 const FLUSH_MS = 250;
@@ -39,6 +39,7 @@
   destination.on("error", () => {});
   const logger = pino({ base: { vm } }, destination);
   let dropped = 0;
+  destination.on("drop", () => dropped++);
   let second = 0;
   let infos = 0;
   let warnings = 0;
