peers: hold the port of a network's test while the test runs

create_peer_network_test drew a free UDP port and released it before the networks bound it, so that another process could take it in between.

Each test now binds the port on a loopback address that none of its networks uses, and keeps it until they are closed; the kernel gives it to no other test meanwhile. That takes no change outside the test, while leasePort would make the package depend on the stand-ins.

--- a/packages/peers/src/create_peer_network_test.ts
+++ b/packages/peers/src/create_peer_network_test.ts
@@ -1,17 +1,22 @@
 import { type Clock, createSystemClock } from "@rosemarytiller/shared";
 import assert from "node:assert/strict";
-import { createSocket } from "node:dgram";
+import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
 import { test } from "node:test";
 import { createPeerNetwork, type PeerNetwork } from "./create_peer_network.ts";
 import { type LoadEvent, LoadEventKind } from "./peer_messages.ts";
 
-function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const socket = createSocket("udp4").bind(0, "127.0.0.1", () => {
-      const { port } = socket.address();
-      socket.close(() => resolve(port));
-    });
-  });
+/** Address on which no VM of these tests listens. */
+const PORT_HOLDER = "127.0.0.100";
+
+/**
+ * Binds a free UDP port of `PORT_HOLDER`. No other test gets the same port
+ * until the socket is closed.
+ */
+async function holdPort(): Promise<Socket> {
+  const holder = createSocket("udp4").bind(0, PORT_HOLDER);
+  await once(holder, "listening");
+  return holder;
 }
 
 /** Starts a VM in each data centre given; resolves once all know each other. */
@@ -19,7 +24,8 @@
   t: { after(action: () => void): void },
   dataCentres: readonly string[],
 ) {
-  const port = await freePort();
+  const holder = await holdPort();
+  const { port } = holder.address();
   const system = createSystemClock();
   const pendingTimers = new Set<object>();
   const clock: Clock = {
@@ -44,6 +50,7 @@
   const networks: PeerNetwork[] = [];
   t.after(() => {
     for (const network of networks) network.close();
+    holder.close();
   });
   for (const [number, dataCentre] of dataCentres.entries()) {
     const network = createPeerNetwork({
