router, policy, jsonc: name the cause in more texts that callers read

Texts such as "the upstream took no more requests", "no configuration is known", "the caller went away" and "the expected wait is too long" now say what happened and, where it is safe, to retry. Error kinds, statuses and fields are unchanged.

--- a/packages/jsonc/src/parse_checked.ts
+++ b/packages/jsonc/src/parse_checked.ts
@@ -130,7 +130,7 @@
     file,
     ...positionOf(text, offset),
     field: formatPath(path),
-    message: `"${path.at(-1)}" is defined twice in the same object`,
+    message: `"${path.at(-1)}" occurs twice in the same object`,
     mend: "keep one of the two",
   }));
 }
--- a/packages/policy/src/create_admission.ts
+++ b/packages/policy/src/create_admission.ts
@@ -88,12 +88,14 @@
 
   return {
     refuseOnArrival(request, { isRetry, hasFreeCapacity, nowMs }) {
-      if (isRetry && !retryBudget.spend()) return "the retry budget is spent";
+      if (isRetry && !retryBudget.spend()) {
+        return "too many requests are being retried; retry later";
+      }
       if (!isRetry) retryBudget.onFirstAttempt();
       if (
         !hasFreeCapacity && waitMs(request, nowMs) > request.deadlineMs - nowMs
       ) {
-        return "the expected wait is too long";
+        return "the expected wait is longer than the class allows; retry later";
       }
       drainRate.onArrived(request.tier, nowMs);
       return undefined;
--- a/packages/router/src/classify_request.ts
+++ b/packages/router/src/classify_request.ts
@@ -39,9 +39,13 @@
 ): RequestClassification {
   const { index, isCurrent } = options;
   if (!index) {
-    throw new TillerError(ErrorKind.NotReady, "no configuration is known", {
-      retryAfterMs: NOT_READY_RETRY_AFTER_MS,
-    });
+    throw new TillerError(
+      ErrorKind.NotReady,
+      "this VM has no configuration yet",
+      {
+        retryAfterMs: NOT_READY_RETRY_AFTER_MS,
+      },
+    );
   }
   const { metadata, host, pathAndQuery } = request;
   const query = pathAndQuery.indexOf("?");
@@ -50,7 +54,7 @@
   if (!route) {
     throw createNotFoundError(
       ErrorKind.UnknownRoute,
-      "no route matches",
+      "no route matches the host and path",
       isCurrent,
     );
   }
@@ -60,16 +64,20 @@
     if (!account) {
       throw createNotFoundError(
         ErrorKind.Unauthenticated,
-        "the key is not known",
+        "no account has this API key",
         isCurrent,
       );
     }
   }
   const service = index.findService(pickService(route));
   if (!service) {
-    throw new TillerError(ErrorKind.NoUpstream, "the service is not known", {
-      retryAfterMs: NOT_READY_RETRY_AFTER_MS,
-    });
+    throw new TillerError(
+      ErrorKind.NoUpstream,
+      "the route's service is not in the configuration",
+      {
+        retryAfterMs: NOT_READY_RETRY_AFTER_MS,
+      },
+    );
   }
   const rank = rankTarget(
     route.targetMs,
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -105,9 +105,13 @@
     const connection = pool.acquire(placement.upstream.entry, maxOpen);
     if (connection) return connection;
     placement.release(CallEnd.Other);
-    throw new TillerError(ErrorKind.Overloaded, "no connection is left", {
-      retryAfterMs: FULL_RETRY_AFTER_MS,
-    });
+    throw new TillerError(
+      ErrorKind.Overloaded,
+      "this VM has no free connection to upstreams",
+      {
+        retryAfterMs: FULL_RETRY_AFTER_MS,
+      },
+    );
   }
 
   /** Chooses the upstream for a backup copy and notes it in the state. */
--- a/packages/router/src/create_caller_server.ts
+++ b/packages/router/src/create_caller_server.ts
@@ -125,7 +125,11 @@
       incoming.on("end", () => resolve(Buffer.concat(chunks)));
       incoming.on("error", reject);
       incoming.on("close", () => {
-        if (!incoming.complete) reject(new Error("the caller went away"));
+        if (!incoming.complete) {
+          reject(
+            new Error("the connection closed before the body was complete"),
+          );
+        }
       });
     });
   }
--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -85,7 +85,9 @@
         }
         const socket: Socket = connect({ ...address, noDelay: true });
         const cancelTimeout = clock.after(CONNECT_TIMEOUT_MS, () => {
-          socket.destroy(new Error("no connection in time"));
+          socket.destroy(
+            new Error("the connection was not established in time"),
+          );
         });
         let isConnected = false;
         socket.once("connect", () => {
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -130,9 +130,13 @@
     response: CallerResponse,
   ): RequestState {
     if (isRefusing) {
-      throw new TillerError(ErrorKind.Stopping, "this VM is stopping", {
-        retryAfterMs: STOPPING_RETRY_AFTER_MS,
-      });
+      throw new TillerError(
+        ErrorKind.Stopping,
+        "this VM is stopping; send the request again",
+        {
+          retryAfterMs: STOPPING_RETRY_AFTER_MS,
+        },
+      );
     }
     const { route, account, service, rank } = classifyRequest(request, {
       index: configuration(),
@@ -144,7 +148,7 @@
     if (quarantine.stateOf(fingerprint) === FingerprintState.Quarantined) {
       throw new TillerError(
         ErrorKind.Quarantined,
-        "the request crashed the upstreams that ran it",
+        "upstreams crashed while this request was in progress",
       );
     }
     const timeoutMs = Math.min(
--- a/packages/router/src/request_errors.ts
+++ b/packages/router/src/request_errors.ts
@@ -13,7 +13,7 @@
 export function createUnreachableError(): TillerError {
   return new TillerError(
     ErrorKind.NoUpstream,
-    "no upstream could be reached",
+    "no connection to an upstream could be established",
     { retryAfterMs: FULL_RETRY_AFTER_MS },
   );
 }
@@ -41,7 +41,7 @@
 export function createNotExecutedError(): TillerError {
   return new TillerError(
     ErrorKind.Overloaded,
-    "the upstream took no more requests",
+    "the upstream declined the request without running it",
     { retryAfterMs: FULL_RETRY_AFTER_MS * (0.5 + Math.random()) },
   );
 }
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -104,7 +104,7 @@
  * Reason if identifiers skip numbers: events are missing or belong to another
  * stream.
  */
-const GAP_REASON = "the stream has a gap";
+const GAP_REASON = "the upstream skipped an event of the stream";
 
 /** Memory that a chunk of a body takes besides its data, in bytes. */
 const CHUNK_BYTES = 128;
@@ -148,7 +148,7 @@
       return true;
     }
     if (metadata.id !== undefined && metadata.id !== options.requestId) {
-      return reject("the answer belongs to another request");
+      return reject("the upstream sent the response to another request");
     }
     const isSuccess = received.status >= 200 && received.status < 300;
     if (!isSuccess) return true;
