broker: record the leases that expire

docs/TIMELINE.md and EventKind have lease-expired, and nothing recorded it.

The leader now records each backing that has expired since its last check, but none that it released, and none while it is idle, when leases expire between the rare heartbeats. The page says that the event is the broker's and that lease-granted is the entry's.

--- a/packages/broker/src/create_leadership.ts
+++ b/packages/broker/src/create_leadership.ts
@@ -90,8 +90,8 @@
    */
   isReachable(link: Link): boolean;
   /**
-   * Records changes of leadership and transfers leases for which most backers
-   * prefer another broker, each at most once in
+   * Records expired leases and changes of leadership, and transfers leases for
+   * which most backers prefer another broker, each at most once in
    * `LEADERSHIP_TRANSFER_INTERVAL_MS`. Returns the permits of entries that have
    * become unreachable.
    */
@@ -155,6 +155,8 @@
   /** Time of the last transfer to a preferred broker. */
   transferredMs: number;
   isLed: boolean;
+  /** Backers at the last `checkLeases`, without those released since. */
+  knownBackers: ReadonlySet<string>;
 }
 
 interface EntryState {
@@ -215,6 +217,7 @@
       lastRequestMs: -Infinity,
       transferredMs: -Infinity,
       isLed: false,
+      knownBackers: new Set(),
     };
     leases.set(name, lease);
     return lease;
@@ -301,6 +304,7 @@
       lease.tenure.release(vm);
       sendRelease(link, [lease.name], stopping);
     }
+    lease.knownBackers = new Set();
     // The lease is not wanted again before its next permit request.
     lease.lastRequestMs = -Infinity;
   }
@@ -396,6 +400,19 @@
     return ![...leases.values()].some(isWanted);
   }
 
+  /**
+   * Records the leases that have expired. While this broker is idle, leases
+   * expire between the rare heartbeats.
+   */
+  function recordExpired(lease: Lease): void {
+    const backers = new Set(lease.tenure.backers());
+    for (const entry of isIdle() ? [] : lease.knownBackers) {
+      if (backers.has(entry)) continue;
+      timeline.record(EventKind.LeaseExpired, "", { lease: lease.name, entry });
+    }
+    lease.knownBackers = backers;
+  }
+
   function recordLeadership(lease: Lease): void {
     const isLed = lease.tenure.backers().length > 0;
     if (isLed === lease.isLed) return;
@@ -478,6 +495,7 @@
       const nowMs = clock.now();
       for (const lease of leases.values()) {
         recordLeadership(lease);
+        recordExpired(lease);
         if (nowMs - lease.transferredMs < LEADERSHIP_TRANSFER_INTERVAL_MS) {
           continue;
         }
