broker: record the changes of limits

docs/TIMELINE.md and EventKind have limit-changed, and nothing recorded it.

Each pool now records the limits that differ from those recorded last, upon every heartbeat and at most every 5 s for each upstream, so that a limit that goes up and down does not displace other events. The new test finds no event without the call that records it.

--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -264,7 +264,10 @@
   });
   const loadPolling = pollLoad(() => pools.values(), { clock, leadership });
   const cancelHeartbeat = repeat(clock, HEARTBEAT_INTERVAL_MS, () => {
-    for (const pool of pools.values()) pool.processQueue();
+    for (const pool of pools.values()) {
+      pool.processQueue();
+      pool.recordLimits();
+    }
     recordPoolGauges(metrics, pools.values());
     dropPermits(leadership.checkLeases());
     suspendUnreachable();
--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -52,6 +52,8 @@
   TIER_COUNT,
 } from "./describe_pool.ts";
 
+/** Shortest time between two recorded changes of an upstream's limit, in ms. */
+export const LIMIT_RECORD_INTERVAL_MS = 5000;
 /** Error detail that the caller of a quarantined request receives. */
 const QUARANTINED_DETAIL = "upstreams crashed with this request in flight";
 
@@ -110,6 +112,11 @@
   resumeLink(link: Link): void;
   /** Refuses the requests that timed out and grants those that can start. */
   processQueue(): void;
+  /**
+   * Records the limits that have changed since they were last recorded, each at
+   * most once in `LIMIT_RECORD_INTERVAL_MS`.
+   */
+  recordLimits(): void;
   summary(): PoolSummary;
   upstreams(): UpstreamStatus[];
   status(): PoolStatus;
@@ -137,6 +144,7 @@
     quarantine,
   });
   const seenClasses = new Set<string>();
+  const recordedLimits = new Map<string, { limit: number; atMs: number }>();
   const queueTimer = createDeadlineTimer(clock, processQueue);
 
   function findClass(className: string): RequestClass | undefined {
@@ -372,6 +380,23 @@
     processQueue();
   }
 
+  function recordLimits(): void {
+    const nowMs = clock.now();
+    for (const { name: upstream, limit } of upstreamStatus()) {
+      const last = recordedLimits.get(upstream);
+      // The limit that an upstream starts with is in the document.
+      if (!last) recordedLimits.set(upstream, { limit, atMs: -Infinity });
+      if (!last || last.limit === limit) continue;
+      if (nowMs - last.atMs < LIMIT_RECORD_INTERVAL_MS) continue;
+      recordedLimits.set(upstream, { limit, atMs: nowMs });
+      timeline.record(EventKind.LimitChanged, "", {
+        pool: fullName,
+        upstream,
+        limit,
+      });
+    }
+  }
+
   function upstreamStatus(): UpstreamStatus[] {
     return describeUpstreams(upstreams, clock.now());
   }
@@ -404,6 +429,7 @@
     suspendLink,
     resumeLink,
     processQueue,
+    recordLimits,
     summary: () =>
       summarizePool(fullName, { upstreams, admission, nowMs: clock.now() }),
     upstreams: upstreamStatus,
--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -13,11 +13,12 @@
   CallOutcome,
   createFakeClock,
   ErrorKind,
+  EventKind,
 } from "@rosemarytiller/shared";
 import { createTimeline } from "@rosemarytiller/timeline";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createPool } from "./create_pool.ts";
+import { createPool, LIMIT_RECORD_INTERVAL_MS } from "./create_pool.ts";
 
 const POOL = "test/small@north";
 
@@ -57,6 +58,7 @@
   const text = JSON.stringify(DOCUMENT);
   const key = "services/test";
   assert.ok(view.offerDocument({ key, revision: 1, text }, "test"));
+  const timeline = createTimeline({ process: "test", clock });
   const sent: Message[] = [];
   const link = { send: (message: Message) => sent.push(message) };
   const quarantine = createQuarantine({
@@ -66,7 +68,7 @@
   const pool = createPool(POOL, {
     view,
     clock,
-    timeline: createTimeline({ process: "test", clock }),
+    timeline,
     metrics: createMetrics(undefined),
     allowanceOf,
     stampOf: () => 0,
@@ -124,7 +126,16 @@
       tokens: 1,
     });
   }
-  return { pool, clock, requestPermit, replyTo, grantOf, finish };
+  return {
+    pool,
+    view,
+    clock,
+    timeline,
+    requestPermit,
+    replyTo,
+    grantOf,
+    finish,
+  };
 }
 
 test("a queue timeout refuses the request at once, not at the next heartbeat", () => {
@@ -282,3 +293,27 @@
     assert.equal(replyTo(waiting)?.kind, MessageKind.Grant, `${reads}`);
   }
 });
+
+// The timeline listed the kind of event, and nothing recorded it.
+test("a changed limit is recorded, at most once in an interval", () => {
+  const fixture = createTestPool();
+  const { pool, clock, timeline } = fixture;
+  const recorded = () =>
+    timeline.events().filter(({ kind }) => kind === EventKind.LimitChanged)
+      .map(({ detail }) => detail);
+  const id = fixture.requestPermit();
+  const { upstream } = fixture.grantOf(id);
+  pool.recordLimits();
+  assert.deepEqual(recorded(), []);
+  fixture.finish(id, CallOutcome.ConnectFailed);
+  pool.recordLimits();
+  const stopped = { pool: POOL, upstream, limit: 0 };
+  assert.deepEqual(recorded(), [stopped]);
+  clock.advance(LIMIT_RECORD_INTERVAL_MS - 1);
+  pool.recordLimits();
+  assert.deepEqual(recorded(), [stopped]);
+  clock.advance(1);
+  pool.recordLimits();
+  pool.recordLimits();
+  assert.deepEqual(recorded(), [stopped, { ...stopped, limit: 1 }]);
+});
