broker: drop permits also at upstreams out of service

A permit that was dropped while its upstream was out of service (its entry had died or was paused) stayed in use: the pool dropped it only at upstreams that may receive new calls, so that it took up one place of the limit for good once the upstream was back.

The pool now drops it at every upstream that it knows, also at one that has left the document.

--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -92,10 +92,7 @@
   onDone(message: PermitReturnMessage): void;
   /** Adds a permit listed by an entry, such as one of an earlier leader. */
   adopt(permit: LivePermit): void;
-  /**
-   * Drops a permit of unknown outcome without adapting the limit, at upstreams
-   * that may receive new calls.
-   */
+  /** Drops a permit of unknown outcome without adapting the limit. */
   dropPermit(permit: string): void;
   /** Applies a load report of an upstream. */
   onLoadReport(upstream: string, loadReport: LoadReport): void;
@@ -411,7 +408,7 @@
       upstreams.find(permit.upstream)?.live.set(permit.permit, permit);
     },
     dropPermit(permit) {
-      for (const upstream of upstreams.current()) upstream.live.delete(permit);
+      for (const { live } of upstreams.all()) live.delete(permit);
       containment.dropPermit(permit);
     },
     onLoadReport(upstreamName, report) {
--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -317,3 +317,32 @@
   pool.recordLimits();
   assert.deepEqual(recorded(), [stopped, { ...stopped, limit: 1 }]);
 });
+
+// The permit took up the upstream's limit for good once it was back in service.
+test("a permit is dropped while its upstream is out of service", () => {
+  const { pool, view, requestPermit, grantOf } = createTestPool();
+  const { permit, upstream } = grantOf(requestPermit());
+  const liveAt = () =>
+    pool.upstreams().find(({ name }) => name === upstream)?.live;
+  function publish(revision: number, dataCentre: string): void {
+    const vm = {
+      name: "runner-vm",
+      dataCentre,
+      region: "",
+      kind: "upstream" as const,
+      state: "live" as const,
+      broker: "",
+      entryAdmin: "",
+    };
+    const other = { ...vm, name: "other-vm" };
+    const vms = dataCentre ? [vm, other] : [other];
+    assert.ok(view.offerVms({ revision, vms }));
+  }
+  publish(1, "north");
+  assert.equal(liveAt(), 1);
+  publish(2, "");
+  assert.equal(liveAt(), undefined, "it is out of service");
+  pool.dropPermit(permit);
+  publish(3, "north");
+  assert.equal(liveAt(), 0);
+});
--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -34,6 +34,8 @@
   current(): PoolUpstream[];
   /** An upstream by name, also one that has since left the document. */
   find(name: string): PoolUpstream | undefined;
+  /** All upstreams that `find` finds. */
+  all(): Iterable<PoolUpstream>;
   /**
    * Those of `upstreams` that may serve a request, whether or not they have
    * free capacity.
@@ -125,6 +127,7 @@
   return {
     current,
     find: (name) => known.get(name),
+    all: () => known.values(),
     candidatesFor(request, upstreams) {
       const allowed = listAllowed(view.documentOf(pool.service), request);
       const candidates: UpstreamCandidate[] = [];
