broker: log errors in handling load reports

An error in handling a load report was swallowed with those of failed polls, so that a leader could go without reports, and grant by old ones, with no trace.

Only errors of the request are ignored now. One in handling is logged, once for each upstream until a report of it is handled.

--- a/packages/broker/src/poll_load.ts
+++ b/packages/broker/src/poll_load.ts
@@ -1,5 +1,5 @@
 import type { LoadReport } from "@rosemarytiller/policy";
-import { type Clock, repeat } from "@rosemarytiller/shared";
+import { type Clock, LogPart, repeat, useLog } from "@rosemarytiller/shared";
 import { Agent, request } from "undici";
 import type { Leadership, PolledLoad } from "./create_leadership.ts";
 import type { Pool } from "./create_pool.ts";
@@ -40,6 +40,8 @@
   const agent = new Agent({ connections: 1, pipelining: 1 });
   /** Addresses with a poll in flight. */
   const inFlight = new Set<string>();
+  /** Addresses whose last report could not be handled. */
+  const unhandled = new Set<string>();
   /** Monotonic time of the last poll by address. */
   const polledMs = new Map<string, number>();
 
@@ -48,18 +50,35 @@
     if (inFlight.has(address)) return;
     inFlight.add(address);
     polledMs.set(address, clock.now());
+    const report = await fetchReport(address);
+    inFlight.delete(address);
+    if (!report) return;
+    try {
+      handleReport(upstream, report);
+      unhandled.delete(address);
+    } catch (error) {
+      if (unhandled.has(address)) return;
+      unhandled.add(address);
+      useLog(LogPart.Broker).error(
+        `Could not handle the load report of ${upstream.name}.`,
+        error,
+      );
+    }
+  }
+
+  /** Fetches a report; undefined if the upstream sends none. */
+  async function fetchReport(address: string): Promise<LoadReport | undefined> {
     try {
       const { statusCode, body } = await request(new URL("/load", address), {
         dispatcher: agent,
         signal: AbortSignal.timeout(LOAD_TIMEOUT_MS),
       });
-      if (statusCode !== 200) await body.dump();
-      else handleReport(upstream, await body.json() as LoadReport);
+      if (statusCode === 200) return await body.json() as LoadReport;
+      await body.dump();
     } catch {
       // A failed poll is ignored: the outcomes of calls show failing upstreams.
-    } finally {
-      inFlight.delete(address);
     }
+    return undefined;
   }
 
   function handleReport(upstream: PolledUpstream, report: LoadReport): void {
