--- a/packages/broker/src/create_pool_upstreams.ts
+++ b/packages/broker/src/create_pool_upstreams.ts
@@ -43,6 +43,8 @@
   startCall(permit: LivePermit): void;
   /** An upstream by name, also one that has since left the document. */
   find(name: string): PoolUpstream | undefined;
+  /** All upstreams that `find` finds. */
+  all(): Iterable<PoolUpstream>;
   /**
    * Those of `upstreams` that may serve a request, whether or not they have
    * free capacity.
@@ -139,6 +141,7 @@
       live.set(permit.permit, { ...permit, startedMs: clock.now() });
     },
     find: (name) => known.get(name),
+    all: () => known.values(),
     candidatesFor(request, upstreams) {
       const allowed = listAllowed(view.documentOf(pool.service), request);
       const candidates: UpstreamCandidate[] = [];
