sessions: drive the tests of adaptive limits on the run clock

Cause, by reading: the tests gave the limit first-token times that included this process's waits for a core, so that a fast engine looked slower than the target of 100 ms, or cold, and the limit rightly stayed low. Also, the limit is at most 1 for 200 ms after a crash, within which a poll has to see it. At a load average of 33, "a crashed engine is warmed up again ..., reports 0 ms late" timed out in 1 of 2 runs.

Change: the limit, the ages of load reports and the waits are on one run clock; the stand-in engine takes the clock of its reports as an option.

--- a/packages/sessions/src/overload_limits_test.ts
+++ b/packages/sessions/src/overload_limits_test.ts
@@ -11,6 +11,7 @@
 } from "@rosemarytiller/standins";
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
+import { createRunClock } from "./create_run_clock.ts";
 import { waitUntil } from "./start_fleet.ts";
 
 /** First-token target of the calls. */
@@ -20,13 +21,15 @@
 /**
  * Calls a stand-in engine over HTTP with as many concurrent calls as an
  * upstream limit allows, at most `demand.calls`. Polls the engine's load
- * reports every 50 ms.
+ * reports every 50 ms. Times are on a run clock, so that waits of this process
+ * for a core do not look like a slow engine.
  */
 async function startEngineLoad(
   t: TestContext,
   options: EngineOptions & LimitBounds,
 ) {
-  const engine = await createStandInEngine(options);
+  const now = createRunClock();
+  const engine = await createStandInEngine({ ...options, now });
   const demand = { calls: Infinity };
   let outstanding = 0;
   let failed = 0;
@@ -34,7 +37,6 @@
   const limit = createUpstreamLimit(options, {
     outstanding: () => outstanding,
   });
-  const now = () => performance.now();
 
   async function call(): Promise<void> {
     outstanding++;
@@ -86,6 +88,7 @@
   return {
     engine,
     demand,
+    now,
     failed: () => failed,
     outstanding: () => outstanding,
     limit: () => limit.current(now()),
@@ -238,7 +241,7 @@
   const failedBefore = load.failed();
   for (let crash = 1; crash <= 4; crash++) {
     engine.crash();
-    const sinceMs = performance.now();
+    const sinceMs = load.now();
     const target = load.failed();
     await waitUntil(
       () => load.failed() > target || load.startsSince(sinceMs) > 0,
--- a/packages/standins/src/create_stand_in_engine.ts
+++ b/packages/standins/src/create_stand_in_engine.ts
@@ -32,6 +32,11 @@
   tokenMs?: number;
   /** Simulated staleness of load reports in milliseconds (default 0). */
   reportLagMs?: number;
+  /**
+   * Clock of the load reports: returns a monotonic time in milliseconds
+   * (default `performance.now`).
+   */
+  now?: () => number;
 }
 
 /** Counters of a stand-in engine; a crash does not reset them, tests may. */
@@ -109,6 +114,7 @@
     firstTokenMs: 5,
     tokenMs: 2,
     reportLagMs: 0,
+    now: () => performance.now(),
     ...initial,
   };
   const counts: EngineCounts = {
@@ -134,7 +140,7 @@
   }
 
   function recordLoad(): void {
-    const atMs = performance.now();
+    const atMs = options.now();
     reports.push({ atMs, running: running.size, waiting: queue.length });
     while (
       reports.length > 1 && reports[1].atMs <= atMs - options.reportLagMs
@@ -307,7 +313,7 @@
   function sendLoad(response: ServerResponse): void {
     recordLoad();
     const report = reports[0];
-    const ageMs = performance.now() - report.atMs;
+    const ageMs = options.now() - report.atMs;
     response.writeHead(200, { "content-type": "application/json" });
     response.end(JSON.stringify({
       running: report.running,
