sessions: do not let a late readiness answer empty the test's balancer

Cause: the balancer of the test took a VM out if its readiness answer had not come within the poll interval of 100 ms. On a busy machine all three answers were late at once. No entry was unready: an entry's readiness, once reached, ends only with its stop, and the test stops a VM only after the one before is ready again.

Change: only an answer or a failed connection changes what the balancer knows, and one poll of a VM follows the other. A VM that hangs stays in use now, so that its calls fail the test. Without a ready VM the test fails with "no VM is ready".

--- a/packages/sessions/src/stop_processes_test.ts
+++ b/packages/sessions/src/stop_processes_test.ts
@@ -7,8 +7,8 @@
 import { type FleetVm, startFleet, waitUntil } from "./start_fleet.ts";
 
 /** Longest time until the balancer stops using a VM that isn't ready. */
-const BALANCER_LAG_MS = 600;
-/** Interval of the balancer's readiness polls. */
+const BALANCER_LAG_MS = 2000;
+/** Time from an answer to the balancer's next readiness poll. */
 const POLL_MS = 100;
 
 /** Starts a fleet of three VMs with two engines. */
@@ -47,25 +47,31 @@
 }
 
 /**
- * Creates a load balancer that uses the VMs whose entries were ready at the
- * last poll.
+ * Creates a load balancer that uses the VMs whose entries were ready by their
+ * last answer. An answer that is late says nothing; only another answer or a
+ * failed connection takes a VM out.
  */
 function createBalancer(t: TestContext, vms: readonly FleetVm[]) {
   const ready = new Set(vms);
+  const stopping = new AbortController();
   let turn = 0;
   async function poll(vm: FleetVm): Promise<void> {
-    const signal = AbortSignal.timeout(POLL_MS);
-    const answer = await fetch(`http://${vm.entryAdmin}/ready`, { signal })
-      .catch(() => undefined);
-    if (answer?.status === 200) ready.add(vm);
-    else ready.delete(vm);
+    while (!stopping.signal.aborted) {
+      const answer = await fetch(`http://${vm.entryAdmin}/ready`, {
+        signal: stopping.signal,
+      }).catch(() => undefined);
+      if (answer?.status === 200) ready.add(vm);
+      else ready.delete(vm);
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
   }
-  const timer = setInterval(() => vms.forEach((vm) => void poll(vm)), POLL_MS);
-  t.after(() => clearInterval(timer));
+  for (const vm of vms) void poll(vm);
+  t.after(() => stopping.abort());
   return {
     isReady: (vm: FleetVm) => ready.has(vm),
     nextUrl() {
       const list = [...ready];
+      assert.ok(list.length > 0, "no VM is ready");
       return list[turn++ % list.length].url;
     },
   };
