standins: time an engine's tokens from their due times

A call's timers were each started when the one before had fired, so that their delays added up: calls planned for 380 ms took 470 ms and more, and the top tier of overload_tiers_test asked for more than the engines served.

overload_tiers_test passed at a load average of 22 on 8 cores (79 served, 0 refused); overload_limits, golden_sessions and answer_faults pass.

--- a/packages/standins/src/create_stand_in_engine.ts
+++ b/packages/standins/src/create_stand_in_engine.ts
@@ -166,13 +166,20 @@
       counts.warmUpPeak = Math.max(counts.warmUpPeak, running.size);
       if (running.size > options.warmUpCapacity) return crash();
     }
-    call.timer = setTimeout(generateToken, options.firstTokenMs);
+    // From the due time of the token before, so that late timers do not add up.
+    let dueMs = performance.now();
+    function scheduleToken(delayMs: number): void {
+      dueMs += delayMs;
+      const leftMs = dueMs - performance.now();
+      call.timer = setTimeout(generateToken, Math.max(0, leftMs));
+    }
+    scheduleToken(options.firstTokenMs);
     function generateToken(): void {
       if (call.ended) return;
       call.generatedTokens++;
       writeTokens(call);
       if (call.generatedTokens >= call.tokens.length) return finish(call);
-      call.timer = setTimeout(generateToken, options.tokenMs);
+      scheduleToken(options.tokenMs);
     }
   }
 
