--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -41,7 +41,10 @@
   createPoolUpstreams,
   type PoolUpstream,
 } from "./create_pool_upstreams.ts";
-import { createPendingRequests } from "./create_pending_requests.ts";
+import {
+  createPendingRequests,
+  type PendingRequest,
+} from "./create_pending_requests.ts";
 import {
   countByClass,
   describeUpstreams,
@@ -49,8 +52,15 @@
   TIER_COUNT,
 } from "./describe_pool.ts";
 
+/** Shortest time between two recorded changes of an upstream's limit, in ms. */
+export const LIMIT_RECORD_INTERVAL_MS = 5000;
 /** Error detail that the caller of a quarantined request receives. */
-const QUARANTINED_DETAIL = "upstreams crashed with this request in flight";
+const QUARANTINED_DETAIL =
+  "upstreams crashed while this request was in progress; do not send it again " +
+  "unchanged";
+/** Error detail that the caller receives when its queue time is over. */
+const EXPIRED_DETAIL =
+  "no upstream became free while the request was queued; retry later";
 
 /** What a broker passes to each of its pools. */
 export interface PoolOptions {
@@ -87,10 +97,7 @@
   onDone(message: PermitReturnMessage): void;
   /** Adds a permit listed by an entry, such as one of an earlier leader. */
   adopt(permit: LivePermit): void;
-  /**
-   * Drops a permit of unknown outcome without adapting the limit, at upstreams
-   * that may receive new calls.
-   */
+  /** Drops a permit of unknown outcome without adapting the limit. */
   dropPermit(permit: string): void;
   /** Applies a load report of an upstream. */
   onLoadReport(upstream: string, loadReport: LoadReport): void;
@@ -101,8 +108,17 @@
   applyQuarantine(fingerprint: string): void;
   /** Drops the pending permit requests of a link that has closed. */
   dropLink(link: Link): void;
+  /** Takes a link's permit requests out of the queue until `resumeLink`. */
+  suspendLink(link: Link): void;
+  /** Queues the suspended permit requests of a link again. */
+  resumeLink(link: Link): void;
   /** Refuses the requests that timed out and grants those that can start. */
   processQueue(): void;
+  /**
+   * Records the limits that have changed since they were last recorded, each at
+   * most once in `LIMIT_RECORD_INTERVAL_MS`.
+   */
+  recordLimits(): void;
   summary(): PoolSummary;
   upstreams(): UpstreamStatus[];
   status(): PoolStatus;
@@ -113,21 +129,24 @@
   const { view, clock, timeline, metrics, quarantine } = options;
   const name = parsePool(fullName);
   const queue = createRequestQueue();
+  const upstreams = createPoolUpstreams(name, options);
   const admission = createAdmission({
     queue,
     random: options.random,
-    outstanding: () => upstreams.outstanding(),
+    running: upstreams.running,
   });
-  const upstreams = createPoolUpstreams(name, options);
   const placements = createPlacements();
   const containment = createContainment(quarantine);
   const pendingRequests = createPendingRequests();
+  /** Requests that are not granted for now, by link and id. */
+  const suspended = new Map<Link, Map<string, PendingRequest>>();
   const isolation = createIsolation({
     queue,
     pendingRequests,
     quarantine,
   });
   const seenClasses = new Set<string>();
+  const recordedLimits = new Map<string, { limit: number; atMs: number }>();
   const queueTimer = createDeadlineTimer(clock, processQueue);
 
   function findClass(className: string): RequestClass | undefined {
@@ -189,7 +208,7 @@
       client: message.client,
       fingerprint: message.fingerprint,
     };
-    upstreams.find(upstreamName)!.live.set(permit, live);
+    upstreams.startCall(live);
     placements.record(message.prefix, upstreamName);
     containment.onGranted(live, clock.now());
     options.onGranted?.(live, link);
@@ -210,7 +229,7 @@
 
   function processQueue(): void {
     for (const request of queue.takeExpired(clock.now())) {
-      refuse(request, ErrorKind.Overloaded, "the wait was too long");
+      refuse(request, ErrorKind.Overloaded, EXPIRED_DETAIL);
     }
     const openUpstreams = upstreams.current();
     containment.reserve(isolation.pending(), {
@@ -270,7 +289,7 @@
       return;
     }
     if (upstreams.candidatesFor(request, openUpstreams).length === 0) {
-      refuse(request, ErrorKind.NoUpstream, "no upstream can serve it");
+      refuse(request, ErrorKind.NoUpstream, describeNoUpstream(message));
       return;
     }
     const reason = admission.refuseOnArrival(request, {
@@ -287,6 +306,12 @@
     processQueue();
   }
 
+  function describeNoUpstream({ avoid }: PermitRequestMessage): string {
+    const upstream = avoid.length > 0 ? "other upstream" : "upstream";
+    return `no ${upstream} in data centre "${name.dataCentre}" can take the ` +
+      "request now; retry later";
+  }
+
   function isQuarantined({ fingerprint }: QueuedRequest): boolean {
     return quarantine.stateOf(fingerprint) === FingerprintState.Quarantined;
   }
@@ -304,17 +329,49 @@
     while (queue.boundedSize() > MAX_QUEUED) {
       const victim = queue.takeVictim();
       if (!victim) return;
-      refuse(victim, ErrorKind.Overloaded, "the queue is full");
+      refuse(victim, ErrorKind.Overloaded, "the queue is full; retry later");
     }
   }
 
   function remove(id: string): void {
     queue.remove(id);
     pendingRequests.remove(id);
+    for (const requests of suspended.values()) requests.delete(id);
+  }
+
+  function pendingOf(link: Link): PendingRequest[] {
+    return [...pendingRequests.all()].filter((one) => one.link === link);
+  }
+
+  function suspendLink(link: Link): void {
+    const requests = suspended.get(link) ?? new Map();
+    for (const pending of pendingOf(link)) {
+      remove(pending.request.id);
+      requests.set(pending.request.id, pending);
+    }
+    if (requests.size > 0) suspended.set(link, requests);
+  }
+
+  function resumeLink(link: Link): void {
+    const requests = suspended.get(link);
+    if (!requests) return;
+    suspended.delete(link);
+    const openUpstreams = upstreams.current();
+    for (const pending of requests.values()) {
+      const { request } = pending;
+      request.isolation = undefined;
+      isolation.onArrived(request, openUpstreams);
+      pendingRequests.add(pending);
+      if (isQuarantined(request)) {
+        refuse(request, ErrorKind.Quarantined, QUARANTINED_DETAIL);
+      } else queue.add(request);
+    }
+    shedOverflow();
+    processQueue();
   }
 
   function onDone(message: PermitReturnMessage): void {
-    const { permit, outcome, firstTokenMs } = message;
+    const { permit, outcome, firstTokenMs, streamed } = message;
     const upstream = upstreams.find(message.upstream);
     const live = upstream?.live.get(permit);
     if (!upstream || !live) return;
@@ -324,13 +381,30 @@
     upstream.live.delete(permit);
     timeline.record(EventKind.PermitReturned, "", { permit, outcome });
     if (outcome === CallOutcome.Crashed) placements.forget(upstream.name);
-    admission.onFirstToken(live.className, firstTokenMs);
+    if (streamed) admission.onFirstToken(live.className, firstTokenMs);
     if (outcome === CallOutcome.Complete) {
       admission.onCallEnded(message.totalMs);
     }
     processQueue();
   }
 
+  function recordLimits(): void {
+    const nowMs = clock.now();
+    for (const { name: upstream, limit } of upstreamStatus()) {
+      const last = recordedLimits.get(upstream);
+      // The limit that an upstream starts with is in the document.
+      if (!last) recordedLimits.set(upstream, { limit, atMs: -Infinity });
+      if (!last || last.limit === limit) continue;
+      if (nowMs - last.atMs < LIMIT_RECORD_INTERVAL_MS) continue;
+      recordedLimits.set(upstream, { limit, atMs: nowMs });
+      timeline.record(EventKind.LimitChanged, "", {
+        pool: fullName,
+        upstream,
+        limit,
+      });
+    }
+  }
+
   function upstreamStatus(): UpstreamStatus[] {
     return describeUpstreams(upstreams, clock.now());
   }
@@ -342,10 +416,10 @@
     onDone,
     adopt(permit) {
       upstreams.current();
-      upstreams.find(permit.upstream)?.live.set(permit.permit, permit);
+      upstreams.startCall(permit);
     },
     dropPermit(permit) {
-      for (const upstream of upstreams.current()) upstream.live.delete(permit);
+      for (const { live } of upstreams.all()) live.delete(permit);
       containment.dropPermit(permit);
     },
     onLoadReport(upstreamName, report) {
@@ -357,11 +431,13 @@
     },
     applyQuarantine,
     dropLink(link) {
-      for (const pending of [...pendingRequests.all()]) {
-        if (pending.link === link) remove(pending.request.id);
-      }
+      suspended.delete(link);
+      for (const { request } of pendingOf(link)) remove(request.id);
     },
+    suspendLink,
+    resumeLink,
     processQueue,
+    recordLimits,
     summary: () =>
       summarizePool(fullName, { upstreams, admission, nowMs: clock.now() }),
     upstreams: upstreamStatus,
--- a/packages/router/src/create_caller_server.ts
+++ b/packages/router/src/create_caller_server.ts
@@ -125,7 +125,11 @@
       incoming.on("end", () => resolve(Buffer.concat(chunks)));
       incoming.on("error", reject);
       incoming.on("close", () => {
-        if (!incoming.complete) reject(new Error("the caller went away"));
+        if (!incoming.complete) {
+          reject(
+            new Error("the connection closed before the body was complete"),
+          );
+        }
       });
     });
   }
@@ -162,7 +166,7 @@
 }
 
 /** Adapts a response of Node's HTTP server. */
-function createCallerResponse(
+export function createCallerResponse(
   response: ServerResponse,
   isDraining: () => boolean,
 ): CallerResponse {
@@ -180,7 +184,7 @@
 
   return {
     onDisconnect(action) {
-      if (response.destroyed) action();
+      if (response.destroyed) return action();
       response.once("close", () => {
         if (!response.writableFinished) action();
       });
