broker: refuse pending requests that no upstream may serve any more

"an upstream taken out of service gets no new calls ..." failed with 429 "no permit came in time" on a busy machine.

Seen with the brokers' status written each second: in one of three such runs, at a load average of about 35, six requests were in the queue of the pool in the data centre north when its only upstream was taken out of service. They stayed there until they were refused with "the wait was too long" after their 10 s, while the pool in the south had 1 or 2 calls at a limit of 16.

Cause: a request that no upstream may serve was refused with `no-upstream` on its arrival only, upon which its entry asks the next pool. Requests that were already queued waited for their whole queue time. It takes a queue at the moment of the change, and so a busy machine or a full pool. If the refusal is more than 100 ms late, the entry says "no permit came in time".

Change: with a new document or VM list, a pool refuses the pending requests that none of its upstreams may serve.

The new test of create_pool_test.ts fails before, with no refusal, and passes after (9 of 9 in the file). drain_upstreams_test.js: 2 of 2 runs pass at a load average of 31 to 36. The entry also named a wait that timed out; that was not seen again.

--- a/packages/broker/src/create_broker.ts
+++ b/packages/broker/src/create_broker.ts
@@ -210,7 +210,7 @@
       claims.setList(listLiveEntryVms(view.vms()).map((vm) => vm.name));
       exchange.expectPeers(peers.vms());
     }
-    for (const pool of pools.values()) pool.processQueue();
+    for (const pool of pools.values()) pool.onFleetChanged();
   });
 
   const server = createServer((request, response) =>
--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -52,6 +52,9 @@
 /** Error detail that the caller of a quarantined request receives. */
 const QUARANTINED_DETAIL = "upstreams crashed with this request in flight";
 
+/** Error detail for a request that no upstream of the pool may serve. */
+const NO_UPSTREAM_DETAIL = "no upstream can serve it";
+
 /** What a broker passes to each of its pools. */
 export interface PoolOptions {
   view: FleetView;
@@ -103,6 +106,12 @@
   dropLink(link: Link): void;
   /** Refuses the requests that timed out and grants those that can start. */
   processQueue(): void;
+  /**
+   * Refuses the pending requests that no upstream may serve by a new document
+   * or VM list, so that their entries turn to other pools, and processes the
+   * queue.
+   */
+  onFleetChanged(): void;
   summary(): PoolSummary;
   upstreams(): UpstreamStatus[];
   status(): PoolStatus;
@@ -270,7 +279,7 @@
       return;
     }
     if (upstreams.candidatesFor(request, openUpstreams).length === 0) {
-      refuse(request, ErrorKind.NoUpstream, "no upstream can serve it");
+      refuse(request, ErrorKind.NoUpstream, NO_UPSTREAM_DETAIL);
       return;
     }
     const reason = admission.refuseOnArrival(request, {
@@ -300,6 +309,15 @@
     }
   }
 
+  function refuseUnservable(): void {
+    const openUpstreams = upstreams.current();
+    for (const { request } of [...pendingRequests.all()]) {
+      if (upstreams.candidatesFor(request, openUpstreams).length > 0) continue;
+      queue.remove(request.id);
+      refuse(request, ErrorKind.NoUpstream, NO_UPSTREAM_DETAIL);
+    }
+  }
+
   function shedOverflow(): void {
     while (queue.boundedSize() > MAX_QUEUED) {
       const victim = queue.takeVictim();
@@ -362,6 +380,10 @@
       }
     },
     processQueue,
+    onFleetChanged() {
+      refuseUnservable();
+      processQueue();
+    },
     summary: () =>
       summarizePool(fullName, { upstreams, admission, nowMs: clock.now() }),
     upstreams: upstreamStatus,
--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -124,7 +124,18 @@
       tokens: 1,
     });
   }
-  return { pool, clock, requestPermit, replyTo, grantOf, finish };
+  /** Publishes the document with some upstreams out of service. */
+  function takeOut(revision: number, names: readonly string[]): void {
+    const upstreams: Record<string, object> = {};
+    for (const [name, upstream] of Object.entries(DOCUMENT.upstreams)) {
+      const state = names.includes(name) ? "out-of-service" : "in-service";
+      upstreams[name] = { ...upstream, state };
+    }
+    const text = JSON.stringify({ ...DOCUMENT, upstreams });
+    assert.ok(view.offerDocument({ key, revision, text }, "test"));
+    pool.onFleetChanged();
+  }
+  return { pool, clock, requestPermit, replyTo, grantOf, finish, takeOut };
 }
 
 test("a queue timeout refuses the request at once, not at the next heartbeat", () => {
@@ -141,6 +152,26 @@
   assert.ok(reply.retryAfterMs > 0);
 });
 
+// Without this they waited for their whole queue time, although another data
+// centre had free capacity.
+test("queued requests are refused at once when no upstream that may serve them is in service", () => {
+  const fixture = createTestPool();
+  for (let index = 0; index < 4; index++) {
+    fixture.grantOf(fixture.requestPermit());
+  }
+  const either = fixture.requestPermit();
+  const second = fixture.requestPermit({ avoid: ["runner-1"] });
+  const errorOf = (id: string) => {
+    const reply = fixture.replyTo(id);
+    return reply?.kind === MessageKind.Refuse ? reply.error : undefined;
+  };
+  fixture.takeOut(2, ["runner-2"]);
+  assert.equal(errorOf(either), undefined);
+  assert.equal(errorOf(second), ErrorKind.NoUpstream);
+  fixture.takeOut(3, ["runner-1", "runner-2"]);
+  assert.equal(errorOf(either), ErrorKind.NoUpstream);
+});
+
 test("a full queue sheds the newest requests of the lowest tier first", () => {
   const fixture = createTestPool();
   const low = Array.from(
