--- a/packages/broker/src/create_pool.ts
+++ b/packages/broker/src/create_pool.ts
@@ -119,6 +119,12 @@
    * most once in `LIMIT_RECORD_INTERVAL_MS`.
    */
   recordLimits(): void;
+  /**
+   * Refuses the pending requests that no upstream may serve by a new document
+   * or VM list, so that their entries turn to other pools, and processes the
+   * queue.
+   */
+  onFleetChanged(): void;
   summary(): PoolSummary;
   upstreams(): UpstreamStatus[];
   status(): PoolStatus;
@@ -289,7 +295,7 @@
       return;
     }
     if (upstreams.candidatesFor(request, openUpstreams).length === 0) {
-      refuse(request, ErrorKind.NoUpstream, describeNoUpstream(message));
+      refuse(request, ErrorKind.NoUpstream, describeNoUpstream(request));
       return;
     }
     const reason = admission.refuseOnArrival(request, {
@@ -306,7 +312,7 @@
     processQueue();
   }
 
-  function describeNoUpstream({ avoid }: PermitRequestMessage): string {
+  function describeNoUpstream({ avoid }: QueuedRequest): string {
     const upstream = avoid.length > 0 ? "other upstream" : "upstream";
     return `no ${upstream} in data centre "${name.dataCentre}" can take the ` +
       "request now; retry later";
@@ -325,6 +331,15 @@
     }
   }
 
+  function refuseUnservable(): void {
+    const openUpstreams = upstreams.current();
+    for (const { request } of [...pendingRequests.all()]) {
+      if (upstreams.candidatesFor(request, openUpstreams).length > 0) continue;
+      queue.remove(request.id);
+      refuse(request, ErrorKind.NoUpstream, describeNoUpstream(request));
+    }
+  }
+
   function shedOverflow(): void {
     while (queue.boundedSize() > MAX_QUEUED) {
       const victim = queue.takeVictim();
@@ -366,6 +381,7 @@
         refuse(request, ErrorKind.Quarantined, QUARANTINED_DETAIL);
       } else queue.add(request);
     }
+    refuseUnservable();
     shedOverflow();
     processQueue();
   }
@@ -438,6 +454,10 @@
     resumeLink,
     processQueue,
     recordLimits,
+    onFleetChanged() {
+      refuseUnservable();
+      processQueue();
+    },
     summary: () =>
       summarizePool(fullName, { upstreams, admission, nowMs: clock.now() }),
     upstreams: upstreamStatus,
