broker: count a crash once that two leaders learn of

In one of ten runs of "a request that crashes engines crashes at most two ..." on a busy machine (load average 42), three concurrent requests were refused with 422, "upstreams crashed with this request in flight", 0.3 s after the first crash of their engine, without having run a second time.

Cause, by reading and by a test: an entry returns a permit to the broker that granted it and to the one that it backs now, which has adopted the permit. Each recorded the crash under an identifier of its own. The brokers exchange their records, so that one crash counted as two and quarantined each request that was in flight. That the leader changed in the run above was not recorded; its log has no timeline.

Change: a crash is recorded for each fingerprint under the first of its permits that were in flight, which both leaders know. If they know different permits of one fingerprint, they may still count two.

--- a/packages/broker/src/create_containment.ts
+++ b/packages/broker/src/create_containment.ts
@@ -5,7 +5,7 @@
   type Quarantine,
   type QueuedRequest,
 } from "@rosemarytiller/policy";
-import { CallOutcome, createId } from "@rosemarytiller/shared";
+import { CallOutcome } from "@rosemarytiller/shared";
 import type { PoolUpstream } from "./create_pool_upstreams.ts";
 
 /**
@@ -91,11 +91,21 @@
     return watch;
   }
 
+  /**
+   * Records a crash for each fingerprint under the first of its permits. Two
+   * leaders may know of a permit; both use the same identifier then.
+   */
   function recordCrash(permits: readonly LivePermit[]): void {
-    if (permits.length === 0) return;
-    for (const { permit } of permits) implicated.add(permit);
-    const crash = createId("crash");
-    quarantine.onCrash(crash, permits.map(({ fingerprint }) => fingerprint));
+    const firstPermits = new Map<string, string>();
+    for (const { permit, fingerprint } of permits) {
+      implicated.add(permit);
+      const first = firstPermits.get(fingerprint);
+      if (first !== undefined && first < permit) continue;
+      firstPermits.set(fingerprint, permit);
+    }
+    for (const [fingerprint, permit] of firstPermits) {
+      quarantine.onCrash(permit, [fingerprint]);
+    }
   }
 
   function isSuspect(fingerprint: string): boolean {
--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -8,7 +8,11 @@
 } from "@rosemarytiller/link";
 import { createMetrics } from "@rosemarytiller/metrics";
 import { createFleetView } from "@rosemarytiller/platform";
-import { createQuarantine, MAX_QUEUED } from "@rosemarytiller/policy";
+import {
+  createQuarantine,
+  FingerprintState,
+  MAX_QUEUED,
+} from "@rosemarytiller/policy";
 import {
   CallOutcome,
   createFakeClock,
@@ -135,7 +139,16 @@
     assert.ok(view.offerDocument({ key, revision, text }, "test"));
     pool.onFleetChanged();
   }
-  return { pool, clock, requestPermit, replyTo, grantOf, finish, takeOut };
+  return {
+    pool,
+    clock,
+    quarantine,
+    requestPermit,
+    replyTo,
+    grantOf,
+    finish,
+    takeOut,
+  };
 }
 
 test("a queue timeout refuses the request at once, not at the next heartbeat", () => {
@@ -277,6 +290,39 @@
   fixture.grantOf(fixture.requestPermit({ fingerprint }));
 });
 
+// An entry that has changed its leader returns a permit to both. Counted twice,
+// one crash quarantined requests that had caused none.
+test("a crash that two leaders learn of counts once", () => {
+  const former = createTestPool();
+  const next = createTestPool();
+  const id = former.requestPermit();
+  const { permit, upstream } = former.grantOf(id);
+  const client = "counter";
+  next.pool.adopt({
+    permit,
+    pool: POOL,
+    upstream,
+    className: "high",
+    client,
+    fingerprint: id,
+  });
+  former.finish(id, CallOutcome.Crashed);
+  next.pool.onDone({
+    kind: MessageKind.PermitReturn,
+    permit,
+    pool: POOL,
+    upstream,
+    outcome: CallOutcome.Crashed,
+    firstTokenMs: -1,
+    totalMs: 500,
+    tokens: 0,
+  });
+  for (const record of former.quarantine.records()) {
+    next.quarantine.merge(record);
+  }
+  assert.equal(next.quarantine.stateOf(id), FingerprintState.Suspect);
+});
+
 test("a changed instance number alone makes calls in flight suspect", () => {
   const fixture = createTestPool();
   const report = { running: 1, waiting: 0, ageMs: 0 };
