standins: start the processes of a fleet of any program

The fleet knows no word of the platform besides the program's file, the variable with its settings and the path of its readiness; these are options now, and the fleet is in packages/standins.

--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -376,6 +376,7 @@
     firstTokenMs: -1,
     totalMs: 500,
     tokens: 0,
+    streamed: true,
   });
   for (const record of former.quarantine.records()) {
     next.quarantine.merge(record);
--- a/platform/src/start_process_fleet.ts
+++ b/packages/standins/src/start_process_fleet.ts
@@ -8,12 +8,11 @@
   rmSync,
   writeFileSync,
 } from "node:fs";
-import { leasePort } from "@rosemarytiller/standins";
+import { leasePort } from "./lease_port.ts";
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import { fileURLToPath } from "node:url";
 import { setTimeout as sleep } from "node:timers/promises";
 
 /** Routers as processes on loopback addresses, each with a settings file. */
@@ -47,8 +46,18 @@
   signals: boolean;
 }
 
+/** Program that the processes of a fleet run. */
+export interface FleetProgram {
+  mainFile: string;
+  /** Environment variable with the path of the settings file. */
+  settingsVariable: string;
+  /** Path of the readiness endpoint; 200 if ready. */
+  readyPath: string;
+}
+
 /** Options of a fleet of processes. */
 export interface ProcessFleetOptions {
+  program: FleetProgram;
   count: number;
   storePort: number;
   /** Settings that differ from those of the fleet, by name. */
@@ -80,13 +89,12 @@
 /** Longest time until a started process listens, in milliseconds. */
 const START_TIMEOUT_MS = 15_000;
 const START_POLL_MS = 20;
-const MAIN_FILE = fileURLToPath(new URL("./main.js", import.meta.url));
 
 /** Starts routers on one store, with the first as their seed. */
 export async function startProcessFleet(
   options: ProcessFleetOptions,
 ): Promise<ProcessFleet> {
-  const { count, storePort, logDirectory } = options;
+  const { program, count, storePort, logDirectory } = options;
   const directory = mkdtempSync(join(tmpdir(), "router-fleet-"));
   const peerPort = await leasePort("127.0.0.1");
   const routers: RouterProcess[] = [];
@@ -104,8 +112,8 @@
     const router = routers[number]!;
     const logFile = join(logDirectory ?? directory, `vm-${number + 1}.log`);
     const output = openSync(logFile, "a");
-    const child = spawn(process.execPath, [MAIN_FILE], {
-      env: { ...process.env, ROSEMARYTILLER_CONFIG: router.settingsFile },
+    const child = spawn(process.execPath, [program.mainFile], {
+      env: { ...process.env, [program.settingsVariable]: router.settingsFile },
       stdio: ["ignore", output, output],
     });
     closeSync(output);
@@ -126,7 +134,7 @@
 
   function readiness(number: number): Promise<number> {
     return new Promise((resolve) => {
-      const path = "/rosemarytiller/readiness";
+      const path = program.readyPath;
       const { ready: port } = routers[number]!.ports;
       const outgoing = request(
         { host: hostOf(number), port, path, agent: false },
