--- a/packages/entry/src/final_error.ts
+++ b/packages/entry/src/final_error.ts
@@ -18,10 +18,11 @@
 };
 
 /**
- * Returns the error for the caller, with advice and `run` from the request's record. If the
- * call's time limit has passed, that error replaces the cause. The kind becomes
- * `outcome-unknown` if a call that must not be repeated has run or may have run,
- * unless it is `invalid-request`. A `duplicate-key` error stays as it is.
+ * Returns the error for the caller, with advice and `run` from the request's
+ * record. If the call's time limit has passed, that error replaces the cause. The
+ * kind becomes `outcome-unknown` if a call that must not be repeated has run or
+ * may have run, unless it is `invalid-request`. A `duplicate-key` error stays as
+ * it is.
  */
 export function finalError(
   cause: unknown,
--- a/packages/peers/src/exchange_published.ts
+++ b/packages/peers/src/exchange_published.ts
@@ -29,7 +29,8 @@
 /**
  * Creates the handler of peers' pulls. It responds with the changes since the
  * revision in the query's `after` of the era in `era` (0 if missing), as
- * MessagePack, compressed if the peer accepts that. The last response is kept, since many peers pull the same.
+ * MessagePack, compressed if the peer accepts that. The last response is kept,
+ * since many peers pull the same.
  */
 export function createPublishedHandler(
   published: PublishedItems,
--- a/packages/sessions/src/start_fleet.ts
+++ b/packages/sessions/src/start_fleet.ts
@@ -65,7 +65,8 @@
   waitUntilReady(): Promise<void>;
   /**
    * Resolves when the process with an admin address is ready. Rejects like
-   * `waitUntil` after 30 s, and as soon as a process of the fleet has exited that was not signalled.
+   * `waitUntil` after 30 s, and as soon as a process of the fleet has exited
+   * that was not signalled.
    */
   waitReady(address: string): Promise<void>;
   /**
