standins: let an engine's tokens be due by its clock

Cause, by reading: the test measures first tokens on the run clock, which leaves out waits for a core, while the engine's timers ran on the clock of the system. Tokens planned after 120 ms took less on the run clock, and a cold engine looked like a warm one.

Change: tokens are due by the engine's clock.

--- a/packages/standins/src/create_stand_in_engine.ts
+++ b/packages/standins/src/create_stand_in_engine.ts
@@ -33,8 +33,8 @@
   /** Simulated staleness of load reports in milliseconds (default 0). */
   reportLagMs?: number;
   /**
-   * Clock of the load reports: returns a monotonic time in milliseconds
-   * (default `performance.now`).
+   * Clock of the tokens and load reports: returns a monotonic time in
+   * milliseconds (default `performance.now`).
    */
   now?: () => number;
 }
@@ -167,11 +167,18 @@
       if (running.size > options.warmUpCapacity) return crash();
     }
     // From the due time of the token before, so that late timers do not add up.
-    let dueMs = performance.now();
+    let dueMs = options.now();
     function scheduleToken(delayMs: number): void {
       dueMs += delayMs;
-      const leftMs = dueMs - performance.now();
-      call.timer = setTimeout(generateToken, Math.max(0, leftMs));
+      waitUntilDue();
+    }
+    function waitUntilDue(): void {
+      const leftMs = dueMs - options.now();
+      if (call.ended) return;
+      call.timer = setTimeout(
+        () => options.now() < dueMs ? waitUntilDue() : generateToken(),
+        Math.max(0, leftMs),
+      );
     }
     scheduleToken(options.firstTokenMs);
     function generateToken(): void {
