--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -190,8 +190,8 @@
   );
 });
 
-// Without this they waited for their whole queue time, although another data
-// centre had free capacity.
+// Guards against requests that wait for their whole queue time while another
+// data centre has free capacity.
 test("queued requests are refused at once when no upstream that may serve them is in service", () => {
   const fixture = createTestPool();
   for (let index = 0; index < 4; index++) {
--- a/packages/claims/src/create_claim_holder_test.ts
+++ b/packages/claims/src/create_claim_holder_test.ts
@@ -151,7 +151,7 @@
   assert.equal(gaining.vote(claim).vote, Vote.Taken);
 });
 
-// It granted no claim again until the VM list changed.
+// Guards against a VM that grants no claim until the VM list changes again.
 test("a sole remaining VM grants claims once earlier ones have expired", () => {
   const clock = createFakeClock();
   const holders = startHolders(clock);
@@ -170,7 +170,7 @@
   assert.equal(holder.vote(claim).vote, Vote.Granted);
 });
 
-// The copy kept its key taken for up to another horizon.
+// Guards against keys that stay taken for up to another horizon.
 test("a copied claim expires with the claim that it is a copy of", () => {
   const clock = createFakeClock();
   const holders = startHolders(clock);
--- a/packages/platform/src/create_fleet_view_test.ts
+++ b/packages/platform/src/create_fleet_view_test.ts
@@ -102,8 +102,8 @@
   assert.equal(view.isReady(), true);
 });
 
-// A process that started while the platform was down made its peers believe
-// that the platform had just responded.
+// Guards against a start during an outage of the platform that peers take for a
+// response of the platform.
 test("a process without a platform response reports none to its peers", () => {
   const clock = createFakeClock();
   const peer = createFleetView({ clock });
--- a/packages/router/src/create_caller_server_test.ts
+++ b/packages/router/src/create_caller_server_test.ts
@@ -5,7 +5,7 @@
 import { test } from "node:test";
 import { createCallerResponse } from "./create_caller_server.ts";
 
-// The disconnect of a caller was logged twice.
+// Guards against logging the disconnect of a caller twice.
 test("the action for a disconnect runs once if the response was just destroyed", async (t) => {
   const server = createServer();
   server.listen(0, "127.0.0.1");
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -84,8 +84,9 @@
    */
   onConnectFailed(upstream: Upstream, reason: string): void;
   /**
-   * The upstream is silent, as healthy ones are at times: other upstreams are
-   * preferred until it sends something or `SILENCE_MEMORY_MS` have passed.
+   * The upstream has sent nothing for an idle timeout, which happens to healthy
+   * ones too: new calls prefer other upstreams until it sends something or
+   * `SILENCE_MEMORY_MS` have passed.
    */
   onSilent(upstream: Upstream): void;
   /**
@@ -132,7 +133,7 @@
   onPeerReceived(upstream: Upstream): void;
   /**
    * Fraction of calls that are expected to fail: that of recent calls, which
-   * decays with time, or 1 while the upstream is silent.
+   * decays with time, or 1 while other upstreams are preferred after `onSilent`.
    */
   failureShare(upstream: Upstream): number;
   /** Counts a call sent by this VM (`isOwn`) or another one. */
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -170,7 +170,7 @@
 });
 
 // Guards against taking a healthy upstream out of use for its silence.
-test("a silent upstream is eligible and expected to fail until it sends", () => {
+test("a silent upstream stays eligible at the highest cost until it sends data", () => {
   const { clock, registry } = createTestRegistry();
   registry.set("u", entryOf());
   const upstream = registry.find("u")!;
--- a/packages/router/src/event_log_test.ts
+++ b/packages/router/src/event_log_test.ts
@@ -43,7 +43,7 @@
   assert.ok(written <= 1200, `${written} lines`);
 });
 
-// Such lines were lost without a count.
+// Guards against lines that are lost without being counted.
 test("lines beyond the buffer of a stalled reader are counted as dropped", async () => {
   const lines = 250;
   const writer = startWriter(lines, 20_000);
--- a/packages/router/src/silence_limits.ts
+++ b/packages/router/src/silence_limits.ts
@@ -16,7 +16,7 @@
 export const LOCAL_SILENCE_FACTOR = 2.5;
 /**
  * Time for which other upstreams are preferred to a silent one, in
- * milliseconds, unless it sends something or its silence is found again.
+ * milliseconds; the time starts again with each silent call that is found.
  */
 export const SILENCE_MEMORY_MS = 1500;
 /**
--- a/packages/router/src/watch_stall.ts
+++ b/packages/router/src/watch_stall.ts
@@ -41,7 +41,7 @@
  * new calls prefer other upstreams and the other VMs are notified; only after
  * `MIN_OUTAGE_SILENCE_MS` it gets no new calls for a while. `onSilent` is called
  * if the call can be retried or resumed; for a started stream only if its
- * upstream is silent for all calls. The call itself goes on.
+ * upstream sends nothing for other calls either. The call itself goes on.
  */
 export function watchStall(
   call: WatchedCall,
--- a/packages/sessions/src/paused_entry_test.ts
+++ b/packages/sessions/src/paused_entry_test.ts
@@ -34,8 +34,8 @@
   };
 }
 
-// The permit of a paused entry stayed in use until a process of its VM linked
-// to the leader again.
+// Guards against a permit that stays in use until a process of the paused
+// entry's VM links to the leader again.
 test("no permit is granted to an entry that is paused", async (t) => {
   const service = await startHoldingService(t);
   const fleet = await startFleet({
