router: log the request of each suspected crash

A broken call that was not taken for a crash left no line with its fingerprint, and request-crashed-upstream named no request.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -195,6 +195,7 @@
     }
     if (result === AttemptResult.Broken) {
       crashDetector.onCallBroken(upstream, {
+        id: state.id,
         fingerprint: state.fingerprint,
         crash: `${vm}/${placement.call}`,
       });
--- a/packages/router/src/create_crash_detector.ts
+++ b/packages/router/src/create_crash_detector.ts
@@ -7,6 +7,8 @@
 
 /** A call without a complete response that may have crashed its upstream. */
 export interface SuspectedCrash {
+  /** Identifier of the request. */
+  id: string;
   /** Hash of the request's path and query, account and body. */
   fingerprint: string;
   /** Identifier of the crash, unique across all VMs. */
@@ -51,7 +53,7 @@
   }
 
   function confirm(upstream: Upstream): void {
-    for (const { fingerprint, crash } of recent(upstream)) {
+    for (const { id, fingerprint, crash } of recent(upstream)) {
       quarantine.onCrash(crash, [fingerprint]);
       network.publishLoadEvent({
         kind: LoadEventKind.Crashed,
@@ -59,6 +61,7 @@
         crash,
       });
       log.warn(LogEvent.RequestCrashedUpstream, {
+        id,
         fingerprint,
         crash,
         upstream: upstream.entry.id,
@@ -71,6 +74,12 @@
   return {
     onCallBroken(upstream, suspect) {
       const nowMs = clock.now();
+      log.warn(LogEvent.CrashSuspected, {
+        id: suspect.id,
+        fingerprint: suspect.fingerprint,
+        crash: suspect.crash,
+        upstream: upstream.entry.id,
+      });
       suspects.set(upstream, [...recent(upstream), {
         ...suspect,
         atMs: nowMs,
--- a/packages/router/src/create_crash_detector_test.ts
+++ b/packages/router/src/create_crash_detector_test.ts
@@ -22,7 +22,11 @@
 test("a request that causes two crashes is quarantined", () => {
   const { quarantine, detector, upstream } = createTestDetector();
   for (const crash of ["vm/1", "vm/2"]) {
-    detector.onCallBroken(upstream, { fingerprint: "poison", crash });
+    detector.onCallBroken(upstream, {
+      id: crash,
+      fingerprint: "poison",
+      crash,
+    });
     detector.onUnreachable(upstream);
   }
   assert.equal(quarantine.stateOf("poison"), FingerprintState.Quarantined);
@@ -31,7 +35,11 @@
 test("lost responses: a broken call long before a failure to connect is no crash", () => {
   const { clock, quarantine, detector, upstream } = createTestDetector();
   for (const crash of ["vm/1", "vm/2", "vm/3"]) {
-    detector.onCallBroken(upstream, { fingerprint: "read", crash });
+    detector.onCallBroken(upstream, {
+      id: crash,
+      fingerprint: "read",
+      crash,
+    });
     clock.advance(3000);
   }
   detector.onUnreachable(upstream);
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -32,6 +32,8 @@
   /** The platform was restored from an older copy; its revisions went back. */
   PlatformRestored = "platform-restored",
   PulledFromPeer = "pulled-from-peer",
+  /** A call broke off; its upstream may have crashed. */
+  CrashSuspected = "crash-suspected",
   RequestCrashedUpstream = "request-crashed-upstream",
   Placed = "placed",
   AttemptEnded = "attempt-ended",
