router: probe an upstream whose call broke off

Callers saw engine after engine crash under one request: it was sent on although it had crashed several. A broken call counted as a crash only if the same VM failed to connect to that upstream within 2 s, so a crash went unnoticed when no further call was placed there; and the failure share of the broken call steers calls away.

The upstream is now probed 20 ms after a broken call, once for all calls that broke with it. It is down if it accepts no connection; otherwise the connection is kept for the next call.

--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -26,6 +26,11 @@
    * Returns an idle connection or opens one; undefined if `maxOpen` are open.
    */
   acquire(address: UpstreamAddress, maxOpen: number): Connection | undefined;
+  /**
+   * Opens a connection and keeps it as idle; resolves with whether the upstream
+   * accepted it in time.
+   */
+  probe(address: UpstreamAddress): Promise<boolean>;
   /** Returns a connection to the pool after a complete response. */
   release(address: UpstreamAddress, connection: Connection): void;
   /** Closes a connection that cannot be reused, such as after an abort. */
@@ -56,10 +61,48 @@
   const { clock } = options;
   const idle = new Map<string, Connection[]>();
   const open = new Map<string, Set<Connection>>();
+  let isPoolClosed = false;
 
   const nameOf = ({ host, port }: UpstreamAddress) => `${host}:${port}`;
 
-  function openConnection(address: UpstreamAddress): Connection {
+  /** Opens a socket; `onResult` gets an error unless it was established. */
+  function openSocket(
+    address: UpstreamAddress,
+    onResult: (error: Error | null, socket: Socket) => void,
+  ): Socket {
+    const socket: Socket = connect({ ...address, noDelay: true });
+    let isConnected = false;
+    const cancelTimeout = clock.after(CONNECT_TIMEOUT_MS, () => {
+      socket.destroy(new Error("the connection was not established in time"));
+    });
+    socket.once("connect", () => {
+      isConnected = true;
+      cancelTimeout();
+      onResult(null, socket);
+    });
+    socket.on("error", (error) => {
+      cancelTimeout();
+      if (!isConnected) onResult(error, socket);
+    });
+    return socket;
+  }
+
+  function watchResets(connection: Connection, socket: Socket): void {
+    socket.on("end", () => {
+      // A reset right after data is reported as an end, but the socket then
+      // has no remote address.
+      if (socket.remoteAddress === undefined) connection.wasReset = true;
+    });
+    // Runs before the HTTP client's listener, which treats a reset as the end
+    // of the response.
+    socket.on("error", () => connection.wasReset = true);
+  }
+
+  /** Opens a connection, or takes one over that `established` has opened. */
+  function openConnection(
+    address: UpstreamAddress,
+    established?: Socket,
+  ): Connection {
     const name = nameOf(address);
     const connection: Connection = {
       client: undefined as unknown as UndiciClient,
@@ -83,33 +126,22 @@
           callback(new Error("the connection is closed"), null);
           return;
         }
-        const socket: Socket = connect({ ...address, noDelay: true });
-        const cancelTimeout = clock.after(CONNECT_TIMEOUT_MS, () => {
-          socket.destroy(
-            new Error("the connection was not established in time"),
-          );
-        });
-        let isConnected = false;
-        socket.once("connect", () => {
-          isConnected = true;
-          cancelTimeout();
+        const useSocket = (socket: Socket) => {
           callback(null, socket);
           connection.bytesReceived = () => socket.bytesRead;
           // May run before the HTTP client has read the same bytes.
           socket.on("readable", () => connection.onReceived?.());
+        };
+        if (established) {
+          // The client does not expect a socket before this call returns.
+          queueMicrotask(() => useSocket(established));
+          return;
+        }
+        const opened = openSocket(address, (error, socket) => {
+          if (error) callback(error, null);
+          else useSocket(socket);
         });
-        socket.on("end", () => {
-          // A reset right after data is reported as an end, but the socket then
-          // has no remote address.
-          if (socket.remoteAddress === undefined) connection.wasReset = true;
-        });
-        socket.on("error", (error) => {
-          cancelTimeout();
-          // Runs before the HTTP client's listener, which treats a reset as
-          // the end of the response.
-          connection.wasReset = true;
-          if (!isConnected) callback(error, null);
-        });
+        watchResets(connection, opened);
       },
     });
     connection.client.on(
@@ -120,6 +152,10 @@
       "connectionError",
       () => removeConnection(name, connection),
     );
+    if (established) {
+      watchResets(connection, established);
+      established.once("close", () => removeConnection(name, connection));
+    }
     let connections = open.get(name);
     if (!connections) open.set(name, connections = new Set());
     connections.add(connection);
@@ -139,6 +175,13 @@
     connection.client.destroy().catch(() => {});
   }
 
+  function keepIdle(name: string, connection: Connection): void {
+    connection.idleSinceMs = clock.now();
+    const list = idle.get(name);
+    if (list) list.push(connection);
+    else idle.set(name, [connection]);
+  }
+
   function isReusable(connection: Connection): boolean {
     if (connection.isClosed) return false;
     const idleMs = clock.now() - connection.idleSinceMs;
@@ -157,16 +200,22 @@
       if ((open.get(name)?.size ?? 0) >= maxOpen) return undefined;
       return openConnection(address);
     },
+    probe: (address) =>
+      new Promise((resolve) => {
+        openSocket(address, (error, socket) => {
+          if (isPoolClosed) socket.destroy();
+          resolve(error === null);
+          if (error || isPoolClosed) return;
+          keepIdle(nameOf(address), openConnection(address, socket));
+        });
+      }),
     release(address, connection) {
       const name = nameOf(address);
       if (connection.isClosed || connection.idleLimitMs <= 0) {
         close(name, connection);
         return;
       }
-      connection.idleSinceMs = clock.now();
-      let list = idle.get(name);
-      if (!list) idle.set(name, list = []);
-      list.push(connection);
+      keepIdle(name, connection);
     },
     discard(address, connection) {
       close(nameOf(address), connection);
@@ -186,6 +235,7 @@
       return count;
     },
     close() {
+      isPoolClosed = true;
       for (const [name, connections] of open) {
         for (const connection of [...connections]) close(name, connection);
       }
--- a/packages/router/src/create_crash_detector.ts
+++ b/packages/router/src/create_crash_detector.ts
@@ -1,7 +1,8 @@
 import { LoadEventKind, type PeerNetwork } from "@rosemarytiller/peers";
 import type { Quarantine } from "@rosemarytiller/policy";
 import type { Clock } from "@rosemarytiller/shared";
-import type { Upstream } from "./create_registry.ts";
+import type { ConnectionPool } from "./create_connection_pool.ts";
+import type { Registry, Upstream } from "./create_registry.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 
@@ -18,8 +19,8 @@
 /** Distinguishes crashes of upstreams from other broken calls. */
 export interface CrashDetector {
   /**
-   * Records a broken call. It counts as a crash if the upstream is down or
-   * becomes unreachable shortly after.
+   * Records a broken call. It counts as a crash if the upstream accepts no
+   * connection shortly after, which is tried at once.
    */
   onCallBroken(upstream: Upstream, suspect: SuspectedCrash): void;
   /** Records a failure to connect; recent broken calls count as crashes. */
@@ -31,11 +32,18 @@
   clock: Clock;
   log: EventLog;
   quarantine: Quarantine;
+  registry: Pick<Registry, "onConnectFailed">;
+  pool: Pick<ConnectionPool, "probe">;
   network: Pick<PeerNetwork, "publishLoadEvent">;
 }
 
 /** Time from a broken call within which an upstream must be down, in ms. */
 const CRASH_WINDOW_MS = 2000;
+/**
+ * Time from a broken call to the probe, in milliseconds: a process that ends
+ * may close its port after its connections.
+ */
+const PROBE_DELAY_MS = 20;
 
 /**
  * Creates the detector. Confirmed crashes go to the quarantine, the other VMs
@@ -44,8 +52,9 @@
 export function createCrashDetector(
   options: CrashDetectorOptions,
 ): CrashDetector {
-  const { clock, log, quarantine, network } = options;
+  const { clock, log, quarantine, registry, pool, network } = options;
   const suspects = new Map<Upstream, (SuspectedCrash & { atMs: number })[]>();
+  const probed = new Set<Upstream>();
 
   function recent(upstream: Upstream) {
     const sinceMs = clock.now() - CRASH_WINDOW_MS;
@@ -71,6 +80,27 @@
     suspects.delete(upstream);
   }
 
+  /** Checks whether the upstream is up; one probe at a time for each. */
+  function probe(upstream: Upstream): void {
+    if (probed.has(upstream)) return;
+    probed.add(upstream);
+    clock.after(PROBE_DELAY_MS, async () => {
+      const startedMs = clock.now();
+      const isUp = await pool.probe(upstream.entry);
+      probed.delete(upstream);
+      if (!isUp) {
+        registry.onConnectFailed(upstream, "no connection after a broken call");
+        confirm(upstream);
+        return;
+      }
+      const later = recent(upstream).filter(({ atMs }) => atMs > startedMs);
+      suspects.delete(upstream);
+      if (later.length === 0) return;
+      suspects.set(upstream, later);
+      probe(upstream);
+    });
+  }
+
   return {
     onCallBroken(upstream, suspect) {
       const nowMs = clock.now();
@@ -85,6 +115,7 @@
         atMs: nowMs,
       }]);
       if (upstream.downUntilMs > nowMs) confirm(upstream);
+      else probe(upstream);
     },
     onUnreachable: confirm,
   };
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -98,6 +98,8 @@
     clock,
     log,
     quarantine,
+    registry,
+    pool,
     network,
   });
   const allowances = new Map<string, RetryAllowance>();
