policy: find the cause among the requests in flight at crashes

All requests in flight at a crash were counted alike, and nothing freed the sound ones on a router: one that was retried at an upstream which the same crashing request reached next was refused with 422 for ten minutes.

Of the reports, the suspect with the most crashes now explains those, and they no longer count against others; a complete answer clears the crashes before it. The result depends on the set of reports only, not on their order (property test).

--- /dev/null
+++ b/packages/policy/src/create_crash_evidence_test.ts
@@ -0,0 +1,81 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type CrashClearing,
+  type CrashReport,
+  createCrashEvidence,
+} from "./create_crash_evidence.ts";
+
+/** Evidence of crashes, each given with the requests that were in flight. */
+function createTestEvidence(crashes: Record<string, string[]>) {
+  const evidence = createCrashEvidence();
+  for (const [crash, requests] of Object.entries(crashes)) {
+    for (const request of requests) evidence.add({ crash, request });
+  }
+  return evidence;
+}
+
+test("a request in flight at two crashes is quarantined", () => {
+  const evidence = createTestEvidence({ c1: ["a", "b"], c2: ["a"] });
+  assert.deepEqual([...evidence.quarantined()], ["a"]);
+});
+
+test("two calls of a request at one crash count once", () => {
+  const evidence = createTestEvidence({ c1: ["a", "a"] });
+  assert.deepEqual([...evidence.quarantined()], []);
+});
+
+// Guards against sound requests that are refused as they were retried at an
+// upstream which the same crashing request reached next.
+test("crashes with a more frequent cause do not count against others", () => {
+  const crashes = { c1: ["a", "b"], c2: ["a", "b"] };
+  const evidence = createTestEvidence(crashes);
+  assert.deepEqual([...evidence.quarantined()].sort(), ["a", "b"]);
+  evidence.add({ crash: "c3", request: "a" });
+  assert.deepEqual([...evidence.quarantined()], ["a"]);
+});
+
+test("an answer clears the crashes before it, not later ones", () => {
+  const evidence = createTestEvidence({ c1: ["a"], c2: ["a"] });
+  for (const clearing of evidence.clearedBy("a")) evidence.clear(clearing);
+  assert.deepEqual([...evidence.quarantined()], []);
+  evidence.add({ crash: "c3", request: "a" });
+  assert.deepEqual([...evidence.quarantined()], []);
+  evidence.add({ crash: "c4", request: "a" });
+  assert.deepEqual([...evidence.quarantined()], ["a"]);
+});
+
+test("a removed report no longer counts", () => {
+  const evidence = createCrashEvidence();
+  const reports = ["c1", "c2"].map((crash) => ({ crash, request: "a" }));
+  for (const report of reports) evidence.add(report);
+  evidence.remove(reports[0]!);
+  assert.deepEqual([...evidence.quarantined()], []);
+});
+
+// Guards against VMs that quarantine different requests by the same facts.
+test("the order and repetition of changes do not matter", () => {
+  const names = fc.constantFrom("a", "b", "c", "d");
+  const crashes = fc.constantFrom("c1", "c2", "c3", "c4");
+  const reports = fc.array(fc.record({ crash: crashes, request: names }));
+  const clearings = fc.array(fc.record({ suspect: names, crash: crashes }));
+  const inputs = fc.tuple(reports, clearings).chain(([some, cleared]) => {
+    const changes: (CrashReport | CrashClearing)[] = [...some, ...cleared];
+    const shuffled = fc.shuffledSubarray([...changes, ...changes], {
+      minLength: changes.length * 2,
+    });
+    return fc.tuple(fc.constant(changes), shuffled);
+  });
+  const quarantinedAfter = (changes: (CrashReport | CrashClearing)[]) => {
+    const evidence = createCrashEvidence();
+    for (const change of changes) {
+      if ("request" in change) evidence.add(change);
+      else evidence.clear(change);
+    }
+    return [...evidence.quarantined()].sort();
+  };
+  fc.assert(fc.property(inputs, ([changes, shuffled]) => {
+    assert.deepEqual(quarantinedAfter(shuffled), quarantinedAfter(changes));
+  }));
+});
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./choose_engine.ts";
 export * from "./choose_upstream.ts";
 export * from "./create_admission.ts";
+export * from "./create_crash_evidence.ts";
 export * from "./create_drain_rate.ts";
 export * from "./create_engine_model.ts";
 export * from "./create_external_load.ts";
