router: share crash reports with VMs that missed them

A crash was reported in one datagram to each peer.

Crash reports and clearings are now facts: a set that VMs merge in any order and with repetitions. A new fact goes out at once as before. The heartbeat carries a digest of the set; a VM whose digest differs pulls the whole set from that peer, at most four times a second. A VM that starts is ready once it has a peer's facts, or after 1 s without any.

A crash has one identifier on all VMs (upstream and its start), so several VMs with calls in flight count one crash. The load event of crashes (kind 4) is gone: VMs of the former version do not learn of crashes during an upgrade.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -2,6 +2,7 @@
 import { Packr } from "msgpackr";
 import { randomInt } from "node:crypto";
 import { createSocket, type Socket } from "node:dgram";
+import type { SharedFact } from "./create_shared_facts.ts";
 import {
   decodeHeartbeat,
   decodeLoadEvent,
@@ -9,6 +10,7 @@
   encodeLoadEvent,
   type Heartbeat,
   type LoadEvent,
+  LoadEventKind,
   type PeerMessage,
   PeerMessageKind,
   type PushedItems,
@@ -91,6 +93,8 @@
    * otherwise, or without `dataCentre`, to all members.
    */
   publishLoadEvent(event: LoadEvent, dataCentre?: string): void;
+  /** Queues a fact for all members; see `SharedFacts`. */
+  publishFact(fact: SharedFact): void;
   /**
    * Sends changes of published items to all members, in a large fleet to those
    * of this data centre. Sends nothing if they exceed a datagram: members pull
@@ -291,6 +295,22 @@
     }
   }
 
+  function publishLoadEvent(event: LoadEvent, targetDataCentre = ""): void {
+    const centre = isLargeFleet() ? targetDataCentre : "";
+    const events = queuedEvents.get(centre);
+    if (events) events.push(event);
+    else queuedEvents.set(centre, [event]);
+    // In a large fleet a batch is assumed to go to one data centre, which has
+    // one in `REMOTE_HEARTBEAT_TARGETS` members.
+    const recipients = isLargeFleet()
+      ? members.size / REMOTE_HEARTBEAT_TARGETS
+      : members.size;
+    cancelFlush ??= clock.after(
+      BATCH_DELAY_MS + BATCH_DELAY_MS_PER_MEMBER * recipients,
+      flushEvents,
+    );
+  }
+
   /** Updates or adds a message's sender; a new incarnation is a restart. */
   function touchMember(from: string, memberIncarnation: number): Member {
     let member = members.get(from);
@@ -372,21 +392,9 @@
       });
       sendHeartbeat();
     },
-    publishLoadEvent(event, targetDataCentre = "") {
-      const centre = isLargeFleet() ? targetDataCentre : "";
-      const events = queuedEvents.get(centre);
-      if (events) events.push(event);
-      else queuedEvents.set(centre, [event]);
-      // In a large fleet a batch is assumed to go to one data centre, which has
-      // one in `REMOTE_HEARTBEAT_TARGETS` members.
-      const recipients = isLargeFleet()
-        ? members.size / REMOTE_HEARTBEAT_TARGETS
-        : members.size;
-      cancelFlush ??= clock.after(
-        BATCH_DELAY_MS + BATCH_DELAY_MS_PER_MEMBER * recipients,
-        flushEvents,
-      );
-    },
+    publishLoadEvent,
+    publishFact: ({ values, remainingMs }) =>
+      publishLoadEvent({ kind: LoadEventKind.Fact, values, remainingMs }),
     pushItems(push) {
       const message: PeerMessage = [PeerMessageKind.Items, incarnation, push];
       // Members pull what exceeds a datagram once they see the new revision.
--- a/packages/peers/src/exchange_published.ts
+++ b/packages/peers/src/exchange_published.ts
@@ -1,8 +1,7 @@
-import { readLimited } from "@rosemarytiller/shared";
 import { Packr } from "msgpackr";
 import type { Buffer } from "node:buffer";
-import { type IncomingMessage, request, type ServerResponse } from "node:http";
-import { constants, gunzipSync, gzipSync } from "node:zlib";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { constants, gzipSync } from "node:zlib";
 import {
   comparePositions,
   type PublishedChanges,
@@ -10,20 +9,12 @@
   type PublishedItems,
   type PublishedPosition,
 } from "./create_published_items.ts";
+import { GZIP, pullFromPeer } from "./pull_from_peer.ts";
 
 /** Path at which a VM serves published items to its peers. */
 export const PUBLISHED_PATH = "/published";
 /** Path at which a VM serves the item of its configuration to its peers. */
 export const CONFIGURATION_PATH = "/configuration";
-/** Timeout of a pull, in milliseconds: many round trips. */
-const PULL_TIMEOUT_MS = 700;
-
-/** Largest response to a pull, before and after decompression, in bytes. */
-const MAX_PULL_BYTES = 16 * 1024 * 1024;
-
-/** Content coding of compressed responses. */
-const GZIP = "gzip";
-
 const packr = new Packr({ useRecords: false });
 
 /**
@@ -77,7 +68,7 @@
   after: number,
   era = 0,
 ): Promise<PublishedChanges> {
-  return pull(peer, `${PUBLISHED_PATH}?after=${after}&era=${era}`);
+  return pullFromPeer(peer, `${PUBLISHED_PATH}?after=${after}&era=${era}`);
 }
 
 /**
@@ -106,41 +97,5 @@
 export function pullConfiguration(
   peer: { host: string; port: number },
 ): Promise<PublishedItem> {
-  return pull(peer, CONFIGURATION_PATH);
-}
-
-/** Requests a MessagePack body, which may be compressed. */
-function pull<T>(
-  peer: { host: string; port: number },
-  path: string,
-): Promise<T> {
-  return new Promise((resolve, reject) => {
-    const outgoing = request({
-      host: peer.host,
-      port: peer.port,
-      path,
-      agent: false,
-      headers: { "Accept-Encoding": GZIP },
-    }, (response) => {
-      if (response.statusCode !== 200) {
-        response.resume();
-        reject(new Error(`the peer responded with ${response.statusCode}`));
-        return;
-      }
-      readLimited(response, MAX_PULL_BYTES).then((bytes) => {
-        const isCompressed = response.headers["content-encoding"] === GZIP;
-        const packed = isCompressed
-          ? gunzipSync(bytes, { maxOutputLength: MAX_PULL_BYTES })
-          : bytes;
-        resolve(packr.unpack(packed));
-      }).catch(reject);
-    });
-    const timer = setTimeout(
-      () => outgoing.destroy(new Error("the peer did not respond in time")),
-      PULL_TIMEOUT_MS,
-    );
-    outgoing.on("error", reject);
-    outgoing.on("close", () => clearTimeout(timer));
-    outgoing.end();
-  });
+  return pullFromPeer(peer, CONFIGURATION_PATH);
 }
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -1,4 +1,5 @@
 import type { PublishedChanges } from "./create_published_items.ts";
+import type { SharedFact } from "./create_shared_facts.ts";
 
 /** Kinds of datagram between the VMs. */
 export enum PeerMessageKind {
@@ -17,8 +18,6 @@
   Started = 1,
   FirstEvent = 2,
   Ended = 3,
-  /** An upstream crashed while it ran a request with this fingerprint. */
-  Crashed = 4,
   /**
    * A response is overdue and the upstream sends nothing to any VM or, for a
    * longer time, nothing to the sender of this event.
@@ -28,6 +27,8 @@
   StreamStarted = 6,
   /** An upstream announced that it is about to stop. */
   Leaving = 7,
+  /** A fact that all VMs are to know; see `SharedFact`. */
+  Fact = 8,
 }
 
 /** How a call ended, as reported to the other VMs. */
@@ -76,12 +77,9 @@
   end: CallEnd;
 }
 
-/** An upstream crashed while it ran a request. */
-export interface CrashedEvent {
-  kind: LoadEventKind.Crashed;
-  fingerprint: string;
-  /** Identifier of the crash; each broken call has its own. */
-  crash: string;
+/** A fact became known to the sender. */
+export interface FactEvent extends SharedFact {
+  kind: LoadEventKind.Fact;
 }
 
 /** An upstream stalled. */
@@ -114,7 +112,7 @@
   | StartedEvent
   | FirstEventReceivedEvent
   | EndedEvent
-  | CrashedEvent
+  | FactEvent
   | StalledEvent
   | StreamStartedEvent
   | LeavingEvent;
@@ -137,6 +135,8 @@
    * undefined from VMs of older versions.
    */
   configurationVersion?: number;
+  /** Digest of the sender's facts; undefined from VMs of older versions. */
+  factsDigest?: number;
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
@@ -165,7 +165,7 @@
   ],
   [LoadEventKind.FirstEvent]: ["call", "upstream"],
   [LoadEventKind.Ended]: ["call", "upstream", "end"],
-  [LoadEventKind.Crashed]: ["fingerprint", "crash"],
+  [LoadEventKind.Fact]: ["values", "remainingMs"],
   [LoadEventKind.Stalled]: ["upstream"],
   [LoadEventKind.StreamStarted]: ["id", "softwareVersion", "keepMs"],
   [LoadEventKind.Leaving]: ["upstream", "run"],
@@ -180,6 +180,7 @@
   "calls",
   "era",
   "configurationVersion",
+  "factsDigest",
 ];
 
 /** Encodes as a list, as field names would take up most of a datagram. */
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -7,6 +7,7 @@
 import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
 import { chooseBackupUpstream } from "./choose_backup_upstream.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
+import type { Containment } from "./create_containment.ts";
 import type { CrashDetector } from "./create_crash_detector.ts";
 import { type Registry, runOf, type Upstream } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
@@ -35,6 +36,7 @@
   network: Pick<PeerNetwork, "knownVmCount" | "publishLoadEvent">;
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
+  containment: Pick<Containment, "onAnswer">;
   /** Name of this VM. */
   vm: string;
   /** This VM's allowance of retries for a service. */
@@ -85,7 +87,8 @@
   options: AttemptStarterOptions,
 ): AttemptStarter {
   const { clock, log, metrics, protocol, registry, pool } = options;
-  const { network, origins, crashDetector, vm, allowanceOf } = options;
+  const { network, origins, crashDetector, containment, vm } = options;
+  const { allowanceOf } = options;
 
   /** Bytes of the bodies of all responses in progress. */
   let bodiesBytes = 0;
@@ -94,6 +97,15 @@
     return `${entry.host}:${entry.port}`;
   }
 
+  /**
+   * Identifier of a crash. All VMs have the same one if the entry says when the
+   * upstream started; otherwise each call counts as a crash of its own.
+   */
+  function crashOf({ upstream, call }: Placement): string {
+    const { id, startedMs } = upstream.entry;
+    return startedMs === undefined ? `${vm}/${call}` : `${id}@${startedMs}`;
+  }
+
   /** Acquires a connection; throws a `TillerError` if none is left. */
   function acquireConnection(state: RequestState, placement: Placement) {
     // This VM's share of 90 % of the connections that the upstream accepts, at
@@ -195,11 +207,13 @@
     }
     if (result === AttemptResult.Broken) {
       crashDetector.onCallBroken(upstream, {
-        id: state.id,
-        fingerprint: state.fingerprint,
-        crash: `${vm}/${placement.call}`,
+        request: state,
+        crash: crashOf(placement),
       });
     }
+    if (result === AttemptResult.Complete && status < 400) {
+      containment.onAnswer(state);
+    }
     if (result === AttemptResult.NotRun) state.possibleRuns--;
     if (warmUpMs) {
       upstream.warmUpUntilMs = Math.max(
--- a/packages/router/src/create_crash_detector.ts
+++ b/packages/router/src/create_crash_detector.ts
@@ -1,18 +1,14 @@
-import { LoadEventKind, type PeerNetwork } from "@rosemarytiller/peers";
-import type { Quarantine } from "@rosemarytiller/policy";
 import type { Clock } from "@rosemarytiller/shared";
 import type { ConnectionPool } from "./create_connection_pool.ts";
+import type { ContainedRequest, Containment } from "./create_containment.ts";
 import type { Registry, Upstream } from "./create_registry.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 
 /** A call without a complete response that may have crashed its upstream. */
 export interface SuspectedCrash {
-  /** Identifier of the request. */
-  id: string;
-  /** Hash of the request's path and query, account and body. */
-  fingerprint: string;
-  /** Identifier of the crash, unique across all VMs. */
+  request: ContainedRequest;
+  /** Identifier of the crash, the same on all VMs. */
   crash: string;
 }
 
@@ -31,10 +27,9 @@
 export interface CrashDetectorOptions {
   clock: Clock;
   log: EventLog;
-  quarantine: Quarantine;
+  containment: Pick<Containment, "onCrash">;
   registry: Pick<Registry, "onConnectFailed">;
   pool: Pick<ConnectionPool, "probe">;
-  network: Pick<PeerNetwork, "publishLoadEvent">;
 }
 
 /** Time from a broken call within which an upstream must be down, in ms. */
@@ -46,13 +41,12 @@
 const PROBE_DELAY_MS = 20;
 
 /**
- * Creates the detector. Confirmed crashes go to the quarantine, the other VMs
- * and the log.
+ * Creates the detector. Confirmed crashes go to the containment and the log.
  */
 export function createCrashDetector(
   options: CrashDetectorOptions,
 ): CrashDetector {
-  const { clock, log, quarantine, registry, pool, network } = options;
+  const { clock, log, containment, registry, pool } = options;
   const suspects = new Map<Upstream, (SuspectedCrash & { atMs: number })[]>();
   const probed = new Set<Upstream>();
 
@@ -62,20 +56,14 @@
   }
 
   function confirm(upstream: Upstream): void {
-    for (const { id, fingerprint, crash } of recent(upstream)) {
-      quarantine.onCrash(crash, [fingerprint]);
-      network.publishLoadEvent({
-        kind: LoadEventKind.Crashed,
-        fingerprint,
-        crash,
-      });
+    for (const { request, crash } of recent(upstream)) {
       log.warn(LogEvent.RequestCrashedUpstream, {
-        id,
-        fingerprint,
+        id: request.id,
+        fingerprint: request.fingerprint,
         crash,
         upstream: upstream.entry.id,
-        state: quarantine.stateOf(fingerprint),
       });
+      containment.onCrash(crash, request);
     }
     suspects.delete(upstream);
   }
@@ -105,8 +93,8 @@
     onCallBroken(upstream, suspect) {
       const nowMs = clock.now();
       log.warn(LogEvent.CrashSuspected, {
-        id: suspect.id,
-        fingerprint: suspect.fingerprint,
+        id: suspect.request.id,
+        fingerprint: suspect.request.fingerprint,
         crash: suspect.crash,
         upstream: upstream.entry.id,
       });
--- a/packages/router/src/create_crash_detector_test.ts
+++ b/packages/router/src/create_crash_detector_test.ts
@@ -1,4 +1,3 @@
-import { createQuarantine, FingerprintState } from "@rosemarytiller/policy";
 import { createFakeClock } from "@rosemarytiller/shared";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -11,13 +10,18 @@
 
 function createTestDetector({ isUp }: { isUp: boolean }) {
   const clock = createFakeClock(10_000);
-  const quarantine = createQuarantine({ now: clock.now, onChange() {} });
+  /** Requests in flight, by crash. */
+  const crashes: Record<string, string[]> = {};
   let probes = 0;
   const down: Upstream[] = [];
   const detector = createCrashDetector({
     clock,
     log: createNoopLog(),
-    quarantine,
+    containment: {
+      onCrash(crash, { fingerprint }) {
+        crashes[crash] = [...crashes[crash] ?? [], fingerprint];
+      },
+    },
     registry: { onConnectFailed: (upstream) => void down.push(upstream) },
     pool: {
       probe() {
@@ -25,12 +29,14 @@
         return Promise.resolve(isUp);
       },
     },
-    network: { publishLoadEvent() {} },
   });
   const upstream = { downUntilMs: 0, entry: { id: "u" } } as Upstream;
 
   function breakCall(fingerprint: string, crash: string): void {
-    detector.onCallBroken(upstream, { id: crash, fingerprint, crash });
+    detector.onCallBroken(upstream, {
+      request: { id: crash, fingerprint },
+      crash,
+    });
   }
 
   /** Lets the probe of the upstream end. */
@@ -41,7 +47,7 @@
 
   return {
     clock,
-    quarantine,
+    crashes,
     detector,
     upstream,
     down,
@@ -51,45 +57,47 @@
   };
 }
 
-test("a request that causes two crashes is quarantined", () => {
-  const { quarantine, detector, upstream, breakCall } = createTestDetector({
+test("a request in flight at two crashes counts for both", () => {
+  const { crashes, detector, upstream, breakCall } = createTestDetector({
     isUp: true,
   });
   for (const crash of ["vm/1", "vm/2"]) {
     breakCall("poison", crash);
     detector.onUnreachable(upstream);
   }
-  assert.equal(quarantine.stateOf("poison"), FingerprintState.Quarantined);
+  assert.deepEqual(crashes, { "vm/1": ["poison"], "vm/2": ["poison"] });
 });
 
 test("lost responses: a broken call long before a failure to connect is no crash", () => {
-  const { clock, quarantine, detector, upstream, breakCall } =
-    createTestDetector({ isUp: true });
+  const { clock, crashes, detector, upstream, breakCall } = createTestDetector({
+    isUp: true,
+  });
   for (const crash of ["vm/1", "vm/2", "vm/3"]) {
     breakCall("read", crash);
     clock.advance(3000);
   }
   detector.onUnreachable(upstream);
-  assert.equal(quarantine.stateOf("read"), FingerprintState.Clear);
+  assert.deepEqual(crashes, {});
 });
 
 // Guards against a crash that goes unnoticed until another call is placed.
 test("an upstream that accepts no connection after a broken call has crashed", async () => {
-  const { quarantine, upstream, down, breakCall, awaitProbe } =
-    createTestDetector({ isUp: false });
+  const { crashes, upstream, down, breakCall, awaitProbe } = createTestDetector(
+    { isUp: false },
+  );
   breakCall("poison", "vm/1");
   await awaitProbe();
-  assert.equal(quarantine.stateOf("poison"), FingerprintState.Suspect);
+  assert.deepEqual(crashes, { "vm/1": ["poison"] });
   assert.deepEqual(down, [upstream]);
 });
 
 test("an upstream that accepts a connection has not crashed", async () => {
-  const { quarantine, detector, upstream, down, breakCall, awaitProbe } =
+  const { crashes, detector, upstream, down, breakCall, awaitProbe } =
     createTestDetector({ isUp: true });
   breakCall("read", "vm/1");
   await awaitProbe();
   detector.onUnreachable(upstream);
-  assert.equal(quarantine.stateOf("read"), FingerprintState.Clear);
+  assert.deepEqual(crashes, {});
   assert.deepEqual(down, []);
 });
 
--- /dev/null
+++ b/packages/router/src/create_facts_sync_test.ts
@@ -0,0 +1,53 @@
+import { createFakeClock } from "@rosemarytiller/shared";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createContainment } from "./create_containment.ts";
+import { createFactsSync } from "./create_facts_sync.ts";
+import { createNoopLog } from "./event_log.ts";
+
+function createTestSync() {
+  const clock = createFakeClock();
+  const log = createNoopLog();
+  const network = { publishFact() {} };
+  const own = createContainment({ clock, log, network });
+  const peer = createContainment({ clock, log, network });
+  let pulls = 0;
+  const sync = createFactsSync({
+    clock,
+    log,
+    facts: own.facts,
+    pull() {
+      pulls++;
+      return Promise.resolve(peer.facts.list());
+    },
+  });
+
+  /** Delivers a heartbeat of the peer and waits for the pull it causes. */
+  async function beat(): Promise<void> {
+    sync.onHeartbeat("peer", peer.facts.digest());
+    clock.advance(300);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
+  return { clock, own, peer, sync, beat, pulls: () => pulls };
+}
+
+// Guards against facts that stay unknown after a lost datagram.
+test("a VM pulls the facts that it lacks, once", async () => {
+  const { own, peer, beat, pulls } = createTestSync();
+  peer.onCrash("c1", { id: "id", fingerprint: "a" });
+  for (let heartbeat = 0; heartbeat < 3; heartbeat++) await beat();
+  assert.equal(own.facts.digest(), peer.facts.digest());
+  assert.equal(pulls(), 1);
+});
+
+test("a VM joins with the first facts, or alone after a time", async () => {
+  const joining = createTestSync();
+  assert.equal(joining.sync.isJoined(), false);
+  joining.peer.onCrash("c1", { id: "id", fingerprint: "a" });
+  await joining.beat();
+  assert.equal(joining.sync.isJoined(), true);
+  const alone = createTestSync();
+  alone.clock.advance(1000);
+  assert.equal(alone.sync.isJoined(), true);
+});
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -1,8 +1,6 @@
 import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
 import {
   createRetryAllowance,
-  FingerprintState,
-  type Quarantine,
   type RetryAllowance,
   type RetryBounds,
   urgencyOf,
@@ -24,6 +22,7 @@
 } from "./create_attempt_starter.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
+import type { Containment } from "./create_containment.ts";
 import { createCrashDetector } from "./create_crash_detector.ts";
 import type { Registry } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
@@ -55,7 +54,7 @@
   pool: ConnectionPool;
   network: PeerNetwork;
   origins: StreamOrigins;
-  quarantine: Quarantine;
+  containment: Containment;
   retryBounds: RetryBounds;
   /** Name of this VM. */
   vm: string;
@@ -92,15 +91,14 @@
 ): RequestServer {
   const { clock, log, metrics, protocol, registry, scheduler, pool, network } =
     options;
-  const { origins, quarantine, retryBounds, vm } = options;
+  const { origins, containment, retryBounds, vm } = options;
   const { configuration, isCurrent } = options;
   const crashDetector = createCrashDetector({
     clock,
     log,
-    quarantine,
+    containment,
     registry,
     pool,
-    network,
   });
   const allowances = new Map<string, RetryAllowance>();
   const attempts = createAttemptStarter({
@@ -113,6 +111,7 @@
     network,
     origins,
     crashDetector,
+    containment,
     vm,
     allowanceOf,
   });
@@ -147,19 +146,15 @@
     const { metadata } = request;
     const fingerprint = createHash("sha1").update(request.pathAndQuery)
       .update(`\n${account?.name}\n`).update(request.body).digest("base64");
-    if (quarantine.stateOf(fingerprint) === FingerprintState.Quarantined) {
-      throw new TillerError(
-        ErrorKind.Quarantined,
-        "upstreams crashed while this request was in progress",
-      );
-    }
+    const id = metadata.id ?? "";
+    containment.check({ id, fingerprint });
     const timeoutMs = Math.min(
       metadata.deadlineMs ?? Infinity,
       route.timeoutMs,
     );
     const controller = new AbortController();
     return {
-      id: metadata.id ?? "",
+      id,
       route,
       service,
       account,
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -3,9 +3,11 @@
   comparePositions,
   CONFIGURATION_PATH,
   createConfigurationHandler,
+  createFactsHandler,
   createPeerNetwork,
   createPublishedHandler,
   createPublishedItems,
+  FACTS_PATH,
   type LoadEvent,
   LoadEventKind,
   type Member,
@@ -14,10 +16,11 @@
   type PublishedItem,
   type PublishedPosition,
   pullConfiguration,
+  pullFacts,
   pullPublished,
   type PushedItems,
 } from "@rosemarytiller/peers";
-import { createQuarantine, type RetryBounds } from "@rosemarytiller/policy";
+import type { RetryBounds } from "@rosemarytiller/policy";
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
 import { createServer, type Server } from "node:http";
 import { createCallerServer } from "./create_caller_server.ts";
@@ -26,6 +29,8 @@
   createConfigurationIndex,
 } from "./create_configuration_index.ts";
 import { createConnectionPool } from "./create_connection_pool.ts";
+import { createContainment } from "./create_containment.ts";
+import { createFactsSync } from "./create_facts_sync.ts";
 import { createRegistry } from "./create_registry.ts";
 import { createRequestServer } from "./create_request_server.ts";
 import { createRouterMetrics } from "./create_router_metrics.ts";
@@ -136,8 +141,8 @@
   "entriesBackMs",
   "staleMs",
 ]);
-/** Interval at which expired idle connections are closed, in ms. */
-const POOL_SWEEP_MS = 500;
+/** Interval at which idle connections and facts that expired go, in ms. */
+const SWEEP_MS = 500;
 /** Delay before newer items are pulled from a peer, in milliseconds. */
 const PULL_DELAY_MS = 60;
 /** Weight of calls reported by VMs of other data centres in failure shares. */
@@ -160,7 +165,6 @@
   const published = createPublishedItems();
   const registry = createRegistry({ clock, log });
   const pool = createConnectionPool({ clock });
-  const quarantine = createQuarantine({ now: clock.now, onChange() {} });
   let index: ConfigurationIndex | undefined;
   /** The item of `index`; after a restore, `published` may have an older one. */
   let configurationItem: PublishedItem | undefined;
@@ -190,8 +194,16 @@
       confirmedAgeMs: Math.round(clock.now() - confirmedMs),
       calls: scheduler.ownCalls(),
       configurationVersion: index?.configuration.version ?? 0,
+      factsDigest: containment.facts.digest(),
     }),
   });
+  const containment = createContainment({ clock, log, network });
+  const factsSync = createFactsSync({
+    clock,
+    log,
+    facts: containment.facts,
+    pull: (host) => pullFacts({ host, port: settings.peers.port }),
+  });
   const scheduler = createScheduler({ clock, registry, network, dataCentre });
   const origins = createStreamOrigins({ clock, network, dataCentre });
   const metrics = createRouterMetrics({
@@ -213,7 +225,7 @@
     pool,
     network,
     origins,
-    quarantine,
+    containment,
     retryBounds: settings.retries,
     vm,
     configuration: () => index,
@@ -351,6 +363,7 @@
       for (const call of calls?.[1] ?? []) keys.add(`${host}:${call}`);
       upstream.model.reconcile(`${host}:`, keys);
     }
+    factsSync.onHeartbeat(host, heartbeat.factsDigest);
     const order = comparePositions(positionOf(member), published.position());
     if (order === 0 && index) {
       confirmedMs = Math.max(
@@ -433,8 +446,8 @@
   function onLoadEvents(member: Member, events: LoadEvent[]): void {
     const nowMs = clock.now();
     for (const event of events) {
-      if (event.kind === LoadEventKind.Crashed) {
-        quarantine.onCrash(event.crash, [event.fingerprint]);
+      if (event.kind === LoadEventKind.Fact) {
+        containment.facts.merge([event]);
         continue;
       }
       if (event.kind === LoadEventKind.StreamStarted) {
@@ -486,7 +499,7 @@
   }
 
   function isReady(): boolean {
-    return !isStopping && index !== undefined;
+    return !isStopping && index !== undefined && factsSync.isJoined();
   }
 
   function listen(
@@ -524,6 +537,7 @@
       await Promise.all([
         listen(settings.peers, {
           [PUBLISHED_PATH]: createPublishedHandler(published),
+          [FACTS_PATH]: createFactsHandler(containment.facts),
           [CONFIGURATION_PATH]: createConfigurationHandler(() =>
             configurationItem
           ),
@@ -539,7 +553,10 @@
         callerServer.listen(settings.callers),
       ]);
       source.start(sink);
-      timers.push(repeat(clock, POOL_SWEEP_MS, () => pool.sweep()));
+      timers.push(repeat(clock, SWEEP_MS, () => {
+        pool.sweep();
+        containment.expire();
+      }));
       log.info(LogEvent.Started, {
         startupMs: Math.round(performance.now()),
         settings,
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -35,6 +35,14 @@
   /** A call broke off; its upstream may have crashed. */
   CrashSuspected = "crash-suspected",
   RequestCrashedUpstream = "request-crashed-upstream",
+  /** A request is taken for the cause of crashes. */
+  QuarantineStarted = "quarantine-started",
+  /** A suspect is no longer taken for the cause of crashes. */
+  QuarantineEnded = "quarantine-ended",
+  /** A quarantined request was not sent. */
+  Quarantined = "quarantined",
+  /** Facts that this VM lacked were fetched from a peer. */
+  FactsPulled = "facts-pulled",
   Placed = "placed",
   AttemptEnded = "attempt-ended",
   /** An upstream sent nothing for a call's idle timeout. */
