router: check the quarantine before each call of a request

A request was looked up once, when it arrived. One that was already in progress, or queued, when others found that it crashes upstreams was still sent again: as a retry, a standby, or a resume from a copy. The check now stands where every attempt starts, just before the bytes go out. 'a request in progress is not sent again once it is quarantined' failed before (502 and one more crash instead of 422).

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -36,7 +36,7 @@
   network: Pick<PeerNetwork, "knownVmCount" | "publishLoadEvent">;
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
-  containment: Pick<Containment, "onAnswer">;
+  containment: Pick<Containment, "check" | "onAnswer">;
   /** Name of this VM. */
   vm: string;
   /** This VM's allowance of retries for a service. */
@@ -62,7 +62,8 @@
 export interface AttemptStarter {
   /**
    * Starts an attempt at the placement's upstream. Releases the placement and
-   * throws a `TillerError` if no connection is left.
+   * throws a `TillerError` if the request is quarantined or no connection is
+   * left.
    */
   start(
     state: RequestState,
@@ -106,6 +107,16 @@
     return startedMs === undefined ? `${vm}/${call}` : `${id}@${startedMs}`;
   }
 
+  /** Throws a `TillerError` if the request crashes upstreams, as of now. */
+  function checkContainment(state: RequestState, placement: Placement): void {
+    try {
+      containment.check(state);
+    } catch (error) {
+      placement.release(CallEnd.Other);
+      throw error;
+    }
+  }
+
   /** Acquires a connection; throws a `TillerError` if none is left. */
   function acquireConnection(state: RequestState, placement: Placement) {
     // This VM's share of 90 % of the connections that the upstream accepts, at
@@ -255,6 +266,7 @@
     start(state, placement, { backupFrom, hooks }) {
       const { upstream } = placement;
       const { entry } = upstream;
+      checkContainment(state, placement);
       const connection = acquireConnection(state, placement);
       const backup = backupFrom ? undefined : chooseBackup(state, placement);
       const headers = [
