router: recognise a request across changes of its account

The fingerprint contained the account's name. After a configuration that renamed the account, the request that had crashed two upstreams was another one and crashed more: 'a request is recognised after its account was renamed' failed before (502 instead of 422). A request now has two fingerprints, by account and by API key, and is refused by either. With another key under the same name it was recognised before and still is.

--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -30,8 +30,8 @@
 /** What identifies a request that comes again. */
 export interface ContainedRequest {
   id: string;
-  /** Hash of the request. */
-  fingerprint: string;
+  /** Hashes of the request; any of them identifies it. */
+  fingerprints: readonly string[];
 }
 
 /** Dependencies of the containment. */
@@ -107,21 +107,24 @@
   }
 
   return {
-    check({ id, fingerprint }) {
-      if (!quarantined.has(fingerprint)) return;
-      const crashes = crashesOf(fingerprint);
-      log.warn(LogEvent.Quarantined, { id, suspect: fingerprint, crashes });
+    check({ id, fingerprints }) {
+      const suspect = fingerprints.find((name) => quarantined.has(name));
+      if (suspect === undefined) return;
+      const crashes = crashesOf(suspect);
+      log.warn(LogEvent.Quarantined, { id, suspect, crashes });
       throw new TillerError(
         ErrorKind.Quarantined,
         "upstreams crashed while this request was in progress",
       );
     },
-    onCrash(crash, { fingerprint }) {
-      facts.add([FactKind.Crash, crash, fingerprint], SUSPECT_MS);
+    onCrash(crash, { fingerprints }) {
+      for (const fingerprint of fingerprints) {
+        facts.add([FactKind.Crash, crash, fingerprint], SUSPECT_MS);
+      }
       update();
     },
-    onAnswer({ fingerprint }) {
-      const clearings = evidence.clearedBy(fingerprint);
+    onAnswer({ fingerprints }) {
+      const clearings = fingerprints.flatMap(evidence.clearedBy);
       if (clearings.length === 0) return;
       for (const { suspect, crash } of clearings) {
         facts.add([FactKind.Cleared, suspect, crash], CLEARING_MS);
--- a/packages/router/src/create_containment_test.ts
+++ b/packages/router/src/create_containment_test.ts
@@ -30,7 +30,10 @@
   };
 }
 
-const requestOf = (fingerprint: string) => ({ id: "id", fingerprint });
+const requestOf = (fingerprint: string) => ({
+  id: "id",
+  fingerprints: [fingerprint],
+});
 
 function isRefused(containment: Containment, fingerprint: string): boolean {
   try {
--- a/packages/router/src/create_crash_detector.ts
+++ b/packages/router/src/create_crash_detector.ts
@@ -59,7 +59,7 @@
     for (const { request, crash } of recent(upstream)) {
       log.warn(LogEvent.RequestCrashedUpstream, {
         id: request.id,
-        fingerprint: request.fingerprint,
+        fingerprints: request.fingerprints,
         crash,
         upstream: upstream.entry.id,
       });
@@ -94,7 +94,7 @@
       const nowMs = clock.now();
       log.warn(LogEvent.CrashSuspected, {
         id: suspect.request.id,
-        fingerprint: suspect.request.fingerprint,
+        fingerprints: suspect.request.fingerprints,
         crash: suspect.crash,
         upstream: upstream.entry.id,
       });
--- a/packages/router/src/create_crash_detector_test.ts
+++ b/packages/router/src/create_crash_detector_test.ts
@@ -18,8 +18,8 @@
     clock,
     log: createNoopLog(),
     containment: {
-      onCrash(crash, { fingerprint }) {
-        crashes[crash] = [...crashes[crash] ?? [], fingerprint];
+      onCrash(crash, { fingerprints }) {
+        crashes[crash] = [...crashes[crash] ?? [], ...fingerprints];
       },
     },
     registry: { onConnectFailed: (upstream) => void down.push(upstream) },
@@ -34,7 +34,7 @@
 
   function breakCall(fingerprint: string, crash: string): void {
     detector.onCallBroken(upstream, {
-      request: { id: crash, fingerprint },
+      request: { id: crash, fingerprints: [fingerprint] },
       crash,
     });
   }
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -12,7 +12,6 @@
   toTillerError,
 } from "@rosemarytiller/shared";
 import type { Buffer } from "node:buffer";
-import { createHash } from "node:crypto";
 import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
 import { classifyRequest } from "./classify_request.ts";
 import {
@@ -30,6 +29,7 @@
 import type { StreamOrigins } from "./create_stream_origins.ts";
 import { AttemptResult, LogEvent, RetryDenial, RouteKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
+import { fingerprintsOf } from "./fingerprints_of.ts";
 import type { WireProtocol } from "./ports.ts";
 import {
   createDeadlineError,
@@ -144,10 +144,9 @@
       isCurrent,
     });
     const { metadata } = request;
-    const fingerprint = createHash("sha1").update(request.pathAndQuery)
-      .update(`\n${account?.name}\n`).update(request.body).digest("base64");
+    const fingerprints = fingerprintsOf(request, account);
     const id = metadata.id ?? "";
-    containment.check({ id, fingerprint });
+    containment.check({ id, fingerprints });
     const timeoutMs = Math.min(
       metadata.deadlineMs ?? Infinity,
       route.timeoutMs,
@@ -163,7 +162,7 @@
       request,
       response,
       expiresMs: request.arrivedMs + timeoutMs,
-      fingerprint,
+      fingerprints,
       signal: controller.signal,
       abort: () => controller.abort(),
       tried: new Set(),
--- a/packages/router/src/request_state.ts
+++ b/packages/router/src/request_state.ts
@@ -19,8 +19,8 @@
   response: CallerResponse;
   /** Monotonic time at which the deadline passes, in milliseconds. */
   expiresMs: number;
-  /** Hash of path, query, account and body; identifies identical requests. */
-  fingerprint: string;
+  /** Identify identical requests; see `fingerprintsOf`. */
+  fingerprints: string[];
   /** Aborted when the caller disconnects or the deadline passes. */
   signal: AbortSignal;
   abort(): void;
