router: contain prompt parts that crash upstreams

A crash was kept by the request's fingerprint only, so nothing connected them.

A crash report now names the parts that other requests may share: all but the last, without those answered completely on this VM in the last 500 ms. A part is a suspect like a request, quarantined from three crashes with three different requests. Complete answers clear it; crashes that a more frequent suspect explains do not count; of equally frequent ones a request goes before a part, and a part further behind before those that prompts share most.

--- a/packages/policy/src/create_crash_evidence.ts
+++ b/packages/policy/src/create_crash_evidence.ts
@@ -1,5 +1,7 @@
 /** Number of crashes from which a request is quarantined. */
 export const REQUEST_QUARANTINE_CRASHES = 2;
+/** Number of crashes, and of different requests, that quarantine a part. */
+export const PART_QUARANTINE_CRASHES = 3;
 
 /** A call that was in flight when an upstream crashed. */
 export interface CrashReport {
@@ -7,17 +9,27 @@
   crash: string;
   /** Fingerprint of the request. */
   request: string;
+  /** Parts of its prompt that other requests may share, in their order. */
+  parts?: readonly string[];
 }
 
 /** A complete answer after a crash: the suspect did not cause that crash. */
 export interface CrashClearing {
+  /** Name of a request or part, as in `suspectOf`. */
   suspect: string;
   crash: string;
 }
 
+/** A request, as it is compared with the reports. */
+export interface SuspectRequest {
+  fingerprints: readonly string[];
+  parts: readonly string[];
+}
+
 /**
- * Reports of crashes, and what they say about the requests that were in flight.
- * The result does not depend on the order of the changes.
+ * Reports of crashes, and what they say about the requests that were in flight
+ * and the parts of their prompts. The result does not depend on the order of
+ * the changes.
  */
 export interface CrashEvidence {
   add(report: CrashReport): void;
@@ -26,20 +38,35 @@
   /** Takes a clearing back, when it has expired. */
   unclear(clearing: CrashClearing): void;
   /** What a complete answer to the request clears. */
-  clearedBy(request: string): CrashClearing[];
-  /** Requests that are taken for the cause of crashes. */
+  clearedBy(request: SuspectRequest): CrashClearing[];
+  /** Suspects that are taken for the cause of crashes. */
   quarantined(): ReadonlySet<string>;
   /** The reports that name a suspect. */
   reportsOf(suspect: string): CrashReport[];
 }
 
 interface SuspectEntry {
+  isPart: boolean;
+  /** Largest position among the parts of a prompt, 0 for a request. */
+  depth: number;
   /** By crash and request. */
   reports: Map<string, CrashReport>;
   /** Number of reports by crash. */
   crashes: Map<string, number>;
 }
 
+/** Suspect with the crashes that speak against it. */
+interface OpenSuspect {
+  name: string;
+  entry: SuspectEntry;
+  count: number;
+}
+
+/** Name of a prompt part as a suspect; a request's is its fingerprint. */
+export function partSuspectOf(part: string): string {
+  return `part ${part}`;
+}
+
 /** Creates the evidence without any crash. */
 export function createCrashEvidence(): CrashEvidence {
   const suspects = new Map<string, SuspectEntry>();
@@ -47,6 +74,8 @@
   const clearings = new Map<string, Set<string>>();
   let cached: Set<string> | undefined;
 
+  const keyOf = ({ crash, request }: CrashReport) => `${crash}\n${request}`;
+
   function openCrashes(
     name: string,
     explained: ReadonlySet<string> = new Set(),
@@ -57,13 +86,17 @@
     );
   }
 
-  const keyOf = ({ crash, request }: CrashReport) => `${crash}\n${request}`;
-
-  function addTo(name: string, report: CrashReport): void {
+  function addTo(
+    name: string,
+    report: CrashReport,
+    position: { isPart: boolean; depth: number },
+  ): void {
     let entry = suspects.get(name);
     if (!entry) {
-      suspects.set(name, entry = { reports: new Map(), crashes: new Map() });
+      entry = { ...position, reports: new Map(), crashes: new Map() };
+      suspects.set(name, entry);
     }
+    entry.depth = Math.max(entry.depth, position.depth);
     if (entry.reports.has(keyOf(report))) return;
     entry.reports.set(keyOf(report), report);
     entry.crashes.set(report.crash, (entry.crashes.get(report.crash) ?? 0) + 1);
@@ -78,6 +111,35 @@
     if (entry.reports.size === 0) suspects.delete(name);
   }
 
+  /** Whether open crashes suffice to quarantine a suspect. */
+  function isCause(entry: SuspectEntry, crashes: readonly string[]): boolean {
+    if (!entry.isPart) return crashes.length >= REQUEST_QUARANTINE_CRASHES;
+    if (crashes.length < PART_QUARANTINE_CRASHES) return false;
+    const requests = new Set<string>();
+    for (const { crash, request } of entry.reports.values()) {
+      if (crashes.includes(crash)) requests.add(request);
+    }
+    return requests.size >= PART_QUARANTINE_CRASHES;
+  }
+
+  /** The causes with the most crashes that are not explained yet. */
+  function mostFrequentCauses(
+    explained: ReadonlySet<string>,
+    found: ReadonlySet<string>,
+  ): OpenSuspect[] {
+    let causes: OpenSuspect[] = [];
+    for (const [name, entry] of suspects) {
+      const isRare = entry.crashes.size < REQUEST_QUARANTINE_CRASHES;
+      if (isRare || found.has(name)) continue;
+      const crashes = openCrashes(name, explained);
+      const most = causes[0]?.count ?? 0;
+      if (crashes.length < most || !isCause(entry, crashes)) continue;
+      if (crashes.length > most) causes = [];
+      causes.push({ name, entry, count: crashes.length });
+    }
+    return causes;
+  }
+
   /**
    * Finds the fewest causes: the suspect with the most crashes explains those,
    * which then no longer count against the others that were in flight.
@@ -86,20 +148,9 @@
     const found = new Set<string>();
     const explained = new Set<string>();
     for (;;) {
-      let most = 0;
-      let causes: string[] = [];
-      for (const [name, { crashes }] of suspects) {
-        if (found.has(name) || crashes.size < REQUEST_QUARANTINE_CRASHES) {
-          continue;
-        }
-        const count = openCrashes(name, explained).length;
-        if (count < REQUEST_QUARANTINE_CRASHES || count < most) continue;
-        if (count > most) causes = [];
-        most = count;
-        causes.push(name);
-      }
+      const causes = mostFrequentCauses(explained, found);
       if (causes.length === 0) return found;
-      for (const name of causes) {
+      for (const { name } of narrowest(causes)) {
         found.add(name);
         for (const crash of openCrashes(name)) explained.add(crash);
       }
@@ -108,11 +159,17 @@
 
   return {
     add(report) {
-      addTo(report.request, report);
+      addTo(report.request, report, { isPart: false, depth: 0 });
+      for (const [depth, part] of report.parts?.entries() ?? []) {
+        addTo(partSuspectOf(part), report, { isPart: true, depth });
+      }
       cached = undefined;
     },
     remove(report) {
       removeFrom(report.request, report);
+      for (const part of report.parts ?? []) {
+        removeFrom(partSuspectOf(part), report);
+      }
       cached = undefined;
     },
     clear({ suspect, crash }) {
@@ -127,9 +184,34 @@
       if (crashes?.size === 0) clearings.delete(suspect);
       cached = undefined;
     },
-    clearedBy: (request) =>
-      openCrashes(request).map((crash) => ({ suspect: request, crash })),
+    clearedBy({ fingerprints, parts }) {
+      const cleared: CrashClearing[] = [];
+      for (const suspect of fingerprints) {
+        for (const crash of openCrashes(suspect)) {
+          cleared.push({ suspect, crash });
+        }
+      }
+      for (const suspect of parts.map(partSuspectOf)) {
+        const crashes = openCrashes(suspect);
+        // Shared parts are answered all the time; fewer crashes do no harm.
+        if (crashes.length < PART_QUARANTINE_CRASHES - 1) continue;
+        for (const crash of crashes) cleared.push({ suspect, crash });
+      }
+      return cleared;
+    },
     quarantined: () => cached ??= findCauses(),
     reportsOf: (suspect) => [...suspects.get(suspect)?.reports.values() ?? []],
   };
 }
+
+/**
+ * Of equally frequent causes those that concern the fewest requests: single
+ * requests before parts, and the parts furthest behind, as prompts share their
+ * first parts most.
+ */
+function narrowest(causes: readonly OpenSuspect[]): readonly OpenSuspect[] {
+  const single = causes.filter(({ entry }) => !entry.isPart);
+  if (single.length > 0) return single;
+  const deepest = Math.max(...causes.map(({ entry }) => entry.depth));
+  return causes.filter(({ entry }) => entry.depth === deepest);
+}
--- a/packages/policy/src/create_crash_evidence_test.ts
+++ b/packages/policy/src/create_crash_evidence_test.ts
@@ -5,6 +5,7 @@
   type CrashClearing,
   type CrashReport,
   createCrashEvidence,
+  partSuspectOf,
 } from "./create_crash_evidence.ts";
 
 /** Evidence of crashes, each given with the requests that were in flight. */
@@ -16,6 +17,11 @@
   return evidence;
 }
 
+const requestOf = (fingerprint: string, parts: string[] = []) => ({
+  fingerprints: [fingerprint],
+  parts,
+});
+
 test("a request in flight at two crashes is quarantined", () => {
   const evidence = createTestEvidence({ c1: ["a", "b"], c2: ["a"] });
   assert.deepEqual([...evidence.quarantined()], ["a"]);
@@ -38,7 +44,9 @@
 
 test("an answer clears the crashes before it, not later ones", () => {
   const evidence = createTestEvidence({ c1: ["a"], c2: ["a"] });
-  for (const clearing of evidence.clearedBy("a")) evidence.clear(clearing);
+  for (const clearing of evidence.clearedBy(requestOf("a"))) {
+    evidence.clear(clearing);
+  }
   assert.deepEqual([...evidence.quarantined()], []);
   evidence.add({ crash: "c3", request: "a" });
   assert.deepEqual([...evidence.quarantined()], []);
@@ -54,11 +62,62 @@
   assert.deepEqual([...evidence.quarantined()], []);
 });
 
+// Guards against requests, no two alike, that crash upstreams by one part.
+test("a part of three requests at three crashes is quarantined", () => {
+  const evidence = createCrashEvidence();
+  for (const name of ["1", "2", "3"]) {
+    const parts = ["shared", "bad"];
+    evidence.add({ crash: `c${name}`, request: `r${name}`, parts });
+    const quarantined = name === "3" ? [partSuspectOf("bad")] : [];
+    assert.deepEqual([...evidence.quarantined()], quarantined);
+  }
+});
+
+// Guards against a part that is refused although only one request causes
+// crashes.
+test("a request that comes again does not quarantine its parts", () => {
+  const evidence = createCrashEvidence();
+  for (const crash of ["c1", "c2", "c3", "c4"]) {
+    evidence.add({ crash, request: "a", parts: ["shared"] });
+  }
+  evidence.add({ crash: "c1", request: "b", parts: ["shared"] });
+  evidence.add({ crash: "c2", request: "c", parts: ["shared"] });
+  assert.deepEqual([...evidence.quarantined()], ["a"]);
+});
+
+test("an answer clears the parts of its prompt", () => {
+  const evidence = createCrashEvidence();
+  const add = (name: string) =>
+    evidence.add({ crash: `c${name}`, request: `r${name}`, parts: ["shared"] });
+  add("1");
+  add("2");
+  const answered = requestOf("r9", ["shared"]);
+  for (const clearing of evidence.clearedBy(answered)) evidence.clear(clearing);
+  add("3");
+  add("4");
+  assert.deepEqual([...evidence.quarantined()], []);
+});
+
+test("a part that another one's crashes explain is not quarantined", () => {
+  const evidence = createCrashEvidence();
+  for (const name of ["1", "2", "3"]) {
+    const crash = `c${name}`;
+    evidence.add({ crash, request: `bad${name}`, parts: ["bad"] });
+    evidence.add({ crash, request: `sound${name}`, parts: ["sound"] });
+  }
+  evidence.add({ crash: "c4", request: "bad4", parts: ["bad"] });
+  assert.deepEqual([...evidence.quarantined()], [partSuspectOf("bad")]);
+});
+
 // Guards against VMs that quarantine different requests by the same facts.
 test("the order and repetition of changes do not matter", () => {
   const names = fc.constantFrom("a", "b", "c", "d");
   const crashes = fc.constantFrom("c1", "c2", "c3", "c4");
-  const reports = fc.array(fc.record({ crash: crashes, request: names }));
+  const reports = fc.array(fc.record({
+    crash: crashes,
+    request: names,
+    parts: fc.constant(["shared", "bad"]),
+  }));
   const clearings = fc.array(fc.record({ suspect: names, crash: crashes }));
   const inputs = fc.tuple(reports, clearings).chain(([some, cleared]) => {
     const changes: (CrashReport | CrashClearing)[] = [...some, ...cleared];
--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -5,7 +5,9 @@
   type SharedFacts,
 } from "@rosemarytiller/peers";
 import {
+  type CrashReport,
   createCrashEvidence,
+  partSuspectOf,
   QUARANTINE_MS,
   SUSPECT_MS,
 } from "@rosemarytiller/policy";
@@ -32,6 +34,8 @@
   id: string;
   /** Hashes of the request; any of them identifies it. */
   fingerprints: readonly string[];
+  /** Parts of its prompt that other requests may share, in their order. */
+  parts: readonly string[];
 }
 
 /** Dependencies of the containment. */
@@ -43,7 +47,7 @@
 
 /** Kinds of shared fact; the first value of each fact. */
 enum FactKind {
-  /** Followed by the crash and the request in flight. */
+  /** Followed by the crash, the request in flight and parts of its prompt. */
   Crash = "crash",
   /** Followed by a suspect and the crash that it did not cause. */
   Cleared = "cleared",
@@ -52,19 +56,31 @@
 /** Longer than the reports of crashes, also if these are prolonged. */
 const CLEARING_MS = SUSPECT_MS + 2 * QUARANTINE_MS;
 
+/**
+ * Time after a complete answer for which this VM does not suspect the parts of
+ * its prompt, in milliseconds.
+ */
+const ANSWERED_MS = 500;
+/** Parts whose answers are remembered; the oldest are forgotten first. */
+const MAX_ANSWERED_PARTS = 5000;
+/** Parts of a prompt that are reported; the first ones, shared most, go. */
+const MAX_REPORTED_PARTS = 32;
+
 /** Creates the containment without any crash. */
 export function createContainment(options: ContainmentOptions): Containment {
   const { clock, log, network } = options;
   const evidence = createCrashEvidence();
+  /** Times of the last complete answers on this VM, by prompt part. */
+  const answeredMs = new Map<string, number>();
   let quarantined: ReadonlySet<string> = new Set();
 
   const handlers: Record<
     FactKind,
     (values: string[], isAdded: boolean) => void
   > = {
-    [FactKind.Crash]([crash = "", request = ""], isAdded) {
-      if (isAdded) evidence.add({ crash, request });
-      else evidence.remove({ crash, request });
+    [FactKind.Crash]([crash = "", request = "", ...parts], isAdded) {
+      if (isAdded) evidence.add({ crash, request, parts });
+      else evidence.remove({ crash, request, parts });
     },
     [FactKind.Cleared]([suspect = "", crash = ""], isAdded) {
       if (isAdded) evidence.clear({ suspect, crash });
@@ -87,6 +103,29 @@
     return evidence.reportsOf(suspect).map(({ crash }) => crash);
   }
 
+  function factOf({ crash, request, parts = [] }: CrashReport): string[] {
+    return [FactKind.Crash, crash, request, ...parts];
+  }
+
+  /** Parts that were not answered here of late. */
+  function suspectParts(parts: readonly string[]): string[] {
+    const sinceMs = clock.now() - ANSWERED_MS;
+    return parts.filter((part) => (answeredMs.get(part) ?? -Infinity) < sinceMs)
+      .slice(-MAX_REPORTED_PARTS);
+  }
+
+  function noteAnswered(parts: readonly string[]): void {
+    for (const part of parts) {
+      // Keeps the parts in the order of their answers, for eviction.
+      answeredMs.delete(part);
+      answeredMs.set(part, clock.now());
+    }
+    for (const oldest of answeredMs.keys()) {
+      if (answeredMs.size <= MAX_ANSWERED_PARTS) break;
+      answeredMs.delete(oldest);
+    }
+  }
+
   /** Logs changes, and keeps the reports about new causes for longer. */
   function update(): void {
     const before = quarantined;
@@ -94,8 +133,8 @@
     if (quarantined === before) return;
     for (const suspect of quarantined) {
       if (before.has(suspect)) continue;
-      for (const { crash, request } of evidence.reportsOf(suspect)) {
-        facts.prolong([FactKind.Crash, crash, request], QUARANTINE_MS);
+      for (const report of evidence.reportsOf(suspect)) {
+        facts.prolong(factOf(report), QUARANTINE_MS);
       }
       const crashes = crashesOf(suspect);
       log.warn(LogEvent.QuarantineStarted, { suspect, crashes });
@@ -107,24 +146,32 @@
   }
 
   return {
-    check({ id, fingerprints }) {
-      const suspect = fingerprints.find((name) => quarantined.has(name));
+    check({ id, fingerprints, parts }) {
+      if (quarantined.size === 0) return;
+      const suspect = [...fingerprints, ...parts.map(partSuspectOf)]
+        .find((name) => quarantined.has(name));
       if (suspect === undefined) return;
       const crashes = crashesOf(suspect);
       log.warn(LogEvent.Quarantined, { id, suspect, crashes });
       throw new TillerError(
         ErrorKind.Quarantined,
-        "upstreams crashed while this request was in progress",
+        fingerprints.includes(suspect)
+          ? "upstreams crashed while this request was in progress"
+          : "upstreams crashed under requests with a part of this prompt",
       );
     },
-    onCrash(crash, { fingerprints }) {
-      for (const fingerprint of fingerprints) {
-        facts.add([FactKind.Crash, crash, fingerprint], SUSPECT_MS);
+    onCrash(crash, { fingerprints, parts }) {
+      const reported = suspectParts(parts);
+      for (const [number, request] of fingerprints.entries()) {
+        // The parts of a request count once, with its first fingerprint.
+        const report = { crash, request, parts: number === 0 ? reported : [] };
+        facts.add(factOf(report), SUSPECT_MS);
       }
       update();
     },
-    onAnswer({ fingerprints }) {
-      const clearings = fingerprints.flatMap(evidence.clearedBy);
+    onAnswer(request) {
+      noteAnswered(request.parts);
+      const clearings = evidence.clearedBy(request);
       if (clearings.length === 0) return;
       for (const { suspect, crash } of clearings) {
         facts.add([FactKind.Cleared, suspect, crash], CLEARING_MS);
--- a/packages/router/src/create_containment_test.ts
+++ b/packages/router/src/create_containment_test.ts
@@ -33,6 +33,7 @@
 const requestOf = (fingerprint: string) => ({
   id: "id",
   fingerprints: [fingerprint],
+  parts: [],
 });
 
 function isRefused(containment: Containment, fingerprint: string): boolean {
--- a/packages/router/src/create_crash_detector_test.ts
+++ b/packages/router/src/create_crash_detector_test.ts
@@ -34,7 +34,7 @@
 
   function breakCall(fingerprint: string, crash: string): void {
     detector.onCallBroken(upstream, {
-      request: { id: crash, fingerprints: [fingerprint] },
+      request: { id: crash, fingerprints: [fingerprint], parts: [] },
       crash,
     });
   }
--- a/packages/router/src/create_facts_sync_test.ts
+++ b/packages/router/src/create_facts_sync_test.ts
@@ -35,7 +35,7 @@
 // Guards against facts that stay unknown after a lost datagram.
 test("a VM pulls the facts that it lacks, once", async () => {
   const { own, peer, beat, pulls } = createTestSync();
-  peer.onCrash("c1", { id: "id", fingerprints: ["a"] });
+  peer.onCrash("c1", { id: "id", fingerprints: ["a"], parts: [] });
   for (let heartbeat = 0; heartbeat < 3; heartbeat++) await beat();
   assert.equal(own.facts.digest(), peer.facts.digest());
   assert.equal(pulls(), 1);
@@ -44,7 +44,7 @@
 test("a VM joins with the first facts, or alone after a time", async () => {
   const joining = createTestSync();
   assert.equal(joining.sync.isJoined(), false);
-  joining.peer.onCrash("c1", { id: "id", fingerprints: ["a"] });
+  joining.peer.onCrash("c1", { id: "id", fingerprints: ["a"], parts: [] });
   await joining.beat();
   assert.equal(joining.sync.isJoined(), true);
   const alone = createTestSync();
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -146,7 +146,9 @@
     const { metadata } = request;
     const fingerprints = fingerprintsOf(request, account);
     const id = metadata.id ?? "";
-    containment.check({ id, fingerprints });
+    // The last part is the request's own.
+    const parts = metadata.prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
+    containment.check({ id, fingerprints, parts });
     const timeoutMs = Math.min(
       metadata.deadlineMs ?? Infinity,
       route.timeoutMs,
@@ -163,6 +165,7 @@
       response,
       expiresMs: request.arrivedMs + timeoutMs,
       fingerprints,
+      parts,
       signal: controller.signal,
       abort: () => controller.abort(),
       tried: new Set(),
--- a/packages/router/src/request_state.ts
+++ b/packages/router/src/request_state.ts
@@ -21,6 +21,8 @@
   expiresMs: number;
   /** Identify identical requests; see `fingerprintsOf`. */
   fingerprints: string[];
+  /** Parts of its prompt that other requests may share, in their order. */
+  parts: string[];
   /** Aborted when the caller disconnects or the deadline passes. */
   signal: AbortSignal;
   abort(): void;
