--- a/platform/src/soak_crashes_test.ts
+++ b/packages/standins/src/check_containment_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { checkContainment, CrashCause } from "./soak_crashes.ts";
+import { checkContainment, CrashCause } from "./check_containment.ts";
 
 /** Runs of a cause that arrive at these times and crash 20 ms later. */
 function runsAt(cause: CrashCause, times: readonly number[]) {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./check_containment.ts";
 export * from "./create_stand_in_engine.ts";
 export * from "./create_stand_in_platform.ts";
 export * from "./create_stand_in_service.ts";
