router: share which upstreams are leaving with VMs that start later

The same cause as that of the crashes: an upstream's announcement that it is about to stop was one datagram to each peer.

The announcement is now a fact like the reports of crashes. The facts have a place of their own, with a handler for each kind; kinds of a later version are kept and passed on. The load event of leaving upstreams (kind 7) is gone.

--- a/packages/peers/src/create_shared_facts.ts
+++ b/packages/peers/src/create_shared_facts.ts
@@ -16,8 +16,8 @@
 export interface SharedFacts {
   /** Adds a fact of this VM and publishes it if it is new. */
   add(values: string[], lifetimeMs: number): void;
-  /** Merges facts of another VM. */
-  merge(facts: readonly SharedFact[]): void;
+  /** Merges facts that the VM `from` sent. */
+  merge(facts: readonly SharedFact[], from: string): void;
   /** Prolongs the lifetime of a known fact on this VM. */
   prolong(values: string[], lifetimeMs: number): void;
   /** Removes expired facts. */
@@ -36,8 +36,8 @@
   now(): number;
   /** Sends a new fact of this VM to the others. */
   publish(fact: SharedFact): void;
-  /** A fact became known. */
-  onAdded(values: string[]): void;
+  /** A fact became known; `from` is the VM that sent it, undefined for this one. */
+  onAdded(values: string[], from: string | undefined): void;
   /** A fact expired or was dropped. */
   onRemoved(values: string[]): void;
 }
@@ -63,7 +63,7 @@
   const keyOf = (values: readonly string[]) => values.join("\n");
 
   /** Adds a fact or prolongs it; returns whether it is new. */
-  function put(values: string[], lifetimeMs: number): boolean {
+  function put(values: string[], lifetimeMs: number, from?: string): boolean {
     const key = keyOf(values);
     const expiresMs = now() + Math.min(MAX_LIFETIME_MS, lifetimeMs);
     const known = facts.get(key);
@@ -75,7 +75,7 @@
     const hash = createHash("sha1").update(key).digest().readUInt32LE();
     facts.set(key, { values, hash, expiresMs });
     digest = (digest + hash) % 2 ** 32;
-    onAdded(values);
+    onAdded(values, from);
     if (facts.size > MAX_SHARED_FACTS) dropFirstToExpire();
     return facts.has(key);
   }
@@ -100,8 +100,10 @@
     add(values, lifetimeMs) {
       if (put(values, lifetimeMs)) publish({ values, remainingMs: lifetimeMs });
     },
-    merge(received) {
-      for (const { values, remainingMs } of received) put(values, remainingMs);
+    merge(received, from) {
+      for (const { values, remainingMs } of received) {
+        put(values, remainingMs, from);
+      }
     },
     prolong(values, lifetimeMs) {
       if (facts.has(keyOf(values))) put(values, lifetimeMs);
--- a/packages/peers/src/create_shared_facts_test.ts
+++ b/packages/peers/src/create_shared_facts_test.ts
@@ -32,7 +32,7 @@
   const { facts, known, published, advance } = createTestFacts();
   facts.add(["a"], 1000);
   facts.add(["a"], 1000);
-  facts.merge([{ values: ["b"], remainingMs: 500 }]);
+  facts.merge([{ values: ["b"], remainingMs: 500 }], "peer");
   assert.deepEqual(published, [{ values: ["a"], remainingMs: 1000 }]);
   advance(600);
   assert.deepEqual([...known], ["a"]);
@@ -45,7 +45,7 @@
   const { facts, known, advance } = createTestFacts();
   facts.add(["a"], 1000);
   facts.prolong(["a"], 5000);
-  facts.merge([{ values: ["a"], remainingMs: 100 }]);
+  facts.merge([{ values: ["a"], remainingMs: 100 }], "peer");
   advance(4000);
   assert.deepEqual([...known], ["a"]);
 });
@@ -70,11 +70,11 @@
       values: [name],
       remainingMs: 900,
     }));
-    other.facts.merge(received);
+    other.facts.merge(received, "peer");
     assert.deepEqual([...other.known].sort(), [...one.known].sort());
     assert.equal(other.facts.digest(), one.facts.digest());
     const restarted = createTestFacts();
-    restarted.facts.merge(one.facts.list());
+    restarted.facts.merge(one.facts.list(), "peer");
     assert.equal(restarted.facts.digest(), one.facts.digest());
   }));
 });
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -25,8 +25,6 @@
   Stalled = 5,
   /** A stream that its caller can resume at any VM began. */
   StreamStarted = 6,
-  /** An upstream announced that it is about to stop. */
-  Leaving = 7,
   /** A fact that all VMs are to know; see `SharedFact`. */
   Fact = 8,
 }
@@ -99,23 +97,14 @@
   keepMs: number;
 }
 
-/** An upstream announced that it is about to stop. */
-export interface LeavingEvent {
-  kind: LoadEventKind.Leaving;
-  upstream: string;
-  /** Identifies the run; a restarted upstream has another one. */
-  run: string;
-}
-
 /** A change of a call or an upstream that a VM sends to the others. */
 export type LoadEvent =
   | StartedEvent
   | FirstEventReceivedEvent
   | EndedEvent
-  | FactEvent
   | StalledEvent
   | StreamStartedEvent
-  | LeavingEvent;
+  | FactEvent;
 
 /** Content of a VM's heartbeat. */
 export interface Heartbeat {
@@ -168,7 +157,6 @@
   [LoadEventKind.Fact]: ["values", "remainingMs"],
   [LoadEventKind.Stalled]: ["upstream"],
   [LoadEventKind.StreamStarted]: ["id", "softwareVersion", "keepMs"],
-  [LoadEventKind.Leaving]: ["upstream", "run"],
 };
 
 /** Encoded order of a heartbeat's fields. */
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -1,7 +1,7 @@
 import {
   CallEnd,
-  LoadEventKind,
   type PeerNetwork,
+  type SharedFacts,
 } from "@rosemarytiller/peers";
 import type { RetryAllowance } from "@rosemarytiller/policy";
 import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
@@ -13,7 +13,7 @@
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
-import { AttemptResult, LogEvent } from "./enums.ts";
+import { AttemptResult, FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ResponseMetadata, WireProtocol } from "./ports.ts";
 import { FULL_RETRY_AFTER_MS } from "./request_errors.ts";
@@ -33,7 +33,8 @@
   protocol: WireProtocol;
   registry: Registry;
   pool: ConnectionPool;
-  network: Pick<PeerNetwork, "knownVmCount" | "publishLoadEvent">;
+  network: Pick<PeerNetwork, "knownVmCount">;
+  facts: Pick<SharedFacts, "add">;
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
   containment: Pick<Containment, "check" | "onAnswer">;
@@ -77,6 +78,8 @@
  * caller's time includes its connections.
  */
 const ORIGIN_MARGIN_MS = 2000;
+/** Time for which VMs share that an upstream is leaving, in milliseconds. */
+const LEAVING_MS = 600_000;
 /** Characters of an invalid header value that are logged. */
 const MAX_LOGGED_CHARACTERS = 64;
 
@@ -89,7 +92,7 @@
 ): AttemptStarter {
   const { clock, log, metrics, protocol, registry, pool } = options;
   const { network, origins, crashDetector, containment, vm } = options;
-  const { allowanceOf } = options;
+  const { facts, allowanceOf } = options;
 
   /** Bytes of the bodies of all responses in progress. */
   let bodiesBytes = 0;
@@ -171,13 +174,7 @@
 
   /** Gives an upstream no more calls and notifies the other VMs. */
   function reportLeaving({ entry }: Upstream): void {
-    const run = runOf(entry);
-    if (!registry.onLeaving(entry.id, { run, from: vm })) return;
-    network.publishLoadEvent({
-      kind: LoadEventKind.Leaving,
-      upstream: entry.id,
-      run,
-    });
+    facts.add([FactKind.Leaving, entry.id, runOf(entry)], LEAVING_MS);
   }
 
   /** Notes what a response says about the upstream's further calls. */
--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -1,9 +1,4 @@
-import {
-  createSharedFacts,
-  type PeerNetwork,
-  type SharedFact,
-  type SharedFacts,
-} from "@rosemarytiller/peers";
+import type { SharedFacts } from "@rosemarytiller/peers";
 import {
   type CrashReport,
   createCrashEvidence,
@@ -12,7 +7,7 @@
   SUSPECT_MS,
 } from "@rosemarytiller/policy";
 import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
-import { LogEvent } from "./enums.ts";
+import { FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 
 /** Keeps requests from upstreams that they would crash. */
@@ -23,10 +18,10 @@
   onCrash(crash: string, request: ContainedRequest): void;
   /** An upstream answered the request completely and without an error. */
   onAnswer(request: ContainedRequest): void;
-  /** What the VMs know about crashes; all of them are to know the same. */
-  facts: Pick<SharedFacts, "merge" | "digest" | "list" | "droppedCount">;
-  /** Forgets what has expired. */
-  expire(): void;
+  /** Handlers of the facts about crashes. */
+  factHandlers: Record<FactKind.Crash | FactKind.Cleared, FactHandler>;
+  /** Logs what changed, and keeps the reports about new causes for longer. */
+  update(): void;
 }
 
 /** What identifies a request that comes again. */
@@ -38,19 +33,18 @@
   parts: readonly string[];
 }
 
+/** Applies facts of one kind, of this VM and others. */
+export interface FactHandler {
+  /** Gets the values after the kind, and the VM that sent them, if another. */
+  onAdded(values: string[], from: string | undefined): void;
+  onRemoved?(values: string[]): void;
+}
+
 /** Dependencies of the containment. */
 export interface ContainmentOptions {
   clock: Clock;
   log: EventLog;
-  network: Pick<PeerNetwork, "publishFact">;
-}
-
-/** Kinds of shared fact; the first value of each fact. */
-enum FactKind {
-  /** Followed by the crash, the request in flight and parts of its prompt. */
-  Crash = "crash",
-  /** Followed by a suspect and the crash that it did not cause. */
-  Cleared = "cleared",
+  facts: Pick<SharedFacts, "add" | "prolong">;
 }
 
 /** Longer than the reports of crashes, also if these are prolonged. */
@@ -68,37 +62,12 @@
 
 /** Creates the containment without any crash. */
 export function createContainment(options: ContainmentOptions): Containment {
-  const { clock, log, network } = options;
+  const { clock, log, facts } = options;
   const evidence = createCrashEvidence();
   /** Times of the last complete answers on this VM, by prompt part. */
   const answeredMs = new Map<string, number>();
   let quarantined: ReadonlySet<string> = new Set();
 
-  const handlers: Record<
-    FactKind,
-    (values: string[], isAdded: boolean) => void
-  > = {
-    [FactKind.Crash]([crash = "", request = "", ...parts], isAdded) {
-      if (isAdded) evidence.add({ crash, request, parts });
-      else evidence.remove({ crash, request, parts });
-    },
-    [FactKind.Cleared]([suspect = "", crash = ""], isAdded) {
-      if (isAdded) evidence.clear({ suspect, crash });
-      else evidence.unclear({ suspect, crash });
-    },
-  };
-
-  function apply([kind, ...values]: string[], isAdded: boolean): void {
-    handlers[kind as FactKind]?.(values, isAdded);
-  }
-
-  const facts = createSharedFacts({
-    now: clock.now,
-    publish: network.publishFact,
-    onAdded: (values) => apply(values, true),
-    onRemoved: (values) => apply(values, false),
-  });
-
   function crashesOf(suspect: string): string[] {
     return evidence.reportsOf(suspect).map(({ crash }) => crash);
   }
@@ -126,7 +95,6 @@
     }
   }
 
-  /** Logs changes, and keeps the reports about new causes for longer. */
   function update(): void {
     const before = quarantined;
     quarantined = evidence.quarantined();
@@ -147,6 +115,7 @@
 
   return {
     check({ id, fingerprints, parts }) {
+      update();
       if (quarantined.size === 0) return;
       const suspect = [...fingerprints, ...parts.map(partSuspectOf)]
         .find((name) => quarantined.has(name));
@@ -178,18 +147,22 @@
       }
       update();
     },
-    facts: {
-      digest: facts.digest,
-      list: facts.list,
-      droppedCount: facts.droppedCount,
-      merge(received: readonly SharedFact[]) {
-        facts.merge(received);
-        update();
+    factHandlers: {
+      [FactKind.Crash]: {
+        onAdded([crash = "", request = "", ...parts]) {
+          evidence.add({ crash, request, parts });
+        },
+        onRemoved([crash = "", request = "", ...parts]) {
+          evidence.remove({ crash, request, parts });
+        },
+      },
+      [FactKind.Cleared]: {
+        onAdded: ([suspect = "", crash = ""]) =>
+          evidence.clear({ suspect, crash }),
+        onRemoved: ([suspect = "", crash = ""]) =>
+          evidence.unclear({ suspect, crash }),
       },
     },
-    expire() {
-      facts.expire();
-      update();
-    },
+    update,
   };
 }
--- a/packages/router/src/create_containment_test.ts
+++ b/packages/router/src/create_containment_test.ts
@@ -1,31 +1,53 @@
-import type { SharedFact } from "@rosemarytiller/peers";
-import { createFakeClock } from "@rosemarytiller/shared";
+import type { SharedFact, SharedFacts } from "@rosemarytiller/peers";
+import { createFakeClock, type FakeClock } from "@rosemarytiller/shared";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type Containment, createContainment } from "./create_containment.ts";
+import { createFactBoard } from "./create_fact_board.ts";
+import { FactKind } from "./enums.ts";
 import { createNoopLog } from "./event_log.ts";
 
-/** Containments of several VMs that get each other's facts. */
-function createTestContainments(count: number) {
+/** A VM's containment with the facts that it shares. */
+interface TestVm {
+  containment: Containment;
+  facts: SharedFacts;
+}
+
+function createVm(
+  clock: FakeClock,
+  publish: (fact: SharedFact) => void,
+): TestVm {
+  const facts = createFactBoard({
+    clock,
+    network: { publishFact: publish },
+    handlers: () => ({
+      ...containment.factHandlers,
+      [FactKind.Leaving]: { onAdded() {} },
+    }),
+  });
+  const containment = createContainment({ clock, log: createNoopLog(), facts });
+  return { containment, facts };
+}
+
+/** VMs that get each other's facts. */
+function createTestVms(count: number) {
   const clock = createFakeClock();
-  const containments: Containment[] = [];
+  const vms: TestVm[] = [];
   for (let vm = 0; vm < count; vm++) {
-    containments.push(createContainment({
-      clock,
-      log: createNoopLog(),
-      network: {
-        publishFact(fact: SharedFact) {
-          for (const other of containments) other.facts.merge([fact]);
-        },
-      },
+    vms.push(createVm(clock, (fact) => {
+      for (const { facts } of vms) facts.merge([fact], "peer");
     }));
   }
   return {
     clock,
-    containments,
+    vms,
+    containments: vms.map(({ containment }) => containment),
     advance(ms: number) {
       clock.advance(ms);
-      for (const one of containments) one.expire();
+      for (const { facts, containment } of vms) {
+        facts.expire();
+        containment.update();
+      }
     },
   };
 }
@@ -46,7 +68,7 @@
 }
 
 test("a request is refused at all VMs after two crashes, for a time", () => {
-  const { containments, advance } = createTestContainments(3);
+  const { vms, containments, advance } = createTestVms(3);
   const [first, second, third] = containments as [
     Containment,
     Containment,
@@ -62,11 +84,11 @@
   assert.equal(isRefused(third, "a"), true);
   advance(2000);
   assert.equal(isRefused(third, "a"), false);
-  assert.equal(first.facts.digest(), third.facts.digest());
+  assert.equal(vms[0]!.facts.digest(), vms[2]!.facts.digest());
 });
 
 test("an answer at any VM clears the crashes before it", () => {
-  const { containments } = createTestContainments(2);
+  const { containments } = createTestVms(2);
   const [first, second] = containments as [Containment, Containment];
   first.onCrash("c1", requestOf("a"));
   second.onAnswer(requestOf("a"));
@@ -77,16 +99,12 @@
 
 // Guards against a VM that keeps sending a request as it missed the news.
 test("a VM that merges another one's facts refuses the same requests", () => {
-  const { containments, clock } = createTestContainments(1);
+  const { vms, containments, clock } = createTestVms(1);
   const [first] = containments as [Containment];
   first.onCrash("c1", requestOf("a"));
   first.onCrash("c2", requestOf("a"));
-  const started = createContainment({
-    clock,
-    log: createNoopLog(),
-    network: { publishFact() {} },
-  });
-  started.facts.merge(first.facts.list());
-  assert.equal(isRefused(started, "a"), true);
-  assert.equal(started.facts.digest(), first.facts.digest());
+  const started = createVm(clock, () => {});
+  started.facts.merge(vms[0]!.facts.list(), "peer");
+  assert.equal(isRefused(started.containment, "a"), true);
+  assert.equal(started.facts.digest(), vms[0]!.facts.digest());
 });
--- /dev/null
+++ b/packages/router/src/create_fact_board.ts
@@ -0,0 +1,34 @@
+import {
+  createSharedFacts,
+  type PeerNetwork,
+  type SharedFacts,
+} from "@rosemarytiller/peers";
+import type { Clock } from "@rosemarytiller/shared";
+import type { FactHandler } from "./create_containment.ts";
+import type { FactKind } from "./enums.ts";
+
+/** Dependencies of the fact board. */
+export interface FactBoardOptions {
+  clock: Clock;
+  network: Pick<PeerNetwork, "publishFact">;
+  /** Handler of each kind, looked up when a fact is added or removed. */
+  handlers(): Record<FactKind, FactHandler>;
+}
+
+/**
+ * Creates the facts that this VM shares with the others. Facts of a kind that
+ * this version does not know are kept and passed on.
+ */
+export function createFactBoard(options: FactBoardOptions): SharedFacts {
+  const { clock, network, handlers } = options;
+  return createSharedFacts({
+    now: clock.now,
+    publish: network.publishFact,
+    onAdded([kind, ...values], from) {
+      handlers()[kind as FactKind]?.onAdded(values, from);
+    },
+    onRemoved([kind, ...values]) {
+      handlers()[kind as FactKind]?.onRemoved?.(values);
+    },
+  });
+}
--- a/packages/router/src/create_facts_sync.ts
+++ b/packages/router/src/create_facts_sync.ts
@@ -1,6 +1,5 @@
-import type { SharedFact } from "@rosemarytiller/peers";
+import type { SharedFact, SharedFacts } from "@rosemarytiller/peers";
 import { type Clock, toTillerError } from "@rosemarytiller/shared";
-import type { Containment } from "./create_containment.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 
@@ -19,7 +18,7 @@
 export interface FactsSyncOptions {
   clock: Clock;
   log: EventLog;
-  facts: Containment["facts"];
+  facts: Pick<SharedFacts, "digest" | "merge">;
   /** Requests all facts of a peer. */
   pull(host: string): Promise<SharedFact[]>;
 }
@@ -43,7 +42,7 @@
     try {
       const before = facts.digest();
       const received = await pull(host);
-      facts.merge(received);
+      facts.merge(received, host);
       hasPeerFacts = true;
       if (facts.digest() === before) return;
       log.info(LogEvent.FactsPulled, { peer: host, facts: received.length });
--- a/packages/router/src/create_facts_sync_test.ts
+++ b/packages/router/src/create_facts_sync_test.ts
@@ -1,30 +1,36 @@
+import { createSharedFacts } from "@rosemarytiller/peers";
 import { createFakeClock } from "@rosemarytiller/shared";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createContainment } from "./create_containment.ts";
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createNoopLog } from "./event_log.ts";
 
 function createTestSync() {
   const clock = createFakeClock();
   const log = createNoopLog();
-  const network = { publishFact() {} };
-  const own = createContainment({ clock, log, network });
-  const peer = createContainment({ clock, log, network });
+  const createFacts = () =>
+    createSharedFacts({
+      now: clock.now,
+      publish() {},
+      onAdded() {},
+      onRemoved() {},
+    });
+  const own = createFacts();
+  const peer = createFacts();
   let pulls = 0;
   const sync = createFactsSync({
     clock,
     log,
-    facts: own.facts,
+    facts: own,
     pull() {
       pulls++;
-      return Promise.resolve(peer.facts.list());
+      return Promise.resolve(peer.list());
     },
   });
 
   /** Delivers a heartbeat of the peer and waits for the pull it causes. */
   async function beat(): Promise<void> {
-    sync.onHeartbeat("peer", peer.facts.digest());
+    sync.onHeartbeat("peer", peer.digest());
     clock.advance(300);
     await new Promise((resolve) => setImmediate(resolve));
   }
@@ -35,16 +41,16 @@
 // Guards against facts that stay unknown after a lost datagram.
 test("a VM pulls the facts that it lacks, once", async () => {
   const { own, peer, beat, pulls } = createTestSync();
-  peer.onCrash("c1", { id: "id", fingerprints: ["a"], parts: [] });
+  peer.add(["a"], 60_000);
   for (let heartbeat = 0; heartbeat < 3; heartbeat++) await beat();
-  assert.equal(own.facts.digest(), peer.facts.digest());
+  assert.equal(own.digest(), peer.digest());
   assert.equal(pulls(), 1);
 });
 
 test("a VM joins with the first facts, or alone after a time", async () => {
   const joining = createTestSync();
   assert.equal(joining.sync.isJoined(), false);
-  joining.peer.onCrash("c1", { id: "id", fingerprints: ["a"], parts: [] });
+  joining.peer.add(["a"], 60_000);
   await joining.beat();
   assert.equal(joining.sync.isJoined(), true);
   const alone = createTestSync();
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -1,4 +1,8 @@
-import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
+import {
+  CallEnd,
+  type PeerNetwork,
+  type SharedFacts,
+} from "@rosemarytiller/peers";
 import {
   createRetryAllowance,
   type RetryAllowance,
@@ -55,6 +59,7 @@
   network: PeerNetwork;
   origins: StreamOrigins;
   containment: Containment;
+  facts: Pick<SharedFacts, "add">;
   retryBounds: RetryBounds;
   /** Name of this VM. */
   vm: string;
@@ -91,7 +96,7 @@
 ): RequestServer {
   const { clock, log, metrics, protocol, registry, scheduler, pool, network } =
     options;
-  const { origins, containment, retryBounds, vm } = options;
+  const { origins, containment, facts, retryBounds, vm } = options;
   const { configuration, isCurrent } = options;
   const crashDetector = createCrashDetector({
     clock,
@@ -112,6 +117,7 @@
     origins,
     crashDetector,
     containment,
+    facts,
     vm,
     allowanceOf,
   });
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -30,13 +30,14 @@
 } from "./create_configuration_index.ts";
 import { createConnectionPool } from "./create_connection_pool.ts";
 import { createContainment } from "./create_containment.ts";
+import { createFactBoard } from "./create_fact_board.ts";
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createRegistry } from "./create_registry.ts";
 import { createRequestServer } from "./create_request_server.ts";
 import { createRouterMetrics } from "./create_router_metrics.ts";
 import { createScheduler } from "./create_scheduler.ts";
 import { createStreamOrigins } from "./create_stream_origins.ts";
-import { LogEvent } from "./enums.ts";
+import { FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import {
   DecodedItemKind,
@@ -194,14 +195,25 @@
       confirmedAgeMs: Math.round(clock.now() - confirmedMs),
       calls: scheduler.ownCalls(),
       configurationVersion: index?.configuration.version ?? 0,
-      factsDigest: containment.facts.digest(),
+      factsDigest: facts.digest(),
     }),
   });
-  const containment = createContainment({ clock, log, network });
+  const facts = createFactBoard({
+    clock,
+    network,
+    handlers: () => ({
+      ...containment.factHandlers,
+      [FactKind.Leaving]: {
+        onAdded: ([upstream = "", run = ""], from = vm) =>
+          void registry.onLeaving(upstream, { run, from }),
+      },
+    }),
+  });
+  const containment = createContainment({ clock, log, facts });
   const factsSync = createFactsSync({
     clock,
     log,
-    facts: containment.facts,
+    facts,
     pull: (host) => pullFacts({ host, port: settings.peers.port }),
   });
   const scheduler = createScheduler({ clock, registry, network, dataCentre });
@@ -226,6 +238,7 @@
     network,
     origins,
     containment,
+    facts,
     retryBounds: settings.retries,
     vm,
     configuration: () => index,
@@ -447,20 +460,13 @@
     const nowMs = clock.now();
     for (const event of events) {
       if (event.kind === LoadEventKind.Fact) {
-        containment.facts.merge([event]);
+        facts.merge([event], member.host);
         continue;
       }
       if (event.kind === LoadEventKind.StreamStarted) {
         origins.onPeerOrigin(event);
         continue;
       }
-      if (event.kind === LoadEventKind.Leaving) {
-        registry.onLeaving(event.upstream, {
-          run: event.run,
-          from: member.host,
-        });
-        continue;
-      }
       const upstream = registry.find(event.upstream);
       if (!upstream) continue;
       if (event.kind === LoadEventKind.Stalled) {
@@ -537,7 +543,7 @@
       await Promise.all([
         listen(settings.peers, {
           [PUBLISHED_PATH]: createPublishedHandler(published),
-          [FACTS_PATH]: createFactsHandler(containment.facts),
+          [FACTS_PATH]: createFactsHandler(facts),
           [CONFIGURATION_PATH]: createConfigurationHandler(() =>
             configurationItem
           ),
@@ -555,7 +561,8 @@
       source.start(sink);
       timers.push(repeat(clock, SWEEP_MS, () => {
         pool.sweep();
-        containment.expire();
+        facts.expire();
+        containment.update();
       }));
       log.info(LogEvent.Started, {
         startupMs: Math.round(performance.now()),
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -8,6 +8,16 @@
   Stream = "stream",
 }
 
+/** Kinds of fact that all VMs share; the first value of each fact. */
+export enum FactKind {
+  /** Followed by a crash, a request in flight and parts of its prompt. */
+  Crash = "crash",
+  /** Followed by a suspect and a crash that it did not cause. */
+  Cleared = "cleared",
+  /** Followed by an upstream and its run that is about to stop. */
+  Leaving = "leaving",
+}
+
 /** Values of the `event` field of log lines. */
 export enum LogEvent {
   Started = "started",
