router: pull facts from an unchanged peer every 8 s only

A pull is now repeated after 8 s if neither side has changed, and VMs keep 10,000 facts instead of 4,000. Two gauges show the facts and those dropped.

--- a/packages/peers/src/create_shared_facts.ts
+++ b/packages/peers/src/create_shared_facts.ts
@@ -26,6 +26,8 @@
   digest(): number;
   /** All facts, to be merged by other VMs. */
   list(): SharedFact[];
+  /** Number of facts. */
+  size(): number;
   /** Number of facts dropped since the start beyond `MAX_SHARED_FACTS`. */
   droppedCount(): number;
 }
@@ -43,7 +45,7 @@
 }
 
 /** Facts that are kept; beyond that, those that expire first are dropped. */
-export const MAX_SHARED_FACTS = 4000;
+export const MAX_SHARED_FACTS = 10_000;
 /** Longest lifetime of a fact, in milliseconds. */
 const MAX_LIFETIME_MS = 3_600_000;
 
@@ -119,6 +121,7 @@
         values,
         remainingMs: Math.ceil(expiresMs - now()),
       })),
+    size: () => facts.size,
     droppedCount: () => dropped,
   };
 }
--- a/packages/router/src/create_facts_sync.ts
+++ b/packages/router/src/create_facts_sync.ts
@@ -29,6 +29,15 @@
 const PULL_DELAY_MS = 60;
 /** Time between the starts of two pulls, in milliseconds. */
 const PULL_INTERVAL_MS = 250;
+/** The same for a peer whose facts have not changed, nor this VM's, in ms. */
+const REPEAT_INTERVAL_MS = 8000;
+
+/** State at the last pull from a peer. */
+interface LastPull {
+  atMs: number;
+  peerDigest: number;
+  ownDigest: number;
+}
 
 /** Creates the sync of a VM that starts now. */
 export function createFactsSync(options: FactsSyncOptions): FactsSync {
@@ -37,8 +46,9 @@
   let isPulling = false;
   let hasPeerFacts = false;
   let lastPullMs = -Infinity;
+  const lastPulls = new Map<string, LastPull>();
 
-  async function pullFrom(host: string): Promise<void> {
+  async function pullFrom(host: string, peerDigest: number): Promise<void> {
     try {
       const before = facts.digest();
       const received = await pull(host);
@@ -54,9 +64,19 @@
       });
     } finally {
       isPulling = false;
+      const ownDigest = facts.digest();
+      lastPulls.set(host, { atMs: clock.now(), peerDigest, ownDigest });
     }
   }
 
+  /** Whether a pull may bring nothing new, as the last one did not. */
+  function wasPulled(host: string, digest: number): boolean {
+    const last = lastPulls.get(host);
+    return last !== undefined && last.peerDigest === digest &&
+      last.ownDigest === facts.digest() &&
+      clock.now() - last.atMs < REPEAT_INTERVAL_MS;
+  }
+
   return {
     onHeartbeat(host, digest) {
       if (digest === undefined) return;
@@ -66,10 +86,11 @@
       }
       const nowMs = clock.now();
       if (isPulling || nowMs - lastPullMs < PULL_INTERVAL_MS) return;
+      if (wasPulled(host, digest)) return;
       isPulling = true;
       lastPullMs = nowMs;
       clock.after(hasPeerFacts ? PULL_DELAY_MS : 0, () => {
-        if (digest !== facts.digest()) void pullFrom(host);
+        if (digest !== facts.digest()) void pullFrom(host, digest);
         else isPulling = false;
       });
     },
--- a/packages/router/src/create_facts_sync_test.ts
+++ b/packages/router/src/create_facts_sync_test.ts
@@ -47,6 +47,18 @@
   assert.equal(pulls(), 1);
 });
 
+// Guards against steady pulls between VMs that stay different, as they have more
+// facts than they can keep.
+test("pulls that bring nothing new become rare, until one does", async () => {
+  const { peer, own, beat, pulls } = createTestSync();
+  own.add(["own"], 60_000);
+  for (let heartbeat = 0; heartbeat < 40; heartbeat++) await beat();
+  assert.ok(pulls() <= 7, `${pulls()} pulls in 12 s`);
+  peer.add(["new"], 60_000);
+  for (let heartbeat = 0; heartbeat < 30; heartbeat++) await beat();
+  assert.equal(own.list().length, 2);
+});
+
 test("a VM joins with the first facts, or alone after a time", async () => {
   const joining = createTestSync();
   assert.equal(joining.sync.isJoined(), false);
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -226,6 +226,8 @@
     revision: () => published.head(),
     era: () => published.era(),
     droppedLines: () => log.dropped(),
+    sharedFacts: () => facts.size(),
+    droppedFacts: () => facts.droppedCount(),
   }, { loadAfterMs: METRICS_LOAD_DELAY_MS });
   const requestServer = createRequestServer({
     clock,
--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -29,6 +29,8 @@
   revision(): number;
   era(): number;
   droppedLines(): number;
+  sharedFacts(): number;
+  droppedFacts(): number;
 }
 
 /** Prometheus metrics of a VM; durations are passed in milliseconds. */
@@ -149,6 +151,12 @@
     ["present_vms", "VMs heard lately.", gauges.presentVms],
     ["revision", "Highest published revision known.", gauges.revision],
     ["era", "Era of the published revisions known.", gauges.era],
+    ["shared_facts", "Facts shared by all VMs.", gauges.sharedFacts],
+    [
+      "shared_facts_dropped",
+      "Shared facts dropped beyond the limit.",
+      gauges.droppedFacts,
+    ],
     ["log_lines_dropped", "Log lines left out.", gauges.droppedLines],
   ];
   for (const [name, help, read] of readings) {
--- a/packages/sessions/src/format_router_metrics.ts
+++ b/packages/sessions/src/format_router_metrics.ts
@@ -23,6 +23,8 @@
     revision: () => 0,
     era: () => 0,
     droppedLines: () => 0,
+    sharedFacts: () => 0,
+    droppedFacts: () => 0,
   }, { loadAfterMs: 0 });
   const rows: string[] = [];
   for (const { name, type, help, labels } of await metrics.list()) {
