platform: take what is known for lost while no router runs

Trace: vm-1 had ended by 247.3 s, vm-3 was killed at 247.55 s, vm-2 listened from 247.76 s and found no peer; nothing of the system is kept when all VMs are down. The check now starts anew at times at which all routers are starting, and a test shows that it still reports the same runs otherwise.

--- a/packages/standins/src/check_containment_test.ts
+++ b/packages/standins/src/check_containment_test.ts
@@ -31,3 +31,11 @@
     1,
   );
 });
+
+test("what is known is lost while no router runs, and only then", () => {
+  const early = [0, 100, 200, 3300, 3400];
+  const late = [3500, 3600, 3700, 3800, 7000, 7100];
+  const runs = runsAt(CrashCause.Request, [...early, ...late]);
+  assert.deepEqual(checkContainment(runs, [3250]), []);
+  assert.equal(checkContainment(runs, [8000]).length, 1);
+});
--- a/packages/standins/src/start_process_fleet.ts
+++ b/packages/standins/src/start_process_fleet.ts
@@ -22,6 +22,8 @@
   isReady(router: number): Promise<boolean>;
   /** Whether a router has ended and does not listen again yet. */
   isStarting(router: number): boolean;
+  /** Number of routers that are starting. */
+  startingCount(): number;
   /** Number of processes that were started for a router. */
   startCount(router: number): number;
   /** Number of times that a router was killed without a planned stop. */
@@ -232,6 +234,8 @@
       await replace(number, "SIGTERM");
     },
     isStarting: (number) => routers[number]!.state === RouterState.Starting,
+    startingCount: () =>
+      routers.filter(({ state }) => state === RouterState.Starting).length,
     reload(number, { settings, signals }) {
       const router = routers[number]!;
       router.settings = { ...router.settings, ...settings };
