router: mark a leaving upstream again when it announces its stop again

Since the announcement is a fact, a second one of the same run changed nothing, even if another run's entry had taken the mark off meanwhile. The VM that receives it now marks the upstream itself, as before.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -174,7 +174,9 @@
 
   /** Gives an upstream no more calls and notifies the other VMs. */
   function reportLeaving({ entry }: Upstream): void {
-    facts.add([FactKind.Leaving, entry.id, runOf(entry)], LEAVING_MS);
+    const run = runOf(entry);
+    registry.onLeaving(entry.id, { run, from: vm });
+    facts.add([FactKind.Leaving, entry.id, run], LEAVING_MS);
   }
 
   /** Notes what a response says about the upstream's further calls. */
--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -57,7 +57,7 @@
 const ANSWERED_MS = 500;
 /** Parts whose answers are remembered; the oldest are forgotten first. */
 const MAX_ANSWERED_PARTS = 5000;
-/** Parts of a prompt that are reported; the first ones, shared most, go. */
+/** Parts reported of a prompt; of more, those that prompts share most are left out. */
 const MAX_REPORTED_PARTS = 32;
 
 /** Creates the containment without any crash. */
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -142,7 +142,7 @@
   "entriesBackMs",
   "staleMs",
 ]);
-/** Interval at which idle connections and facts that expired go, in ms. */
+/** Interval at which expired idle connections and facts are removed, in ms. */
 const SWEEP_MS = 500;
 /** Delay before newer items are pulled from a peer, in milliseconds. */
 const PULL_DELAY_MS = 60;
