router: do not suspect prompt parts that were answered of late

When several upstreams fail together for another reason, such as the loss of a data centre, the parts of all prompts in flight there were suspects, and one in regular use could be refused until an answer cleared it. The 500 ms for which an answer exempts a part are now 10 s: a part's content does not change, so one that was answered does not crash upstreams by itself. 'a part that was answered of late is no suspect of failures' failed before.

--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -54,7 +54,7 @@
  * Time after a complete answer for which this VM does not suspect the parts of
  * its prompt, in milliseconds.
  */
-const ANSWERED_MS = 500;
+const ANSWERED_MS = 10_000;
 /** Parts whose answers are remembered; the oldest are forgotten first. */
 const MAX_ANSWERED_PARTS = 5000;
 /** Parts reported of a prompt; of more, those that prompts share most are left out. */
--- a/packages/router/src/create_containment_test.ts
+++ b/packages/router/src/create_containment_test.ts
@@ -108,3 +108,21 @@
   assert.equal(isRefused(started.containment, "a"), true);
   assert.equal(started.facts.digest(), vms[0]!.facts.digest());
 });
+
+// Guards against parts in regular use that are refused after upstreams failed
+// together for another reason, such as the loss of a data centre.
+test("a part that was answered of late is no suspect of failures", () => {
+  const { containments, clock } = createTestVms(1);
+  const [first] = containments as [Containment];
+  const requestWith = (fingerprint: string) => ({
+    id: "id",
+    fingerprints: [fingerprint],
+    parts: ["shared"],
+  });
+  first.onAnswer(requestWith("r0"));
+  clock.advance(4000);
+  for (const name of ["1", "2", "3", "4"]) {
+    first.onCrash(`c${name}`, requestWith(`r${name}`));
+  }
+  first.check(requestWith("r5"));
+});
