router: name the shared facts and their handlers by what they are

No change of behaviour: create_fact_board.ts is create_router_facts.ts and holds the type of its handlers; 'of late' in comments became 'recent'.

--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -7,6 +7,7 @@
   SUSPECT_MS,
 } from "@rosemarytiller/policy";
 import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
+import type { FactHandler } from "./create_router_facts.ts";
 import { FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 
@@ -33,13 +34,6 @@
   parts: readonly string[];
 }
 
-/** Applies facts of one kind, of this VM and others. */
-export interface FactHandler {
-  /** Gets the values after the kind, and the VM that sent them, if another. */
-  onAdded(values: string[], from: string | undefined): void;
-  onRemoved?(values: string[]): void;
-}
-
 /** Dependencies of the containment. */
 export interface ContainmentOptions {
   clock: Clock;
@@ -82,7 +76,7 @@
     return { crash, requests: requests.split(","), parts };
   }
 
-  /** Parts that were not answered here of late. */
+  /** Parts without a recent complete answer on this VM. */
   function suspectParts(parts: readonly string[]): string[] {
     const sinceMs = clock.now() - ANSWERED_MS;
     return parts.filter((part) => (answeredMs.get(part) ?? -Infinity) < sinceMs)
@@ -101,6 +95,7 @@
     }
   }
 
+  /** See `Containment.update`. */
   function update(): void {
     const before = quarantined;
     quarantined = evidence.quarantined();
--- a/packages/router/src/create_containment_test.ts
+++ b/packages/router/src/create_containment_test.ts
@@ -3,7 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { type Containment, createContainment } from "./create_containment.ts";
-import { createFactBoard } from "./create_fact_board.ts";
+import { createRouterFacts } from "./create_router_facts.ts";
 import { FactKind } from "./enums.ts";
 import { createNoopLog } from "./event_log.ts";
 
@@ -17,7 +17,7 @@
   clock: FakeClock,
   publish: (fact: SharedFact) => void,
 ): TestVm {
-  const facts = createFactBoard({
+  const facts = createRouterFacts({
     clock,
     network: { publishFact: publish },
     handlers: () => ({
@@ -111,7 +111,7 @@
 
 // Guards against parts in regular use that are refused after upstreams failed
 // together for another reason, such as the loss of a data centre.
-test("a part that was answered of late is no suspect of failures", () => {
+test("a recently answered part is no suspect when upstreams fail together", () => {
   const { containments, clock } = createTestVms(1);
   const [first] = containments as [Containment];
   const requestWith = (fingerprint: string) => ({
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -30,7 +30,7 @@
 } from "./create_configuration_index.ts";
 import { createConnectionPool } from "./create_connection_pool.ts";
 import { createContainment } from "./create_containment.ts";
-import { createFactBoard } from "./create_fact_board.ts";
+import { createRouterFacts } from "./create_router_facts.ts";
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createRegistry } from "./create_registry.ts";
 import { createRequestServer } from "./create_request_server.ts";
@@ -198,7 +198,7 @@
       factsDigest: facts.digest(),
     }),
   });
-  const facts = createFactBoard({
+  const facts = createRouterFacts({
     clock,
     network,
     handlers: () => ({
