router: log the call limits that upstreams name

The logs could not tell a limit that is not read from one that some VMs do not know. The response header is read now, and a line is logged when what an upstream's responses say has changed. Nothing acts on it yet.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -6,6 +6,7 @@
 import type { RetryAllowance } from "@rosemarytiller/policy";
 import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
 import { chooseBackupUpstream } from "./choose_backup_upstream.ts";
+import type { CallLimits } from "./create_call_limits.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import type { Containment } from "./create_containment.ts";
 import type { CrashDetector } from "./create_crash_detector.ts";
@@ -38,6 +39,7 @@
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
   containment: Pick<Containment, "check" | "onAnswer">;
+  callLimits: Pick<CallLimits, "onNamed">;
   /** Name of this VM. */
   vm: string;
   /** This VM's allowance of retries for a service. */
@@ -92,7 +94,7 @@
 ): AttemptStarter {
   const { clock, log, metrics, protocol, registry, pool } = options;
   const { network, origins, crashDetector, containment, vm } = options;
-  const { facts, allowanceOf } = options;
+  const { facts, callLimits, allowanceOf } = options;
 
   /** Bytes of the bodies of all responses in progress. */
   let bodiesBytes = 0;
@@ -182,6 +184,11 @@
   /** Notes what a response says about the upstream's further calls. */
   function recordHead(upstream: Upstream, metadata: ResponseMetadata): void {
     const { isLeaving, retryAfterMs, invalidRetryAfter } = metadata;
+    const { callsPerSecond, isSealed, isNotRun } = metadata;
+    // Without a limit, only the upstream's own response shows that it has none.
+    if (callsPerSecond !== undefined || isSealed || isNotRun) {
+      callLimits.onNamed(upstream, callsPerSecond);
+    }
     if (isLeaving) reportLeaving(upstream);
     if (retryAfterMs) registry.onPauseRequested(upstream, retryAfterMs);
     if (invalidRetryAfter !== undefined) {
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -23,6 +23,7 @@
   createAttemptStarter,
   type StartedAttempt,
 } from "./create_attempt_starter.ts";
+import type { CallLimits } from "./create_call_limits.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import type { Containment } from "./create_containment.ts";
@@ -59,6 +60,7 @@
   network: PeerNetwork;
   origins: StreamOrigins;
   containment: Containment;
+  callLimits: CallLimits;
   facts: Pick<SharedFacts, "add">;
   retryBounds: RetryBounds;
   /** Name of this VM. */
@@ -96,7 +98,7 @@
 ): RequestServer {
   const { clock, log, metrics, protocol, registry, scheduler, pool, network } =
     options;
-  const { origins, containment, facts, retryBounds, vm } = options;
+  const { origins, containment, callLimits, facts, retryBounds, vm } = options;
   const { configuration, isCurrent } = options;
   const crashDetector = createCrashDetector({
     clock,
@@ -117,6 +119,7 @@
     origins,
     crashDetector,
     containment,
+    callLimits,
     facts,
     vm,
     allowanceOf,
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -23,6 +23,7 @@
 import type { RetryBounds } from "@rosemarytiller/policy";
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
 import { createServer, type Server } from "node:http";
+import { createCallLimits } from "./create_call_limits.ts";
 import { createCallerServer } from "./create_caller_server.ts";
 import {
   type ConfigurationIndex,
@@ -210,6 +211,7 @@
     }),
   });
   const containment = createContainment({ clock, log, facts });
+  const callLimits = createCallLimits({ clock, log });
   const factsSync = createFactsSync({
     clock,
     log,
@@ -240,6 +242,7 @@
     network,
     origins,
     containment,
+    callLimits,
     facts,
     retryBounds: settings.retries,
     vm,
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -33,6 +33,8 @@
   UpstreamLeaving = "upstream-leaving",
   /** An upstream asked this VM to send nothing for a time. */
   UpstreamPaused = "upstream-paused",
+  /** What an upstream's responses say about its call limit has changed. */
+  UpstreamLimited = "upstream-limited",
   /** A response's retry-after can't be read. */
   RetryAfterIgnored = "retry-after-ignored",
   DataCentreChanged = "data-centre-changed",
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -188,6 +188,11 @@
   retryAfterMs?: number;
   /** Retry-after value of a 503 that can't be read. */
   invalidRetryAfter?: string;
+  /**
+   * Calls a second that the upstream takes from all VMs together, for as long
+   * as its responses say so; undefined for no limit.
+   */
+  callsPerSecond?: number | undefined;
 }
 
 /** Port: reads and writes the headers of callers and upstreams. */
