router: keep all VMs together within the limit that an upstream names

Callers of an upstream in need made it worse: it got its usual share of calls although each response named a limit.

Cause: nothing read the limit. What a response says about its upstream bound, at best, the VM that received it.

Change: a VM that reads a limit sends it with a heartbeat at once, and each heartbeat repeats what is known with its age, so that VMs that start, were paused or lost a datagram learn it. The latest response counts; one without a limit ends it. All VMs share one allowance for each upstream (packages/policy/src/create_shared_allowance.ts): they count the calls that the others report, the turn passes to the VM after the last sender, and VMs out of touch keep their part. Calls beyond the limit go to other upstreams. Backup copies are not kept at an upstream with a limit.

Weighed: equal shares with phases (under one call in four seconds a VM at 2 a second; unused shares are lost), and one VM that grants for each upstream (a round trip a call, and a gap whenever that VM is lost).

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -83,6 +83,16 @@
   ): void;
 }
 
+/** VMs that exchange load events with this one. */
+export interface LoadFleet {
+  /** Host of this VM. */
+  own: string;
+  /** Reachable hosts in string order, this one included. */
+  reachable: readonly string[];
+  /** Number of VMs that have not expired, this one included. */
+  known: number;
+}
+
 /** Membership of the fleet and exchange of load between its VMs, over UDP. */
 export interface PeerNetwork {
   /** Binds the socket and sends a heartbeat; rejects if the bind fails. */
@@ -122,6 +132,13 @@
   isLargeFleet(): boolean;
   /** Members of this data centre that have not expired, plus this VM. */
   localVmCount(): number;
+  /**
+   * The VMs that exchange load events about the upstreams of this data centre:
+   * all, in a large fleet those of this data centre.
+   */
+  loadFleet(): LoadFleet;
+  /** Sends the queued load events immediately. */
+  flushLoadEvents(): void;
   /** Reachable VMs, this one included. */
   reachableVmCount(): number;
   /** Members that have not expired, reachable or not, plus this VM. */
@@ -281,6 +298,26 @@
     });
   }
 
+  function localVmCount(): number {
+    let count = 1;
+    for (const member of members.values()) {
+      if (member.dataCentre === dataCentre) count++;
+    }
+    return count;
+  }
+
+  function loadFleet(): LoadFleet {
+    const isLarge = isLargeFleet();
+    const reachable = [host];
+    for (const name of reachableHosts) {
+      if (isLarge && members.get(name)?.dataCentre !== dataCentre) continue;
+      reachable.push(name);
+    }
+    reachable.sort();
+    const known = isLarge ? localVmCount() : members.size + 1;
+    return { own: host, reachable, known };
+  }
+
   function flushEvents(): void {
     cancelFlush?.();
     cancelFlush = undefined;
@@ -416,13 +453,9 @@
       return localHosts.indexOf(host) < READERS_PER_DATA_CENTRE;
     },
     isLargeFleet,
-    localVmCount() {
-      let count = 1;
-      for (const member of members.values()) {
-        if (member.dataCentre === dataCentre) count++;
-      }
-      return count;
-    },
+    localVmCount,
+    loadFleet,
+    flushLoadEvents: flushEvents,
     sendHeartbeatNow() {
       flushEvents();
       sendHeartbeat();
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -106,6 +106,18 @@
   | StreamStartedEvent
   | FactEvent;
 
+/**
+ * What an upstream's last response to any VM said about its call limit: the
+ * upstream, when it started (0 if unknown), the limit in calls a second of all
+ * VMs together (0 for none) and the response's age in milliseconds.
+ */
+export type NamedLimit = [
+  upstream: string,
+  startedMs: number,
+  perSecond: number,
+  ageMs: number,
+];
+
 /** Content of a VM's heartbeat. */
 export interface Heartbeat {
   dataCentre: string;
@@ -126,6 +138,8 @@
   configurationVersion?: number;
   /** Digest of the sender's facts; undefined from VMs of older versions. */
   factsDigest?: number;
+  /** Limits that upstreams named; undefined from VMs of older versions. */
+  callLimits?: NamedLimit[];
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
@@ -169,6 +183,7 @@
   "era",
   "configurationVersion",
   "factsDigest",
+  "callLimits",
 ];
 
 /** Encodes as a list, as field names would take up most of a datagram. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./create_request_queue.ts";
 export * from "./create_retry_allowance.ts";
 export * from "./create_retry_budget.ts";
+export * from "./create_shared_allowance.ts";
 export * from "./create_speed_estimate.ts";
 export * from "./create_upstream_limit.ts";
 export * from "./queued_request.ts";
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -39,7 +39,7 @@
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
   containment: Pick<Containment, "check" | "onAnswer">;
-  callLimits: Pick<CallLimits, "onNamed">;
+  callLimits: Pick<CallLimits, "onNamed" | "isLimited">;
   /** Name of this VM. */
   vm: string;
   /** This VM's allowance of retries for a service. */
@@ -151,7 +151,8 @@
     const backup = chooseBackupUpstream(upstream, {
       engine: state.service.engine,
       prompt: state.request.metadata.prompt,
-      others: registry.eligible(state.service.name),
+      others: registry.eligible(state.service.name)
+        .filter((other) => !callLimits.isLimited(other)),
       nowMs: clock.now(),
     });
     if (backup) {
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -402,7 +402,8 @@
     const { upstream, name } = state.backup!;
     state.backup = undefined;
     // A restarted upstream is another one and has lost the copy.
-    if (!registry.eligible(state.service.name).includes(upstream)) {
+    const isEligible = registry.eligible(state.service.name).includes(upstream);
+    if (!isEligible || !callLimits.canAdmit(upstream)) {
       denyRetry(state, RetryDenial.BackupUnavailable);
       return undefined;
     }
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -197,6 +197,7 @@
       calls: scheduler.ownCalls(),
       configurationVersion: index?.configuration.version ?? 0,
       factsDigest: facts.digest(),
+      callLimits: callLimits.list(),
     }),
   });
   const facts = createRouterFacts({
@@ -211,14 +212,26 @@
     }),
   });
   const containment = createContainment({ clock, log, facts });
-  const callLimits = createCallLimits({ clock, log });
+  const callLimits = createCallLimits({
+    clock,
+    log,
+    registry,
+    fleet: () => network.loadFleet(),
+    publish: () => network.sendHeartbeatNow(),
+  });
   const factsSync = createFactsSync({
     clock,
     log,
     facts,
     pull: (host) => pullFacts({ host, port: settings.peers.port }),
   });
-  const scheduler = createScheduler({ clock, registry, network, dataCentre });
+  const scheduler = createScheduler({
+    clock,
+    registry,
+    network,
+    callLimits,
+    dataCentre,
+  });
   const origins = createStreamOrigins({ clock, network, dataCentre });
   const metrics = createRouterMetrics({
     openRequests: () => requestServer.openCount(),
@@ -230,6 +243,7 @@
     droppedLines: () => log.dropped(),
     sharedFacts: () => facts.size(),
     droppedFacts: () => facts.droppedCount(),
+    limitedUpstreams: () => callLimits.limitedCount(),
   }, { loadAfterMs: METRICS_LOAD_DELAY_MS });
   const requestServer = createRequestServer({
     clock,
@@ -381,6 +395,7 @@
       for (const call of calls?.[1] ?? []) keys.add(`${host}:${call}`);
       upstream.model.reconcile(`${host}:`, keys);
     }
+    callLimits.merge(heartbeat.callLimits ?? [], host);
     factsSync.onHeartbeat(host, heartbeat.factsDigest);
     const order = comparePositions(positionOf(member), published.position());
     if (order === 0 && index) {
@@ -486,6 +501,7 @@
           event.parts.map(([id, tokens]) => ({ id, tokens })),
         );
         registry.onSent(upstream, false);
+        callLimits.onSent(upstream, member.host);
       } else if (event.kind === LoadEventKind.FirstEvent) {
         upstream.model.onFirstEvent(key, nowMs);
         registry.onPeerReceived(upstream);
--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -31,6 +31,7 @@
   droppedLines(): number;
   sharedFacts(): number;
   droppedFacts(): number;
+  limitedUpstreams(): number;
 }
 
 /** Prometheus metrics of a VM; durations are passed in milliseconds. */
@@ -157,6 +158,11 @@
       "Shared facts dropped beyond the limit.",
       gauges.droppedFacts,
     ],
+    [
+      "limited_upstreams",
+      "Upstreams that name a limit for the calls of all VMs.",
+      gauges.limitedUpstreams,
+    ],
     ["log_lines_dropped", "Log lines left out.", gauges.droppedLines],
   ];
   for (const [name, help, read] of readings) {
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -15,6 +15,7 @@
   ErrorKind,
   TillerError,
 } from "@rosemarytiller/shared";
+import type { CallLimits } from "./create_call_limits.ts";
 import type { Registry, Upstream } from "./create_registry.ts";
 import type { Prompt, ServiceDefinition } from "./ports.ts";
 import { createPauseError } from "./request_errors.ts";
@@ -81,8 +82,13 @@
   registry: Registry;
   network: Pick<
     PeerNetwork,
-    "publishLoadEvent" | "knownVmCount" | "localVmCount" | "isLargeFleet"
+    | "publishLoadEvent"
+    | "flushLoadEvents"
+    | "knownVmCount"
+    | "localVmCount"
+    | "isLargeFleet"
   >;
+  callLimits: Pick<CallLimits, "isLimited" | "canAdmit" | "onSent">;
   /** Data centre of this VM. */
   dataCentre: string;
 }
@@ -134,7 +140,7 @@
 
 /** Creates a scheduler, which polls for capacity while requests are queued. */
 export function createScheduler(options: SchedulerOptions): Scheduler {
-  const { clock, registry, network, dataCentre } = options;
+  const { clock, registry, network, callLimits, dataCentre } = options;
   /** Queued requests, the most urgent and oldest first. */
   const queue: QueuedRequest[] = [];
   const callsByUpstream = new Map<string, Set<number>>();
@@ -154,13 +160,14 @@
     for (const upstream of listEligible(request)) {
       if (request.avoid.has(upstream.entry.id)) continue;
       if (!registry.canAdmitAfterPause(upstream)) continue;
-      if (upstream.warmUpUntilMs > clock.now()) {
-        // In a large fleet, only VMs in the upstream's data centre call it
-        // during warm-up.
-        const isRemote = upstream.entry.dataCentre !== dataCentre;
-        if (isLarge && isRemote) continue;
-        if (!registry.canAdmitInWarmUp(upstream, vms)) continue;
-      }
+      const isLimited = callLimits.isLimited(upstream);
+      const isInWarmUp = upstream.warmUpUntilMs > clock.now();
+      // In a large fleet, only VMs in the upstream's data centre know all calls
+      // to it.
+      const isRemote = upstream.entry.dataCentre !== dataCentre;
+      if ((isLimited || isInWarmUp) && isLarge && isRemote) continue;
+      if (isInWarmUp && !registry.canAdmitInWarmUp(upstream, vms)) continue;
+      if (!callLimits.canAdmit(upstream)) continue;
       list.push(upstream);
     }
     return isLarge && request.service.engine ? preferLocal(list) : list;
@@ -279,6 +286,9 @@
       ...work,
       parts: parts.map((part) => [part.id, part.tokens]),
     }, upstreamDataCentre);
+    callLimits.onSent(upstream);
+    // The others count the call before one of them sends the next.
+    if (callLimits.isLimited(upstream)) network.flushLoadEvents();
     let isOpen = true;
     let hasFirstEvent = false;
     return {
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -53,18 +53,27 @@
     });
   }
   const loadEvents: LoadEvent[] = [];
+  /** Whether each upstream that has a limit admits a call. */
+  const limited = new Map<string, boolean>();
+  const sentToLimited: string[] = [];
   const scheduler = createScheduler({
     clock,
     registry,
     dataCentre: "north",
+    callLimits: {
+      isLimited: (upstream) => limited.has(upstream.entry.id),
+      canAdmit: (upstream) => limited.get(upstream.entry.id) ?? true,
+      onSent: (upstream) => void sentToLimited.push(upstream.entry.id),
+    },
     network: {
+      flushLoadEvents: () => {},
       publishLoadEvent: (event) => void loadEvents.push(event),
       knownVmCount: () => 1,
       localVmCount: () => 1,
       isLargeFleet: () => isLarge,
     },
   });
-  return { clock, registry, scheduler, loadEvents };
+  return { clock, registry, scheduler, loadEvents, limited, sentToLimited };
 }
 
 function requestOf(
@@ -248,3 +257,39 @@
   placeAll(scheduler, requests);
   assert.ok(scheduler.ownCalls().length > 1);
 });
+
+// Guards against an engine that gets calls beyond the limit that it named.
+test("an engine whose limit is used up gets no call", async () => {
+  const { scheduler, limited, sentToLimited } = createTestScheduler(2);
+  limited.set("u0", false);
+  const request = requestOf(CallRank.Tight, {
+    tokens: 10,
+    arrivedMs: 0,
+    targetMs: 60_000,
+  });
+  const { signal } = new AbortController();
+  for (let number = 0; number < 4; number++) {
+    const { upstream } = await scheduler.place(request, signal);
+    assert.equal(upstream.entry.id, "u1");
+  }
+  limited.set("u0", true);
+  const { upstream } = await scheduler.place(request, signal);
+  assert.equal(upstream.entry.id, "u0");
+  assert.equal(sentToLimited.at(-1), "u0");
+});
+
+// Guards against VMs of other data centres that do not know all calls to an
+// engine with a limit.
+test("in a large fleet, only its data centre calls a limited engine", async () => {
+  const { scheduler, limited } = createTestScheduler(2, {
+    isLarge: true,
+    remoteFrom: 0,
+  });
+  limited.set("u0", true);
+  const { signal } = new AbortController();
+  const { upstream } = await scheduler.place(
+    requestOf(CallRank.Tight, { tokens: 10, arrivedMs: 0, targetMs: 60_000 }),
+    signal,
+  );
+  assert.equal(upstream.entry.id, "u1");
+});
--- a/packages/sessions/src/format_router_metrics.ts
+++ b/packages/sessions/src/format_router_metrics.ts
@@ -25,6 +25,7 @@
     droppedLines: () => 0,
     sharedFacts: () => 0,
     droppedFacts: () => 0,
+    limitedUpstreams: () => 0,
   }, { loadAfterMs: 0 });
   const rows: string[] = [];
   for (const { name, type, help, labels } of await metrics.list()) {
