--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@rosemarytiller/shared";
-import { connect, type Socket } from "node:net";
+import { connect as connectSocket, type Socket } from "node:net";
 import type { Client as UndiciClient } from "undici";
 // Importing all of undici takes three times as long as its client alone.
 import Client from "undici/lib/dispatcher/client.js";
@@ -47,6 +47,11 @@
   port: number;
 }
 
+/** Port: opens a connection to an address; `net.connect` by default. */
+export type Connect = (
+  options: UpstreamAddress & { noDelay: boolean },
+) => Socket;
+
 /** Timeout for establishing a connection, in ms: several round trips. */
 const CONNECT_TIMEOUT_MS = 400;
 /** Idle limit if the upstream announces none, in milliseconds. */
@@ -56,9 +61,9 @@
 
 /** Creates an empty pool; connections are opened on demand. */
 export function createConnectionPool(
-  options: { clock: Clock },
+  options: { clock: Clock; connect?: Connect | undefined },
 ): ConnectionPool {
-  const { clock } = options;
+  const { clock, connect = connectSocket } = options;
   const idle = new Map<string, Connection[]>();
   const open = new Map<string, Set<Connection>>();
   let isPoolClosed = false;
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -29,7 +29,10 @@
   type ConfigurationIndex,
   createConfigurationIndex,
 } from "./create_configuration_index.ts";
-import { createConnectionPool } from "./create_connection_pool.ts";
+import {
+  type Connect,
+  createConnectionPool,
+} from "./create_connection_pool.ts";
 import { createContainment } from "./create_containment.ts";
 import { createRouterFacts } from "./create_router_facts.ts";
 import { createFactsSync } from "./create_facts_sync.ts";
@@ -113,6 +116,7 @@
   protocol: WireProtocol;
   decode: DecodeItem;
   source: PublishedSource;
+  connect?: Connect | undefined;
 }
 
 /** A router on one VM. */
@@ -166,7 +170,7 @@
   const { vm, dataCentre } = settings;
   const published = createPublishedItems();
   const registry = createRegistry({ clock, log });
-  const pool = createConnectionPool({ clock });
+  const pool = createConnectionPool({ clock, connect: options.connect });
   let index: ConfigurationIndex | undefined;
   /** The item of `index`; after a restore, `published` may have an older one. */
   let configurationItem: PublishedItem | undefined;
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,5 +1,9 @@
 export * from "./caller_exchange.ts";
 export * from "./create_configuration_index.ts";
+export {
+  type Connect,
+  type UpstreamAddress,
+} from "./create_connection_pool.ts";
 export * from "./create_router.ts";
 export * from "./create_router_metrics.ts";
 export * from "./end_to_end_headers.ts";
