router: split the handler of callers' requests from their server

No change of behaviour: the same handler is to serve another listener, with further headers on its errors. Requests keep their unmodified headers.

--- a/packages/router/src/caller_exchange.ts
+++ b/packages/router/src/caller_exchange.ts
@@ -10,6 +10,8 @@
   pathAndQuery: string;
   host: string;
   body: Buffer;
+  /** Unmodified headers; names and values alternate. */
+  rawHeaders: readonly string[];
   /** Monotonic time at which its headers were received, in milliseconds. */
   arrivedMs: number;
 }
--- a/packages/router/src/create_caller_handler_test.ts
+++ b/packages/router/src/create_caller_handler_test.ts
@@ -3,7 +3,7 @@
 import { createServer, request, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
-import { createCallerResponse } from "./create_caller_server.ts";
+import { createCallerResponse } from "./create_caller_handler.ts";
 
 // Guards against logging the disconnect of a caller twice.
 test("the action for a disconnect runs once if the response was just destroyed", async (t) => {
@@ -20,7 +20,9 @@
   const closed = once(response, "close");
   let disconnects = 0;
   response.destroy();
-  createCallerResponse(response, () => false).onDisconnect(() => disconnects++);
+  createCallerResponse(response, { isDraining: () => false }).onDisconnect(() =>
+    disconnects++
+  );
   assert.equal(disconnects, 1);
   await closed;
   assert.equal(disconnects, 1);
