router: do not report crashes while this VM has lost its links

Upstreams that it could not reach were in an assumed warm-up for seconds after the links were back.

Cause: a failed connection was taken for a state of the upstream; whether the links of this VM work was not considered.

Change: create_reach.ts tracks what this VM reaches. A broken call counts as a crash only if bytes arrive from another upstream after it, or another one accepts a connection. Services that are silent here while they respond to other VMs, and those without any connection, are probed. An assumed warm-up ends if bytes arrive on a connection from before the failure, or the upstream accepts a connection and has responded to other VMs meanwhile.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -10,6 +10,7 @@
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import type { Containment } from "./create_containment.ts";
 import type { CrashDetector } from "./create_crash_detector.ts";
+import type { Reach } from "./create_reach.ts";
 import { type Registry, runOf, type Upstream } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement } from "./create_scheduler.ts";
@@ -38,6 +39,7 @@
   facts: Pick<SharedFacts, "add">;
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
+  reach: Pick<Reach, "onSent" | "onReceived" | "onConnectFailed">;
   containment: Pick<Containment, "check" | "onAnswer">;
   callLimits: Pick<CallLimits, "onNamed" | "isLimited">;
   /** Name of this VM. */
@@ -93,7 +95,7 @@
   options: AttemptStarterOptions,
 ): AttemptStarter {
   const { clock, log, metrics, protocol, registry, pool } = options;
-  const { network, origins, crashDetector, containment, vm } = options;
+  const { network, origins, crashDetector, reach, containment, vm } = options;
   const { facts, callLimits, allowanceOf } = options;
 
   /** Bytes of the bodies of all responses in progress. */
@@ -220,6 +222,7 @@
     );
     if (result === AttemptResult.Unsent) {
       registry.onConnectFailed(upstream, "no connection");
+      reach.onConnectFailed(upstream);
       crashDetector.onUnreachable(upstream);
       state.tried.add(upstream.entry.id);
     }
@@ -303,7 +306,10 @@
         softwareVersion: entry.softwareVersion,
         stream: state.stream,
         response: state.response,
-        onReceived: () => registry.onReceived(upstream),
+        onReceived() {
+          registry.onReceived(upstream, connection.openedMs);
+          reach.onReceived(upstream);
+        },
         onHead: (metadata) => recordHead(upstream, metadata),
         claimResponse: hooks.claimResponse,
         reserveBytes(bytes) {
@@ -321,6 +327,7 @@
           state.sends++;
           state.possibleRuns++;
           state.tried.add(entry.id);
+          reach.onSent(upstream);
         },
       });
       const onAbort = () => running.abort(AttemptResult.Aborted);
--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -14,6 +14,8 @@
   /** Whether the upstream reset the connection. */
   wasReset: boolean;
   isClosed: boolean;
+  /** Monotonic time at which it was opened, in milliseconds. */
+  openedMs: number;
   /** Monotonic time since which it is idle, in milliseconds. */
   idleSinceMs: number;
   /** Idle time after which the upstream closes it, in milliseconds. */
@@ -115,6 +117,7 @@
       onReceived: undefined,
       wasReset: false,
       isClosed: false,
+      openedMs: clock.now(),
       idleSinceMs: clock.now(),
       idleLimitMs: DEFAULT_IDLE_LIMIT_MS,
     };
--- a/packages/router/src/create_crash_detector.ts
+++ b/packages/router/src/create_crash_detector.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@rosemarytiller/shared";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import type { ContainedRequest, Containment } from "./create_containment.ts";
+import type { Reach } from "./create_reach.ts";
 import type { Registry, Upstream } from "./create_registry.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
@@ -30,6 +31,7 @@
   containment: Pick<Containment, "onCrash">;
   registry: Pick<Registry, "onConnectFailed">;
   pool: Pick<ConnectionPool, "probe">;
+  reach: Pick<Reach, "hasReachedOthers" | "probeOthers" | "onConnectFailed">;
 }
 
 /** Time from a broken call within which an upstream must be down, in ms. */
@@ -40,13 +42,19 @@
  */
 const PROBE_DELAY_MS = 20;
 
+/**
+ * Time within which all connections of lost links break off, in milliseconds;
+ * bytes that arrive later show that the links work.
+ */
+const LINK_LOSS_MS = 10;
+
 /**
  * Creates the detector. Confirmed crashes go to the containment and the log.
  */
 export function createCrashDetector(
   options: CrashDetectorOptions,
 ): CrashDetector {
-  const { clock, log, containment, registry, pool } = options;
+  const { clock, log, containment, registry, pool, reach } = options;
   const suspects = new Map<Upstream, (SuspectedCrash & { atMs: number })[]>();
   const probed = new Set<Upstream>();
 
@@ -55,7 +63,24 @@
     return (suspects.get(upstream) ?? []).filter(({ atMs }) => atMs >= sinceMs);
   }
 
+  /**
+   * Reports the broken calls as crashes if this VM reaches other upstreams;
+   * else it has lost its links, and the upstream may well run.
+   */
   function confirm(upstream: Upstream): void {
+    const lastMs = recent(upstream).at(-1)?.atMs;
+    if (lastMs === undefined) return;
+    if (reach.hasReachedOthers(upstream, lastMs + LINK_LOSS_MS)) {
+      report(upstream);
+      return;
+    }
+    void reach.probeOthers(upstream).then((areReached) => {
+      if (areReached) report(upstream);
+      else suspects.delete(upstream);
+    });
+  }
+
+  function report(upstream: Upstream): void {
     for (const { request, crash } of recent(upstream)) {
       log.warn(LogEvent.RequestCrashedUpstream, {
         id: request.id,
@@ -78,6 +103,7 @@
       probed.delete(upstream);
       if (!isUp) {
         registry.onConnectFailed(upstream, "no connection after a broken call");
+        reach.onConnectFailed(upstream);
         confirm(upstream);
         return;
       }
--- a/packages/router/src/create_crash_detector_test.ts
+++ b/packages/router/src/create_crash_detector_test.ts
@@ -8,7 +8,10 @@
 /** Longer than the delay of a probe, in milliseconds. */
 const PROBED_MS = 100;
 
-function createTestDetector({ isUp }: { isUp: boolean }) {
+function createTestDetector(
+  options: { isUp: boolean; reachesOthers?: boolean },
+) {
+  const { isUp, reachesOthers = true } = options;
   const clock = createFakeClock(10_000);
   /** Requests in flight, by crash. */
   const crashes: Record<string, string[]> = {};
@@ -29,6 +32,11 @@
         return Promise.resolve(isUp);
       },
     },
+    reach: {
+      hasReachedOthers: () => reachesOthers,
+      probeOthers: () => Promise.resolve(reachesOthers),
+      onConnectFailed() {},
+    },
   });
   const upstream = { downUntilMs: 0, entry: { id: "u" } } as Upstream;
 
@@ -107,3 +115,14 @@
   await awaitProbe();
   assert.equal(probes(), 1);
 });
+
+// Guards against crashes that a VM reports as it has lost its own links.
+test("calls that break with the links to all upstreams are no crashes", async () => {
+  const { crashes, down, upstream, breakCall, awaitProbe } = createTestDetector(
+    { isUp: false, reachesOthers: false },
+  );
+  breakCall("read", "vm/1");
+  await awaitProbe();
+  assert.deepEqual(crashes, {});
+  assert.deepEqual(down, [upstream]);
+});
--- /dev/null
+++ b/packages/router/src/create_reach.ts
@@ -0,0 +1,193 @@
+import type { Clock } from "@rosemarytiller/shared";
+import type { ConnectionPool } from "./create_connection_pool.ts";
+import type { Registry, Upstream } from "./create_registry.ts";
+import { LogEvent } from "./enums.ts";
+import type { EventLog } from "./event_log.ts";
+
+/**
+ * Which services this VM can reach. A VM that has lost its links to the
+ * upstreams of a service must not take them for crashed, and can have other VMs
+ * call them.
+ */
+export interface Reach {
+  /** A call was written to the upstream. */
+  onSent(upstream: Upstream): void;
+  /** Bytes arrived from the upstream. */
+  onReceived(upstream: Upstream): void;
+  /** No connection to the upstream could be established. */
+  onConnectFailed(upstream: Upstream): void;
+  /**
+   * Whether this VM has lost its links to most or all upstreams of the service,
+   * so that another VM can serve its requests better.
+   */
+  isLost(service: string): boolean;
+  lostServices(): string[];
+  /** Whether another upstream than this one was reached since `sinceMs`. */
+  hasReachedOthers(upstream: Upstream, sinceMs: number): boolean;
+  /**
+   * Resolves with whether another upstream accepts a connection now, and with
+   * true if there is no other one.
+   */
+  probeOthers(upstream: Upstream): Promise<boolean>;
+  /** Probes upstreams of services that are silent or lost; call it regularly. */
+  update(): void;
+}
+
+/** Dependencies of the reach. */
+export interface ReachOptions {
+  clock: Clock;
+  log: EventLog;
+  registry: Pick<
+    Registry,
+    "inService" | "isMostlyUnreached" | "all" | "onReached"
+  >;
+  pool: Pick<ConnectionPool, "probe">;
+  /** Sends the lost services to the other VMs. */
+  publish(): void;
+}
+
+/**
+ * Upstreams that must refuse connections, without bytes from any other one of
+ * the service, until it counts as lost; all of them if there are fewer.
+ */
+const MIN_FAILED_UPSTREAMS = 3;
+/**
+ * Time without bytes from a service with calls in progress after which its
+ * upstreams are probed, in milliseconds.
+ */
+const MAX_SILENCE_MS = 400;
+/** Time between the probes of a silent or lost service, in milliseconds. */
+const PROBE_INTERVAL_MS = 200;
+
+interface ServiceReach {
+  /** Upstreams that failed to connect since one of the service was reached. */
+  failed: Set<string>;
+  /** Whether none of its upstreams is reached. */
+  isAllLost: boolean;
+  /** Start of the first call since one of the service was reached. */
+  silentSinceMs: number | undefined;
+  probedMs: number;
+}
+
+/** Creates the reach; every service counts as reachable at first. */
+export function createReach(options: ReachOptions): Reach {
+  const { clock, log, registry, pool, publish } = options;
+  const services = new Map<string, ServiceReach>();
+  const reachedMs = new WeakMap<Upstream, number>();
+
+  function reachOf(service: string): ServiceReach {
+    let reach = services.get(service);
+    if (!reach) {
+      reach = {
+        failed: new Set(),
+        isAllLost: false,
+        silentSinceMs: undefined,
+        probedMs: -Infinity,
+      };
+      services.set(service, reach);
+    }
+    return reach;
+  }
+
+  const isLost = (service: string) =>
+    services.get(service)?.isAllLost === true ||
+    registry.isMostlyUnreached(service);
+
+  function setAllLost(service: string, isAllLost: boolean): void {
+    const reach = reachOf(service);
+    if (reach.isAllLost === isAllLost) return;
+    reach.isAllLost = isAllLost;
+    const failed = [...reach.failed];
+    log.warn(LogEvent.ServiceReach, { service, lost: isAllLost, failed });
+    publish();
+  }
+
+  function onReceived(upstream: Upstream): void {
+    const reach = reachOf(upstream.entry.service);
+    reachedMs.set(upstream, clock.now());
+    reach.silentSinceMs = undefined;
+    if (reach.isAllLost) setAllLost(upstream.entry.service, false);
+    reach.failed.clear();
+  }
+
+  function onConnectFailed({ entry }: Upstream): void {
+    const reach = reachOf(entry.service);
+    reach.failed.add(entry.id);
+    const known = registry.inService(entry.service).length;
+    if (reach.failed.size < Math.min(MIN_FAILED_UPSTREAMS, known)) return;
+    setAllLost(entry.service, true);
+  }
+
+  async function probe(upstream: Upstream): Promise<boolean> {
+    const isUp = await pool.probe(upstream.entry);
+    if (isUp) {
+      registry.onReached(upstream);
+      onReceived(upstream);
+    } else onConnectFailed(upstream);
+    return isUp;
+  }
+
+  /** Whether other VMs get responses while this one gets none. */
+  function isSilentHereOnly(service: string, sinceMs: number): boolean {
+    return registry.inService(service).some(({ fleetLastReceivedMs }) =>
+      fleetLastReceivedMs > sinceMs
+    );
+  }
+
+  /** Upstreams to probe: those without a connection, or some of a silent service. */
+  function listProbes(service: string, reach: ServiceReach): Upstream[] {
+    const list = registry.inService(service);
+    if (reach.isAllLost) return pickRandom(list, 1);
+    const unreached = list.filter(({ assumedWarmUp }) => assumedWarmUp);
+    if (isLost(service)) return pickRandom(unreached, 1);
+    const { silentSinceMs = Infinity } = reach;
+    const isSilent = clock.now() - silentSinceMs >= MAX_SILENCE_MS &&
+      isSilentHereOnly(service, silentSinceMs);
+    return isSilent ? pickRandom(list, MIN_FAILED_UPSTREAMS) : [];
+  }
+
+  function updateService(service: string, reach: ServiceReach): void {
+    const nowMs = clock.now();
+    if (nowMs - reach.probedMs < PROBE_INTERVAL_MS) return;
+    const upstreams = listProbes(service, reach);
+    if (upstreams.length > 0) reach.probedMs = nowMs;
+    for (const upstream of upstreams) void probe(upstream);
+  }
+
+  return {
+    onSent({ entry }) {
+      reachOf(entry.service).silentSinceMs ??= clock.now();
+    },
+    onReceived,
+    onConnectFailed,
+    isLost,
+    lostServices: () => [...services.keys()].filter(isLost),
+    hasReachedOthers(upstream, sinceMs) {
+      for (const other of registry.all()) {
+        if (other === upstream) continue;
+        if ((reachedMs.get(other) ?? -Infinity) >= sinceMs) return true;
+      }
+      return false;
+    },
+    async probeOthers(upstream) {
+      const others = [...registry.all()].filter((other) => other !== upstream);
+      if (others.length === 0) return true;
+      const probes = pickRandom(others, MIN_FAILED_UPSTREAMS).map(probe);
+      return (await Promise.all(probes)).includes(true);
+    },
+    update() {
+      for (const [service, reach] of services) updateService(service, reach);
+    },
+  };
+}
+
+/** Picks up to `count` different items. */
+function pickRandom<T>(items: readonly T[], count: number): T[] {
+  const rest = [...items];
+  const picked: T[] = [];
+  while (picked.length < count && rest.length > 0) {
+    const at = Math.floor(Math.random() * rest.length);
+    picked.push(...rest.splice(at, 1));
+  }
+  return picked;
+}
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -16,6 +16,11 @@
   model: EngineModel;
   /** Time until which it is in warm-up and admits calls at a limited rate. */
   warmUpUntilMs: number;
+  /**
+   * First failure to connect since this VM received bytes from it, and the end
+   * of its warm-up before that; the failure may be this VM's own.
+   */
+  assumedWarmUp: { atMs: number; beforeMs: number } | undefined;
   /** Time until which it gets no calls after a failure. */
   downUntilMs: number;
   /** Time until which other upstreams are preferred after a silence. */
@@ -66,6 +71,21 @@
    * leaving, not paused and not in a data centre out of service.
    */
   eligible(service: string): Upstream[];
+  /**
+   * Upstreams of a service that are in use, also if they are down or paused
+   * now.
+   */
+  inService(service: string): Upstream[];
+  /**
+   * Whether at least half of a service's upstreams failed to connect, and sent
+   * this VM nothing since.
+   */
+  isMostlyUnreached(service: string): boolean;
+  /**
+   * The upstream accepted a connection. If it responded to other VMs since this
+   * VM failed to connect, it was not down.
+   */
+  onReached(upstream: Upstream): void;
   all(): Iterable<Upstream>;
   /** The software version of a service, undefined if there were several. */
   onlyVersionOf(service: string): string | undefined;
@@ -127,8 +147,11 @@
   ): number | undefined;
   /** Counts an ended call in the failure share; `weight` is 0 to 1. */
   onCallEnd(upstream: Upstream, failed: boolean, weight: number): void;
-  /** This VM received bytes from the upstream. */
-  onReceived(upstream: Upstream): void;
+  /**
+   * This VM received bytes from the upstream. If their connection was opened
+   * before a failure to connect, the upstream has not restarted.
+   */
+  onReceived(upstream: Upstream, openedMs?: number): void;
   /** Another VM reported a first event or complete response. */
   onPeerReceived(upstream: Upstream): void;
   /**
@@ -214,6 +237,7 @@
       entry,
       model: createEngineModel(size, speedOf(entry.service).speed),
       warmUpUntilMs: clock.now() + entry.warmUpMs,
+      assumedWarmUp: undefined,
       downUntilMs: 0,
       silentUntilMs: 0,
       consecutiveFailures: 0,
@@ -332,6 +356,20 @@
         downUntilMs <= nowMs && pausedUntilMs <= nowMs
       );
     },
+    inService: listInService,
+    isMostlyUnreached(service) {
+      const list = listInService(service);
+      const unreached = list.filter(({ assumedWarmUp }) => assumedWarmUp);
+      return list.length > 0 && unreached.length * 2 >= list.length;
+    },
+    onReached(upstream) {
+      const { assumedWarmUp, fleetLastReceivedMs } = upstream;
+      upstream.assumedWarmUp = undefined;
+      if (!assumedWarmUp || fleetLastReceivedMs < assumedWarmUp.atMs) return;
+      upstream.downUntilMs = 0;
+      upstream.consecutiveFailures = 0;
+      upstream.warmUpUntilMs = assumedWarmUp.beforeMs;
+    },
     all: () => upstreams.values(),
     onlyVersionOf(service) {
       const versions = versionsByService.get(service);
@@ -365,6 +403,10 @@
       const warmUpMs = findService(upstream.entry.service)?.warmUpMs ?? 0;
       // The upstream may have restarted without having registered yet; it then
       // needs a warm-up.
+      upstream.assumedWarmUp ??= {
+        atMs: clock.now(),
+        beforeMs: upstream.warmUpUntilMs,
+      };
       upstream.warmUpUntilMs = Math.max(
         upstream.warmUpUntilMs,
         clock.now() + warmUpMs,
@@ -431,10 +473,15 @@
       upstream.failureShare = share + gain * ((failed ? 1 : 0) - share);
       upstream.failureAtMs = clock.now();
     },
-    onReceived(upstream) {
+    onReceived(upstream, openedMs = Infinity) {
+      const { assumedWarmUp } = upstream;
+      if (assumedWarmUp && openedMs < assumedWarmUp.atMs) {
+        upstream.warmUpUntilMs = assumedWarmUp.beforeMs;
+      }
       upstream.lastReceivedMs = clock.now();
       upstream.fleetLastReceivedMs = upstream.lastReceivedMs;
       upstream.consecutiveFailures = 0;
+      upstream.assumedWarmUp = undefined;
       upstream.silentUntilMs = 0;
     },
     onPeerReceived(upstream) {
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -277,3 +277,44 @@
   registry.set("u", entryOf({ startedMs: 1 }));
   assert.equal(registry.eligible("engines").length, 0);
 });
+
+// Guards against a warm-up of upstreams that have not restarted, after this VM
+// lost its links to them.
+test("an upstream that was reached meanwhile needs no warm-up", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  const upstream = registry.find("u")!;
+  registry.onConnectFailed(upstream, "no connection");
+  assert.ok(upstream.warmUpUntilMs > clock.now());
+  assert.ok(registry.isMostlyUnreached("engines"));
+  clock.advance(100);
+  registry.onPeerReceived(upstream);
+  registry.onReached(upstream);
+  assert.ok(upstream.warmUpUntilMs <= clock.now());
+  assert.equal(registry.eligible("engines").length, 1);
+  assert.ok(!registry.isMostlyUnreached("engines"));
+});
+
+test("bytes on a connection from before the failure end an assumed warm-up", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  const upstream = registry.find("u")!;
+  const openedMs = clock.now();
+  clock.advance(100);
+  registry.onConnectFailed(upstream, "no connection");
+  registry.onReceived(upstream, openedMs);
+  assert.ok(upstream.warmUpUntilMs <= clock.now());
+});
+
+// Guards against a restarted upstream that gets its full load at once.
+test("an upstream that no VM reached meanwhile keeps its assumed warm-up", () => {
+  const { clock, registry } = createTestRegistry();
+  registry.set("u", entryOf());
+  const upstream = registry.find("u")!;
+  registry.onConnectFailed(upstream, "no connection");
+  clock.advance(100);
+  registry.onReached(upstream);
+  assert.ok(upstream.warmUpUntilMs > clock.now());
+  registry.onReceived(upstream, clock.now());
+  assert.ok(upstream.warmUpUntilMs > clock.now());
+});
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -28,6 +28,7 @@
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import type { Containment } from "./create_containment.ts";
 import { createCrashDetector } from "./create_crash_detector.ts";
+import type { Reach } from "./create_reach.ts";
 import type { Registry } from "./create_registry.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement, Scheduler } from "./create_scheduler.ts";
@@ -60,6 +61,7 @@
   network: PeerNetwork;
   origins: StreamOrigins;
   containment: Containment;
+  reach: Reach;
   callLimits: CallLimits;
   facts: Pick<SharedFacts, "add">;
   retryBounds: RetryBounds;
@@ -98,7 +100,8 @@
 ): RequestServer {
   const { clock, log, metrics, protocol, registry, scheduler, pool, network } =
     options;
-  const { origins, containment, callLimits, facts, retryBounds, vm } = options;
+  const { origins, containment, reach, callLimits, facts } = options;
+  const { retryBounds, vm } = options;
   const { configuration, isCurrent } = options;
   const crashDetector = createCrashDetector({
     clock,
@@ -106,6 +109,7 @@
     containment,
     registry,
     pool,
+    reach,
   });
   const allowances = new Map<string, RetryAllowance>();
   const attempts = createAttemptStarter({
@@ -118,6 +122,7 @@
     network,
     origins,
     crashDetector,
+    reach,
     containment,
     callLimits,
     facts,
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -36,6 +36,7 @@
 import { createContainment } from "./create_containment.ts";
 import { createRouterFacts } from "./create_router_facts.ts";
 import { createFactsSync } from "./create_facts_sync.ts";
+import { createReach } from "./create_reach.ts";
 import { createRegistry } from "./create_registry.ts";
 import { createRequestServer } from "./create_request_server.ts";
 import { createRouterMetrics } from "./create_router_metrics.ts";
@@ -149,6 +150,8 @@
 ]);
 /** Interval at which expired idle connections and facts are removed, in ms. */
 const SWEEP_MS = 500;
+/** Interval at which silent or lost services are checked, in ms. */
+const REACH_UPDATE_MS = 100;
 /** Delay before newer items are pulled from a peer, in milliseconds. */
 const PULL_DELAY_MS = 60;
 /** Weight of calls reported by VMs of other data centres in failure shares. */
@@ -215,6 +218,13 @@
       },
     }),
   });
+  const reach = createReach({
+    clock,
+    log,
+    registry,
+    pool,
+    publish: () => network.sendHeartbeatNow(),
+  });
   const containment = createContainment({ clock, log, facts });
   const callLimits = createCallLimits({
     clock,
@@ -260,6 +270,7 @@
     network,
     origins,
     containment,
+    reach,
     callLimits,
     facts,
     retryBounds: settings.retries,
@@ -589,6 +600,7 @@
         facts.expire();
         containment.update();
       }));
+      timers.push(repeat(clock, REACH_UPDATE_MS, () => reach.update()));
       log.info(LogEvent.Started, {
         startupMs: Math.round(performance.now()),
         settings,
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -29,6 +29,8 @@
   ItemRefused = "item-refused",
   UpstreamChanged = "upstream-changed",
   UpstreamDown = "upstream-down",
+  /** This VM lost its links to all upstreams of a service, or regained one. */
+  ServiceReach = "service-reach",
   /** An upstream announced in a response that it is about to stop. */
   UpstreamLeaving = "upstream-leaving",
   /** An upstream asked this VM to send nothing for a time. */
