router: have another VM serve what this one cannot reach

Cause: a VM had no other way than its own links, and stayed in the balancer.

Change: such a VM passes its requests on, once, to a VM that reaches the service (create_relays.ts), over the port for peers. The other VM serves them like its own callers' (create_relay_handler.ts): classification, quarantine, queue by tier, deadline, retries and backups. To the first VM it is an attempt like one at an upstream, so that streams are forwarded event by event and resumed, an attempt that breaks off may have run, and a refusal says whether it did. The number of sends travels along, so the route's attempts hold over both VMs. Heartbeats name the services that a VM does not reach; VMs of the same data centre are asked first, at most three one after the other.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -137,6 +137,8 @@
    * all, in a large fleet those of this data centre.
    */
   loadFleet(): LoadFleet;
+  /** Reachable VMs other than this one. */
+  reachableMembers(): Iterable<Member>;
   /** Sends the queued load events immediately. */
   flushLoadEvents(): void;
   /** Reachable VMs, this one included. */
@@ -456,6 +458,11 @@
     localVmCount,
     loadFleet,
     flushLoadEvents: flushEvents,
+    *reachableMembers() {
+      for (const member of members.values()) {
+        if (reachableHosts.has(member.host)) yield member;
+      }
+    },
     sendHeartbeatNow() {
       flushEvents();
       sendHeartbeat();
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -140,6 +140,11 @@
   factsDigest?: number;
   /** Limits that upstreams named; undefined from VMs of older versions. */
   callLimits?: NamedLimit[];
+  /**
+   * Services whose upstreams the sender does not reach; undefined from VMs of
+   * older versions, which take no relayed requests.
+   */
+  lostServices?: string[];
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
@@ -184,6 +189,7 @@
   "configurationVersion",
   "factsDigest",
   "callLimits",
+  "lostServices",
 ];
 
 /** Encodes as a list, as field names would take up most of a datagram. */
--- a/packages/router/src/caller_exchange.ts
+++ b/packages/router/src/caller_exchange.ts
@@ -1,6 +1,7 @@
 import type { TillerError } from "@rosemarytiller/shared";
 import type { Buffer } from "node:buffer";
 import type { RequestMetadata } from "./ports.ts";
+import type { RelayedRequest } from "./relay_headers.ts";
 
 /** A caller's request, received with its complete body. */
 export interface CallerRequest {
@@ -12,6 +13,8 @@
   body: Buffer;
   /** Unmodified headers; names and values alternate. */
   rawHeaders: readonly string[];
+  /** Set if another VM passed the request on, as it reaches no upstream. */
+  relay?: RelayedRequest;
   /** Monotonic time at which its headers were received, in milliseconds. */
   arrivedMs: number;
 }
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -50,7 +50,8 @@
 
 /** An attempt whose outcome is recorded when it ends. */
 export interface StartedAttempt extends AttemptRun {
-  placement: Placement;
+  /** Undefined if another VM makes the attempt. */
+  placement: Placement | undefined;
 }
 
 /** Connects an attempt with the other attempts of its call. */
--- /dev/null
+++ b/packages/router/src/create_relay_handler.ts
@@ -0,0 +1,66 @@
+import type { Clock } from "@rosemarytiller/shared";
+import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
+import {
+  type CallerHandler,
+  createCallerHandler,
+} from "./create_caller_handler.ts";
+import { HARD_MAX_HEADER_BYTES } from "./create_caller_server.ts";
+import { RELAY_PATH } from "./create_relays.ts";
+import { LogEvent } from "./enums.ts";
+import type { EventLog } from "./event_log.ts";
+import type { CallerLimits, WireProtocol } from "./ports.ts";
+import {
+  isRelayHeader,
+  readRelayHeaders,
+  writeRelayError,
+} from "./relay_headers.ts";
+
+/** Dependencies of the handler of relayed requests. */
+export interface RelayHandlerOptions {
+  clock: Clock;
+  log: EventLog;
+  protocol: WireProtocol;
+  /** Limits for callers' requests. */
+  limits(): CallerLimits;
+  /** Serves a request like a caller's, but does not pass it on. */
+  serve(request: CallerRequest, response: CallerResponse): void;
+}
+
+/** Creates the handler of requests that other VMs pass on to this one. */
+export function createRelayHandler(
+  options: RelayHandlerOptions,
+): CallerHandler {
+  const { clock, log, protocol, limits, serve } = options;
+
+  function serveRelayed(request: CallerRequest, response: CallerResponse) {
+    const relay = readRelayHeaders(request.rawHeaders);
+    if (!relay) return response.destroy();
+    const rawHeaders: string[] = [];
+    for (let at = 0; at < request.rawHeaders.length; at += 2) {
+      const [name, value] = request.rawHeaders.slice(at, at + 2);
+      if (!isRelayHeader(name!.toLowerCase())) rawHeaders.push(name!, value!);
+    }
+    const metadata = protocol.readRequest(rawHeaders);
+    log.info(LogEvent.RelayTaken, { id: metadata.id, from: relay.from });
+    serve({
+      ...request,
+      pathAndQuery: request.pathAndQuery.slice(RELAY_PATH.length),
+      rawHeaders,
+      relay,
+      metadata: {
+        ...metadata,
+        deadlineMs: relay.deadlineMs,
+        lastEventId: relay.lastEventId,
+      },
+    }, response);
+  }
+
+  return createCallerHandler({
+    clock,
+    protocol,
+    limits: () => ({ ...limits(), maxHeaderBytes: HARD_MAX_HEADER_BYTES }),
+    isDraining: () => false,
+    errorHeaders: writeRelayError,
+    serve: serveRelayed,
+  });
+}
--- /dev/null
+++ b/packages/router/src/create_relays.ts
@@ -0,0 +1,231 @@
+import type { Member, PeerNetwork } from "@rosemarytiller/peers";
+import type { Clock, TillerError } from "@rosemarytiller/shared";
+import type { AttemptHooks, StartedAttempt } from "./create_attempt_starter.ts";
+import { createConnectionPool } from "./create_connection_pool.ts";
+import { endToEndHeaders } from "./end_to_end_headers.ts";
+import { AttemptResult, LogEvent } from "./enums.ts";
+import type { EventLog } from "./event_log.ts";
+import type { WireProtocol } from "./ports.ts";
+import {
+  isRelayHeader,
+  readRelayRefusal,
+  writeRelayHeaders,
+} from "./relay_headers.ts";
+import type { RequestState } from "./request_state.ts";
+import { type AttemptEnd, runAttempt } from "./run_attempt.ts";
+
+/** Path prefix at which VMs take relayed requests from each other. */
+export const RELAY_PATH = "/relay";
+
+/** An attempt that another VM makes for this one. */
+export interface RelayedAttempt extends StartedAttempt {
+  /** Error with which the other VM refused the request without running it. */
+  refusal(): TillerError | undefined;
+}
+
+/** Passes requests to VMs that reach the upstreams which this one does not. */
+export interface Relays {
+  /**
+   * Passes a request to another VM, which serves it like a caller's. Returns
+   * undefined if no VM that reaches the service is left.
+   */
+  start(state: RequestState, hooks: AttemptHooks): RelayedAttempt | undefined;
+  /** Number of requests that other VMs are serving for this one. */
+  openCount(): number;
+  /** Closes idle connections that can no longer be reused. */
+  sweep(): void;
+  close(): void;
+}
+
+/** Dependencies of the relays. */
+export interface RelaysOptions {
+  clock: Clock;
+  log: EventLog;
+  protocol: WireProtocol;
+  network: Pick<PeerNetwork, "reachableMembers">;
+  /** Name and data centre of this VM. */
+  vm: string;
+  dataCentre: string;
+  /** Port at which the other VMs take relayed requests. */
+  port: number;
+}
+
+/** Connections to one VM. */
+const MAX_CONNECTIONS = 200;
+/** Time for which a VM gets no relays after a failed connection, in ms. */
+const FAILED_MS = 1000;
+/** Largest body of all relayed responses in progress, in bytes. */
+const MAX_BODIES_BYTES = 16 * 1024 * 1024;
+
+/** VMs that a request is passed on to, one after the other. */
+const MAX_RELAYS = 3;
+
+/** Creates the relays; they connect when the first request is passed on. */
+export function createRelays(options: RelaysOptions): Relays {
+  const { clock, log, protocol, network, vm, dataCentre, port } = options;
+  const pool = createConnectionPool({ clock });
+  const failedUntilMs = new Map<string, number>();
+  const openByHost = new Map<string, number>();
+  let bodiesBytes = 0;
+
+  function canServe({ host, heartbeat }: Member, state: RequestState): boolean {
+    // VMs of older versions do not report their lost services.
+    if (!heartbeat.lostServices) return false;
+    if (heartbeat.lostServices.includes(state.service.name)) return false;
+    if (state.relayedTo.has(host)) return false;
+    return (failedUntilMs.get(host) ?? 0) <= clock.now();
+  }
+
+  /** The least used VM, in another data centre only if this one has none. */
+  function choose(state: RequestState): Member | undefined {
+    let best: Member | undefined;
+    let bestCost = Infinity;
+    for (const member of network.reachableMembers()) {
+      if (!canServe(member, state)) continue;
+      const isRemote = member.dataCentre !== dataCentre;
+      const open = openByHost.get(member.host) ?? 0;
+      const cost = (isRemote ? MAX_CONNECTIONS : 0) + open + Math.random();
+      if (cost >= bestCost) continue;
+      bestCost = cost;
+      best = member;
+    }
+    return best;
+  }
+
+  function count(host: string, difference: number): void {
+    const open = (openByHost.get(host) ?? 0) + difference;
+    if (open > 0) openByHost.set(host, open);
+    else openByHost.delete(host);
+  }
+
+  function start(
+    state: RequestState,
+    hooks: AttemptHooks,
+  ): RelayedAttempt | undefined {
+    const member = choose(state);
+    if (!member || state.relayedTo.size >= MAX_RELAYS) return undefined;
+    const { host } = member;
+    const address = { host, port };
+    state.relayedTo.add(host);
+    const connection = pool.acquire(address, MAX_CONNECTIONS);
+    if (!connection) return start(state, hooks);
+    const { request, stream } = state;
+    const startedMs = clock.now();
+    let refusal: TillerError | undefined;
+    let bodyBytes = 0;
+    const headers = [
+      ...endToEndHeaders(
+        request.rawHeaders,
+        (name) => name === "expect" || isRelayHeader(name),
+      ),
+      ...writeRelayHeaders({
+        from: vm,
+        deadlineMs: state.expiresMs - startedMs,
+        sends: state.sends,
+        lastEventId: stream.lastEventId,
+        softwareVersion: stream.softwareVersion,
+      }),
+    ];
+    log.info(LogEvent.Relayed, {
+      id: state.id,
+      to: host,
+      service: state.service.name,
+      sends: state.sends,
+      lastEventId: stream.lastEventId,
+    });
+    const running = runAttempt({
+      clock,
+      protocol: {
+        ...protocol,
+        readResponse(status, responseHeaders) {
+          refusal = readRelayRefusal(responseHeaders);
+          const { id, isSealed } = protocol.readResponse(
+            status,
+            responseHeaders,
+          );
+          return {
+            id: refusal ? undefined : id,
+            isSealed,
+            isNotRun: refusal !== undefined,
+            isLeaving: false,
+            warmUpMs: undefined,
+          };
+        },
+      },
+      connection,
+      requestId: state.id,
+      method: request.method,
+      path: RELAY_PATH + request.pathAndQuery,
+      headers,
+      body: request.body,
+      softwareVersion: stream.softwareVersion,
+      stream,
+      response: state.response,
+      onReceived() {},
+      onHead() {},
+      claimResponse: hooks.claimResponse,
+      reserveBytes(bytes) {
+        if (bodiesBytes + bytes > MAX_BODIES_BYTES) return false;
+        bodiesBytes += bytes;
+        bodyBytes += bytes;
+        return true;
+      },
+      onStreamStarted() {},
+      onEvent() {},
+      onSent() {
+        state.sends++;
+        state.possibleRuns++;
+      },
+    });
+    count(host, 1);
+    const onAbort = () => running.abort(AttemptResult.Aborted);
+    state.signal.addEventListener("abort", onAbort, { once: true });
+    if (state.signal.aborted) onAbort();
+
+    async function finish(): Promise<AttemptEnd> {
+      const ended = await running.ended;
+      const { result, status, reason, isReusable, idleLimitMs } = ended;
+      count(host, -1);
+      bodiesBytes -= bodyBytes;
+      state.signal.removeEventListener("abort", onAbort);
+      if (idleLimitMs !== undefined) connection!.idleLimitMs = idleLimitMs;
+      if (isReusable) pool.release(address, connection!);
+      else pool.discard(address, connection!);
+      if (result === AttemptResult.Unsent) {
+        failedUntilMs.set(host, clock.now() + FAILED_MS);
+      }
+      if (result === AttemptResult.NotRun) {
+        state.sends--;
+        state.possibleRuns--;
+      }
+      log.info(LogEvent.RelayEnded, {
+        id: state.id,
+        to: host,
+        result,
+        status,
+        reason: reason || undefined,
+        refusal: refusal?.kind,
+        ms: Math.round(clock.now() - startedMs),
+      });
+      return ended;
+    }
+
+    return {
+      ...running,
+      ended: finish(),
+      placement: undefined,
+      refusal: () => refusal,
+    };
+  }
+
+  return {
+    start,
+    openCount() {
+      let open = 0;
+      for (const calls of openByHost.values()) open += calls;
+      return open;
+    },
+    sweep: () => pool.sweep(),
+    close: () => pool.close(),
+  };
+}
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -30,6 +30,7 @@
 import { createCrashDetector } from "./create_crash_detector.ts";
 import type { Reach } from "./create_reach.ts";
 import type { Registry } from "./create_registry.ts";
+import type { Relays } from "./create_relays.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement, Scheduler } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
@@ -62,6 +63,7 @@
   origins: StreamOrigins;
   containment: Containment;
   reach: Reach;
+  relays: Relays;
   callLimits: CallLimits;
   facts: Pick<SharedFacts, "add">;
   retryBounds: RetryBounds;
@@ -88,6 +90,14 @@
 
 /** Failed connection attempts after which a request is refused. */
 const MAX_CONNECT_FAILURES = 4;
+/** Failed connection attempts after which another VM is to serve a request. */
+const MAX_OWN_CONNECT_FAILURES = 2;
+/** Refusals of one VM that do not hold for the others. */
+const RELAY_AGAIN_KINDS: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.NoUpstream,
+  ErrorKind.Stopping,
+  ErrorKind.NotReady,
+]);
 /** Retry-after while this VM stops, in ms; the retry goes to another VM. */
 const STOPPING_RETRY_AFTER_MS = 50;
 
@@ -100,7 +110,7 @@
 ): RequestServer {
   const { clock, log, metrics, protocol, registry, scheduler, pool, network } =
     options;
-  const { origins, containment, reach, callLimits, facts } = options;
+  const { origins, containment, reach, relays, callLimits, facts } = options;
   const { retryBounds, vm } = options;
   const { configuration, isCurrent } = options;
   const crashDetector = createCrashDetector({
@@ -157,7 +167,7 @@
       index: configuration(),
       isCurrent,
     });
-    const { metadata } = request;
+    const { metadata, relay } = request;
     const fingerprints = fingerprintsOf(request, account);
     const id = metadata.id ?? "";
     // The last part is the request's own.
@@ -183,13 +193,14 @@
       signal: controller.signal,
       abort: () => controller.abort(),
       tried: new Set(),
-      sends: 0,
+      relayedTo: new Set(),
+      sends: relay?.sends ?? 0,
       possibleRuns: 0,
       stream: {
         isStream: route.kind === RouteKind.Stream,
         lastEventId: metadata.lastEventId,
         isStarted: false,
-        softwareVersion: undefined,
+        softwareVersion: relay?.softwareVersion,
         eventCount: 0,
       },
       backup: undefined,
@@ -228,10 +239,12 @@
       start: (hooks) => attempts.start(state, placement, { backupFrom, hooks }),
       startStandby: (hooks, signal) => startStandby(state, { hooks, signal }),
       watch: (running, onSilent) =>
-        watchStall(
-          { state, placement: running.placement, running, onSilent },
-          { clock, log, registry, network },
-        ),
+        running.placement
+          ? watchStall(
+            { state, placement: running.placement, running, onSilent },
+            { clock, log, registry, network },
+          )
+          : () => {},
     });
   }
 
@@ -244,6 +257,7 @@
     options: { hooks: AttemptHooks; signal: AbortSignal },
   ): Promise<StartedAttempt | undefined> {
     const { hooks, signal } = options;
+    if (needsRelay(state)) return startRelayedStandby(state, hooks);
     const kept = state.stream.isStarted ? state.backup : undefined;
     const backup = kept && placeAtBackup(state);
     if (kept ? !backup : !hasRetryLeft(state)) return undefined;
@@ -272,6 +286,96 @@
     return started;
   }
 
+  /** Whether another VM should serve the request, as this one can't. */
+  function needsRelay(state: RequestState, connectFailures = 0): boolean {
+    if (state.request.relay) return false;
+    const { name } = state.service;
+    return connectFailures >= MAX_OWN_CONNECT_FAILURES || reach.isLost(name);
+  }
+
+  function startRelayedStandby(
+    state: RequestState,
+    hooks: AttemptHooks,
+  ): StartedAttempt | undefined {
+    if (!hasRetryLeft(state)) return undefined;
+    const started = relays.start(state, hooks);
+    if (started) spendRetry(state);
+    return started;
+  }
+
+  /**
+   * Has another VM serve the request; `undefined` if none can take it. Throws a
+   * `TillerError` if one has refused it.
+   */
+  async function runRelayed(
+    state: RequestState,
+  ): Promise<AttemptEnd | undefined> {
+    let refusal: TillerError | undefined;
+    for (;;) {
+      const attempt = relays.start(state, { claimResponse: () => true });
+      if (!attempt && refusal) throw refusal;
+      if (!attempt) return undefined;
+      const ended = await attempt.ended;
+      if (ended.result === AttemptResult.Unsent) continue;
+      if (ended.result !== AttemptResult.NotRun) return ended;
+      refusal = attempt.refusal();
+      if (refusal && !RELAY_AGAIN_KINDS.has(refusal.kind)) throw refusal;
+    }
+  }
+
+  /** Places the request at an upstream and runs the call there. */
+  async function runPlaced(state: RequestState): Promise<AttemptEnd> {
+    const placement = await place(state);
+    log.info(LogEvent.Placed, {
+      id: state.id,
+      upstream: placement.upstream.entry.id,
+      version: placement.upstream.entry.softwareVersion,
+      resumes: state.request.metadata.resumedId,
+      lastEventId: state.stream.lastEventId,
+      call: placement.call,
+      urgency: state.urgency,
+      heldMs: Math.round(placement.queuedMs),
+      newTokens: placement.newTokens || undefined,
+      calls: placement.upstream.model.callCount(),
+      predictedMs: Math.round(placement.predictedMs),
+      revision: configuration()?.configuration.version,
+    });
+    return await runCall(state, placement);
+  }
+
+  /** Runs a call here or, if the links are lost, at another VM. */
+  async function runNextCall(
+    state: RequestState,
+    connectFailures: number,
+  ): Promise<{ ended: AttemptEnd; isRelayed: boolean }> {
+    if (needsRelay(state, connectFailures)) {
+      const ended = await runRelayed(state);
+      if (ended) return { ended, isRelayed: true };
+    }
+    try {
+      return { ended: await runPlaced(state), isRelayed: false };
+    } catch (error) {
+      // The links may have been lost while the request was queued.
+      const ended = needsRelay(state) ? await runRelayed(state) : undefined;
+      if (!ended) throw error;
+      return { ended, isRelayed: true };
+    }
+  }
+
+  /**
+   * Sets the software version of a stream that another VM began. Throws a
+   * `TillerError` if no VM knows it: the stream can't be resumed.
+   */
+  async function resolveRelayedVersion({ id, stream }: RequestState) {
+    if (!stream.isStarted) return;
+    stream.softwareVersion ??= await origins.find(id);
+    if (stream.softwareVersion !== undefined) return;
+    throw new TillerError(
+      ErrorKind.OutcomeUnknown,
+      "no VM knows which software version began the stream",
+    );
+  }
+
   /**
    * Sets the software version at which a caller resumes a stream. Throws a
    * `TillerError` if no VM knows which version began it.
@@ -280,6 +384,7 @@
     const { request, stream, service } = state;
     const { lastEventId, resumedId } = request.metadata;
     if (!stream.isStream || lastEventId === undefined) return;
+    if (stream.softwareVersion !== undefined) return;
     stream.softwareVersion = resumedId
       ? await origins.find(resumedId)
       : registry.onlyVersionOf(service.name);
@@ -296,24 +401,11 @@
     await resolveOrigin(state);
     let connectFailures = 0;
     for (;;) {
-      const placement = await place(state);
-      log.info(LogEvent.Placed, {
-        id: state.id,
-        upstream: placement.upstream.entry.id,
-        version: placement.upstream.entry.softwareVersion,
-        resumes: state.request.metadata.resumedId,
-        lastEventId: state.stream.lastEventId,
-        call: placement.call,
-        urgency: state.urgency,
-        heldMs: Math.round(placement.queuedMs),
-        newTokens: placement.newTokens || undefined,
-        calls: placement.upstream.model.callCount(),
-        predictedMs: Math.round(placement.predictedMs),
-        revision: configuration()?.configuration.version,
-      });
-      const ended = await runCall(state, placement);
+      await resolveRelayedVersion(state);
+      const { ended, isRelayed } = await runNextCall(state, connectFailures);
       if (ended.result === AttemptResult.Complete) {
-        if (claimRetryAfterError(state, ended.status)) continue;
+        // The other VM has made the retries.
+        if (!isRelayed && claimRetryAfterError(state, ended.status)) continue;
         deliver(state, ended);
         return;
       }
@@ -334,8 +426,7 @@
       if (isRetryable(state.route) && claimRetry(state)) {
         log.info(LogEvent.Resumed, {
           id: state.id,
-          from: placement.upstream.entry.id,
-          version: placement.upstream.entry.softwareVersion,
+          version: state.stream.softwareVersion,
           lastEventId: state.stream.lastEventId,
         });
         continue;
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -24,7 +24,10 @@
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
 import { createServer, type Server } from "node:http";
 import { createCallLimits } from "./create_call_limits.ts";
-import { createCallerServer } from "./create_caller_server.ts";
+import {
+  createCallerServer,
+  HARD_MAX_HEADER_BYTES,
+} from "./create_caller_server.ts";
 import {
   type ConfigurationIndex,
   createConfigurationIndex,
@@ -38,6 +41,8 @@
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createReach } from "./create_reach.ts";
 import { createRegistry } from "./create_registry.ts";
+import { createRelayHandler } from "./create_relay_handler.ts";
+import { createRelays, RELAY_PATH } from "./create_relays.ts";
 import { createRequestServer } from "./create_request_server.ts";
 import { createRouterMetrics } from "./create_router_metrics.ts";
 import { createScheduler } from "./create_scheduler.ts";
@@ -205,6 +210,7 @@
       configurationVersion: index?.configuration.version ?? 0,
       factsDigest: facts.digest(),
       callLimits: callLimits.list(),
+      lostServices: reach.lostServices(),
     }),
   });
   const facts = createRouterFacts({
@@ -225,6 +231,15 @@
     pool,
     publish: () => network.sendHeartbeatNow(),
   });
+  const relays = createRelays({
+    clock,
+    log,
+    protocol,
+    network,
+    vm,
+    dataCentre,
+    port: settings.peers.port,
+  });
   const containment = createContainment({ clock, log, facts });
   const callLimits = createCallLimits({
     clock,
@@ -258,6 +273,8 @@
     sharedFacts: () => facts.size(),
     droppedFacts: () => facts.droppedCount(),
     limitedUpstreams: () => callLimits.limitedCount(),
+    openRelays: () => relays.openCount(),
+    lostServices: () => reach.lostServices().length,
   }, { loadAfterMs: METRICS_LOAD_DELAY_MS });
   const requestServer = createRequestServer({
     clock,
@@ -271,6 +288,7 @@
     origins,
     containment,
     reach,
+    relays,
     callLimits,
     facts,
     retryBounds: settings.retries,
@@ -283,6 +301,13 @@
     protocol,
     serve: (request, response) => void requestServer.serve(request, response),
   });
+  const handleRelayed = createRelayHandler({
+    clock,
+    log,
+    protocol,
+    limits: () => callerServer.limits(),
+    serve: (request, response) => void requestServer.serve(request, response),
+  });
 
   function applyChanges(changes: PublishedChanges, from: string): void {
     const before = published.position();
@@ -548,9 +573,11 @@
     address: ListenAddress,
     handlers: Record<string, Parameters<typeof createServer>[1]>,
   ): Promise<void> {
-    const server = createServer((incoming, response) => {
+    const options = { maxHeaderSize: HARD_MAX_HEADER_BYTES };
+    const server = createServer(options, (incoming, response) => {
       const path = (incoming.url ?? "/").split("?")[0]!;
-      const handle = handlers[path] ?? handlers["*"];
+      const isRelayed = path.startsWith(`${RELAY_PATH}/`);
+      const handle = handlers[isRelayed ? RELAY_PATH : path] ?? handlers["*"];
       if (handle) handle(incoming, response as never);
       else response.writeHead(404).end();
     });
@@ -580,6 +607,7 @@
         listen(settings.peers, {
           [PUBLISHED_PATH]: createPublishedHandler(published),
           [FACTS_PATH]: createFactsHandler(facts),
+          [RELAY_PATH]: handleRelayed,
           [CONFIGURATION_PATH]: createConfigurationHandler(() =>
             configurationItem
           ),
@@ -597,6 +625,7 @@
       source.start(sink);
       timers.push(repeat(clock, SWEEP_MS, () => {
         pool.sweep();
+        relays.sweep();
         facts.expire();
         containment.update();
       }));
@@ -657,6 +686,7 @@
       }
       servers = [];
       network.close();
+      relays.close();
       pool.close();
       log.flush();
     },
--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -32,6 +32,8 @@
   sharedFacts(): number;
   droppedFacts(): number;
   limitedUpstreams(): number;
+  openRelays(): number;
+  lostServices(): number;
 }
 
 /** Prometheus metrics of a VM; durations are passed in milliseconds. */
@@ -163,6 +165,16 @@
       "Upstreams that name a limit for the calls of all VMs.",
       gauges.limitedUpstreams,
     ],
+    [
+      "open_relays",
+      "Requests that other VMs are serving for this one.",
+      gauges.openRelays,
+    ],
+    [
+      "lost_services",
+      "Services whose upstreams this VM does not reach.",
+      gauges.lostServices,
+    ],
     ["log_lines_dropped", "Log lines left out.", gauges.droppedLines],
   ];
   for (const [name, help, read] of readings) {
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -57,6 +57,11 @@
   Quarantined = "quarantined",
   /** Facts that this VM lacked were fetched from a peer. */
   FactsPulled = "facts-pulled",
+  /** A request was passed on to another VM, which reaches its service. */
+  Relayed = "relayed",
+  RelayEnded = "relay-ended",
+  /** A request was taken from another VM. */
+  RelayTaken = "relay-taken",
   Placed = "placed",
   AttemptEnded = "attempt-ended",
   /** An upstream sent nothing for a call's idle timeout. */
--- a/packages/router/src/request_state.ts
+++ b/packages/router/src/request_state.ts
@@ -28,6 +28,8 @@
   abort(): void;
   /** Upstreams that got the request or could not be connected to. */
   tried: Set<string>;
+  /** Hosts of the VMs that the request was passed on to. */
+  relayedTo: Set<string>;
   /** Number of times that the request was sent, whatever the outcome. */
   sends: number;
   /** Number of sends after which the request may have been executed. */
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -6,6 +6,7 @@
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { AttemptResult } from "./enums.ts";
 import type { ResponseMetadata, WireProtocol } from "./ports.ts";
+import { isRelayHeader } from "./relay_headers.ts";
 import {
   readIdleLimit,
   type ResponseHead,
@@ -38,8 +39,8 @@
   path: string;
   headers: string[];
   body: Buffer;
-  /** Software version of the upstream. */
-  softwareVersion: string;
+  /** Software version of the upstream; undefined if it is not known. */
+  softwareVersion: string | undefined;
   stream: StreamState;
   response: CallerResponse;
   /** The request is about to be written; it may be executed from now on. */
@@ -243,7 +244,10 @@
       stream.isStarted = true;
       stream.softwareVersion = options.softwareVersion;
       options.onStreamStarted();
-      response.startStream(head!.status, endToEndHeaders(head!.rawHeaders));
+      response.startStream(
+        head!.status,
+        endToEndHeaders(head!.rawHeaders, isRelayHeader),
+      );
     }
     if (response.write(bytes)) return;
     isPaused = true;
@@ -297,7 +301,7 @@
         result,
         status: head?.status ?? 0,
         headers: head && !stream.isStarted
-          ? endToEndHeaders(head.rawHeaders)
+          ? endToEndHeaders(head.rawHeaders, isRelayHeader)
           : [],
         body: Buffer.concat(chunks),
         reason: reason || end.reason,
--- a/packages/sessions/src/format_router_metrics.ts
+++ b/packages/sessions/src/format_router_metrics.ts
@@ -26,6 +26,8 @@
     sharedFacts: () => 0,
     droppedFacts: () => 0,
     limitedUpstreams: () => 0,
+    openRelays: () => 0,
+    lostServices: () => 0,
   }, { loadAfterMs: 0 });
   const rows: string[] = [];
   for (const { name, type, help, labels } of await metrics.list()) {
