--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -107,16 +107,11 @@
   | FactEvent;
 
 /**
- * What an upstream's last response to any VM said about its call limit: the
- * upstream, when it started (0 if unknown), the limit in calls a second of all
- * VMs together (0 for none) and the response's age in milliseconds.
+ * What an upstream, or one of a service, said about itself in its last response
+ * to any VM: whom it is about, the value (0 for none) and the response's age in
+ * milliseconds.
  */
-export type NamedLimit = [
-  upstream: string,
-  startedMs: number,
-  perSecond: number,
-  ageMs: number,
-];
+export type Statement = [subject: string, value: number, ageMs: number];
 
 /** Content of a VM's heartbeat. */
 export interface Heartbeat {
@@ -138,8 +133,11 @@
   configurationVersion?: number;
   /** Digest of the sender's facts; undefined from VMs of older versions. */
   factsDigest?: number;
-  /** Limits that upstreams named; undefined from VMs of older versions. */
-  callLimits?: NamedLimit[];
+  /**
+   * Limits in calls a second that upstreams named for all VMs together;
+   * undefined from VMs of older versions.
+   */
+  callLimits?: Statement[];
   /**
    * Services whose upstreams the sender does not reach; undefined from VMs of
    * older versions, which take no relayed requests.
--- a/packages/router/src/create_call_limits.ts
+++ b/packages/router/src/create_call_limits.ts
@@ -1,11 +1,12 @@
-import type { NamedLimit } from "@rosemarytiller/peers";
+import type { Statement } from "@rosemarytiller/peers";
 import {
   type AllowanceFleet,
   createSharedAllowance,
   type SharedAllowance,
 } from "@rosemarytiller/policy";
 import type { Clock } from "@rosemarytiller/shared";
-import type { Registry, Upstream } from "./create_registry.ts";
+import type { Upstream } from "./create_registry.ts";
+import { createStatements } from "./create_statements.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 
@@ -13,10 +14,10 @@
 export interface CallLimits {
   /** A response to this VM named a limit in calls a second, or none. */
   onNamed(upstream: Upstream, perSecond: number | undefined): void;
-  /** Merges what the VM `from` knows; the latest response counts. */
-  merge(limits: readonly NamedLimit[], from: string): void;
-  /** What this VM knows, for the other VMs. */
-  list(): NamedLimit[];
+  /** Merges the limits that the VM `from` knows. */
+  merge(limits: readonly Statement[], from: string): void;
+  /** The limits that this VM knows, for the other VMs. */
+  list(): Statement[];
   /** Whether the upstream's last response named a limit. */
   isLimited(upstream: Upstream): boolean;
   /** Whether this VM may send the upstream a call now. */
@@ -31,96 +32,49 @@
 export interface CallLimitsOptions {
   clock: Clock;
   log: EventLog;
-  registry: Pick<Registry, "find" | "all">;
   /** VMs that share the limits of an upstream. */
   fleet(): AllowanceFleet;
-  /** Sends what this VM knows to the others. */
+  /** Sends the limits to the other VMs. */
   publish(): void;
 }
 
-/** Limits that a heartbeat carries; those named last go first. */
-const MAX_LISTED_LIMITS = 32;
-
-/** What the upstream's last response said. */
-interface Statement {
-  perSecond: number | undefined;
-  /** Monotonic time of that response, in milliseconds. */
-  atMs: number;
-  /** Undefined without a limit. */
-  allowance: SharedAllowance | undefined;
-}
-
 /** Creates the limits; none is known at first. */
 export function createCallLimits(options: CallLimitsOptions): CallLimits {
-  const { clock, log, registry, fleet, publish } = options;
-  const statements = new WeakMap<Upstream, Statement>();
+  const { clock, log, fleet, publish } = options;
+  const allowances = new Map<string, SharedAllowance>();
+  const statements = createStatements({
+    clock,
+    publish,
+    onChanged(subject, perSecond, from) {
+      const known = allowances.get(subject);
+      if (perSecond === 0) allowances.delete(subject);
+      else if (known) known.setRate(perSecond);
+      else {
+        allowances.set(
+          subject,
+          createSharedAllowance(perSecond, clock.now()),
+        );
+      }
+      log.info(LogEvent.UpstreamLimited, {
+        upstream: subject,
+        perSecond: perSecond || null,
+        from,
+      });
+    },
+  });
 
-  /** Notes what a response said; returns whether that is new. */
-  function put(
-    upstream: Upstream,
-    perSecond: number | undefined,
-    { atMs, from }: { atMs: number; from?: string },
-  ): boolean {
-    const last = statements.get(upstream);
-    if (!last && perSecond === undefined) return false;
-    if (last && last.atMs >= atMs) return false;
-    if (last && last.perSecond === perSecond) {
-      last.atMs = atMs;
-      return false;
-    }
-    let allowance = last?.allowance;
-    if (perSecond === undefined) allowance = undefined;
-    else if (allowance) allowance.setRate(perSecond);
-    else allowance = createSharedAllowance(perSecond, clock.now());
-    statements.set(upstream, { perSecond, atMs, allowance });
-    log.info(LogEvent.UpstreamLimited, {
-      upstream: upstream.entry.id,
-      perSecond: perSecond ?? null,
-      from,
-    });
-    return true;
-  }
+  /** Identifies a run of an upstream; a limit ends with it. */
+  const subjectOf = ({ entry }: Upstream) =>
+    entry.startedMs === undefined ? entry.id : `${entry.id}@${entry.startedMs}`;
 
   const allowanceOf = (upstream: Upstream) =>
-    statements.get(upstream)?.allowance;
-
-  function known(): [Upstream, Statement][] {
-    const list: [Upstream, Statement][] = [];
-    for (const upstream of registry.all()) {
-      const statement = statements.get(upstream);
-      if (statement) list.push([upstream, statement]);
-    }
-    return list;
-  }
+    allowances.size > 0 ? allowances.get(subjectOf(upstream)) : undefined;
 
   return {
-    onNamed(upstream, perSecond) {
-      if (put(upstream, perSecond, { atMs: clock.now() })) publish();
-    },
-    merge(limits, from) {
-      for (const [id, startedMs, perSecond, ageMs] of limits) {
-        const upstream = registry.find(id);
-        if (!upstream || (upstream.entry.startedMs ?? 0) !== startedMs) {
-          continue;
-        }
-        put(upstream, perSecond || undefined, {
-          atMs: clock.now() - ageMs,
-          from,
-        });
-      }
-    },
-    list() {
-      const nowMs = clock.now();
-      return known()
-        .sort(([, left], [, right]) => right.atMs - left.atMs)
-        .slice(0, MAX_LISTED_LIMITS)
-        .map(([{ entry }, { perSecond, atMs }]) => [
-          entry.id,
-          entry.startedMs ?? 0,
-          perSecond ?? 0,
-          Math.round(nowMs - atMs),
-        ]);
-    },
+    onNamed: (upstream, perSecond) =>
+      statements.put(subjectOf(upstream), perSecond ?? 0),
+    merge: statements.merge,
+    list: statements.list,
     isLimited: (upstream) => allowanceOf(upstream) !== undefined,
     canAdmit: (upstream) =>
       allowanceOf(upstream)?.canSend(clock.now(), fleet()) ?? true,
@@ -130,7 +84,6 @@
       const vms = fleet();
       allowance.onSent(from ?? vms.own, clock.now(), vms);
     },
-    limitedCount: () =>
-      known().filter(([, { allowance }]) => allowance !== undefined).length,
+    limitedCount: () => allowances.size,
   };
 }
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -244,7 +244,6 @@
   const callLimits = createCallLimits({
     clock,
     log,
-    registry,
     fleet: () => network.loadFleet(),
     publish: () => network.sendHeartbeatNow(),
   });
