router: send a brittle service no more than it has room for

A service whose upstreams say that they are brittle fell over again and again: its upstreams let fewer calls wait than usual, and one that has to decline too many in a second is out for seconds.

Cause: nothing read what the upstreams say, calls were admitted up to the slots of the entry, and a declined call was known to the VM that sent it only. VMs that waited for a place all took the same one.

Change: the number of calls a second that an upstream may decline is read from any response, holds for its whole service on all VMs, and travels with the heartbeats like a named limit (create_brittle_services.ts). Upstreams that fall over while their service is brittle convict no request or prompt part.

--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -40,6 +40,13 @@
    * passed; counts neither as success nor as failure of the upstream.
    */
   Other = 2,
+  /** The upstream declined the call, mostly for lack of room. */
+  Declined = 3,
+}
+
+/** Whether an end counts as a failure of the upstream. */
+export function isFailure(end: CallEnd): boolean {
+  return end === CallEnd.Failed || end === CallEnd.Declined;
 }
 
 /** A call was sent to an upstream. */
@@ -138,6 +145,11 @@
    * undefined from VMs of older versions.
    */
   callLimits?: Statement[];
+  /**
+   * Calls a second that each upstream of a brittle service may decline;
+   * undefined from VMs of older versions.
+   */
+  brittleServices?: Statement[];
   /**
    * Services whose upstreams the sender does not reach; undefined from VMs of
    * older versions, which take no relayed requests.
@@ -188,6 +200,7 @@
   "factsDigest",
   "callLimits",
   "lostServices",
+  "brittleServices",
 ];
 
 /** Encodes as a list, as field names would take up most of a datagram. */
--- a/packages/policy/src/create_shared_allowance.ts
+++ b/packages/policy/src/create_shared_allowance.ts
@@ -1,12 +1,4 @@
-/** VMs that share an allowance, as one of them knows them. */
-export interface AllowanceFleet {
-  /** This VM. */
-  own: string;
-  /** VMs in touch, this one included, in an order that all VMs agree on. */
-  reachable: readonly string[];
-  /** Number of VMs, those out of touch included. */
-  known: number;
-}
+import { type SharingFleet, TURN_MS, turnOf } from "./turn_of.ts";
 
 /**
  * A rate of calls that all VMs together may send. Each VM counts the calls that
@@ -17,16 +9,11 @@
   /** Sets the calls a second of all VMs together. */
   setRate(perSecond: number): void;
   /** Counts a call that the VM `from` sent. */
-  onSent(from: string, nowMs: number, fleet: AllowanceFleet): void;
+  onSent(from: string, nowMs: number, fleet: SharingFleet): void;
   /** Whether this VM may send a call now. */
-  canSend(nowMs: number, fleet: AllowanceFleet): boolean;
+  canSend(nowMs: number, fleet: SharingFleet): boolean;
 }
 
-/**
- * Time for which each VM in turn may send alone, in milliseconds: longer than
- * the report of a call takes within a data centre.
- */
-const TURN_MS = 15;
 /** Time without calls that can be made up for, in milliseconds. */
 const MAX_UNUSED_MS = 500;
 /** VMs assumed by a VM that knows no others, to stay below the rate. */
@@ -45,18 +32,11 @@
    * Time between two calls in ms. VMs out of touch keep their part: they may be
    * cut off from this VM and use it.
    */
-  function intervalMs({ reachable, known }: AllowanceFleet): number {
+  function intervalMs({ reachable, known }: SharingFleet): number {
     const vms = known > 1 ? known : ASSUMED_VMS;
     return 1000 / rate * Math.max(1, vms / reachable.length);
   }
 
-  /** Number of VMs that come before this one for the next call. */
-  function turnOf({ own, reachable }: AllowanceFleet): number {
-    const next = reachable.findIndex((vm) => vm > lastSender);
-    const turn = reachable.indexOf(own) - Math.max(0, next);
-    return turn < 0 ? turn + reachable.length : turn;
-  }
-
   return {
     setRate(newRate) {
       dueMs += 1000 / newRate - 1000 / rate;
@@ -67,6 +47,6 @@
       lastSender = from;
     },
     canSend: (nowMs, fleet) =>
-      nowMs >= dueMs && nowMs >= dueMs + turnOf(fleet) * TURN_MS,
+      nowMs >= dueMs + turnOf(fleet, lastSender) * TURN_MS,
   };
 }
--- a/packages/policy/src/create_shared_allowance_test.ts
+++ b/packages/policy/src/create_shared_allowance_test.ts
@@ -3,10 +3,10 @@
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
-  type AllowanceFleet,
   createSharedAllowance,
   type SharedAllowance,
 } from "./create_shared_allowance.ts";
+import type { SharingFleet } from "./turn_of.ts";
 
 /** Length of a window in which calls are counted, in milliseconds. */
 const WINDOW_MS = 4000;
@@ -42,7 +42,7 @@
   const names = Array.from({ length: vms }, (_, vm) => `vm-${1000 + vm}`);
   const sides = [names.slice(0, cutVms), names.slice(cutVms)];
   const sideOf = (vm: number) => sides[vm < cutVms ? 0 : 1]!;
-  const fleetOf = (vm: number): AllowanceFleet => ({
+  const fleetOf = (vm: number): SharingFleet => ({
     own: names[vm]!,
     reachable: sideOf(vm),
     known: vms,
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -6,6 +6,7 @@
 import type { RetryAllowance } from "@rosemarytiller/policy";
 import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
 import { chooseBackupUpstream } from "./choose_backup_upstream.ts";
+import type { BrittleServices } from "./create_brittle_services.ts";
 import type { CallLimits } from "./create_call_limits.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import type { Containment } from "./create_containment.ts";
@@ -15,6 +16,7 @@
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
+import type { UpstreamLimits } from "./create_upstream_limits.ts";
 import { AttemptResult, FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ResponseMetadata, WireProtocol } from "./ports.ts";
@@ -41,7 +43,9 @@
   crashDetector: CrashDetector;
   reach: Pick<Reach, "onSent" | "onReceived" | "onConnectFailed">;
   containment: Pick<Containment, "check" | "onAnswer">;
-  callLimits: Pick<CallLimits, "onNamed" | "isLimited">;
+  callLimits: Pick<CallLimits, "onNamed">;
+  brittleServices: Pick<BrittleServices, "onNamed">;
+  upstreamLimits: Pick<UpstreamLimits, "isShared">;
   /** Name of this VM. */
   vm: string;
   /** This VM's allowance of retries for a service. */
@@ -85,6 +89,8 @@
 const ORIGIN_MARGIN_MS = 2000;
 /** Time for which VMs share that an upstream is leaving, in milliseconds. */
 const LEAVING_MS = 600_000;
+/** Status of a call that reached another upstream than the one meant. */
+const MISDIRECTED_STATUS = 421;
 /** Characters of an invalid header value that are logged. */
 const MAX_LOGGED_CHARACTERS = 64;
 
@@ -97,7 +103,8 @@
 ): AttemptStarter {
   const { clock, log, metrics, protocol, registry, pool } = options;
   const { network, origins, crashDetector, reach, containment, vm } = options;
-  const { facts, callLimits, allowanceOf } = options;
+  const { facts, callLimits, brittleServices, upstreamLimits } = options;
+  const { allowanceOf } = options;
 
   /** Bytes of the bodies of all responses in progress. */
   let bodiesBytes = 0;
@@ -155,7 +162,7 @@
       engine: state.service.engine,
       prompt: state.request.metadata.prompt,
       others: registry.eligible(state.service.name)
-        .filter((other) => !callLimits.isLimited(other)),
+        .filter((other) => !upstreamLimits.isShared(other)),
       nowMs: clock.now(),
     });
     if (backup) {
@@ -188,11 +195,11 @@
   /** Notes what a response says about the upstream's further calls. */
   function recordHead(upstream: Upstream, metadata: ResponseMetadata): void {
     const { isLeaving, retryAfterMs, invalidRetryAfter } = metadata;
-    const { callsPerSecond, isSealed, isNotRun } = metadata;
-    // Without a limit, only the upstream's own response shows that it has none.
-    if (callsPerSecond !== undefined || isSealed || isNotRun) {
-      callLimits.onNamed(upstream, callsPerSecond);
-    }
+    const { callsPerSecond, maxDeclined, isSealed, isDeclined } = metadata;
+    // Without a value, only the upstream's own response shows that it has none.
+    const isOwn = isSealed || isDeclined === true;
+    if (isOwn || callsPerSecond) callLimits.onNamed(upstream, callsPerSecond);
+    if (isOwn || maxDeclined) brittleServices.onNamed(upstream, maxDeclined);
     if (isLeaving) reportLeaving(upstream);
     if (retryAfterMs) registry.onPauseRequested(upstream, retryAfterMs);
     if (invalidRetryAfter !== undefined) {
@@ -213,11 +220,14 @@
     const isFailed = result === AttemptResult.Broken ||
       result === AttemptResult.Stalled || result === AttemptResult.NotRun ||
       status >= 500;
-    const isEndedByUpstream = result === AttemptResult.Complete || isFailed;
+    const isDeclined = result === AttemptResult.NotRun &&
+      status !== MISDIRECTED_STATUS;
     placement.release(
-      isFailed
+      isDeclined
+        ? CallEnd.Declined
+        : isFailed
         ? CallEnd.Failed
-        : isEndedByUpstream
+        : result === AttemptResult.Complete
         ? CallEnd.Completed
         : CallEnd.Other,
     );
--- a/packages/router/src/create_call_limits.ts
+++ b/packages/router/src/create_call_limits.ts
@@ -1,8 +1,8 @@
 import type { Statement } from "@rosemarytiller/peers";
 import {
-  type AllowanceFleet,
   createSharedAllowance,
   type SharedAllowance,
+  type SharingFleet,
 } from "@rosemarytiller/policy";
 import type { Clock } from "@rosemarytiller/shared";
 import type { Upstream } from "./create_registry.ts";
@@ -33,7 +33,7 @@
   clock: Clock;
   log: EventLog;
   /** VMs that share the limits of an upstream. */
-  fleet(): AllowanceFleet;
+  fleet(): SharingFleet;
   /** Sends the limits to the other VMs. */
   publish(): void;
 }
--- a/packages/router/src/create_crash_detector.ts
+++ b/packages/router/src/create_crash_detector.ts
@@ -32,6 +32,8 @@
   registry: Pick<Registry, "onConnectFailed">;
   pool: Pick<ConnectionPool, "probe">;
   reach: Pick<Reach, "hasReachedOthers" | "probeOthers" | "onConnectFailed">;
+  /** Whether upstreams of a service fall over without a harmful request. */
+  isBrittle(service: string): boolean;
 }
 
 /** Time from a broken call within which an upstream must be down, in ms. */
@@ -54,7 +56,7 @@
 export function createCrashDetector(
   options: CrashDetectorOptions,
 ): CrashDetector {
-  const { clock, log, containment, registry, pool, reach } = options;
+  const { clock, log, containment, registry, pool, reach, isBrittle } = options;
   const suspects = new Map<Upstream, (SuspectedCrash & { atMs: number })[]>();
   const probed = new Set<Upstream>();
 
@@ -64,12 +66,17 @@
   }
 
   /**
-   * Reports the broken calls as crashes if this VM reaches other upstreams;
-   * else it has lost its links, and the upstream may well run.
+   * Reports the broken calls as crashes, unless something else explains them: a
+   * brittle service falls over by the number of its calls, and a VM that reaches
+   * no other upstream has lost its links.
    */
   function confirm(upstream: Upstream): void {
     const lastMs = recent(upstream).at(-1)?.atMs;
     if (lastMs === undefined) return;
+    if (isBrittle(upstream.entry.service)) {
+      suspects.delete(upstream);
+      return;
+    }
     if (reach.hasReachedOthers(upstream, lastMs + LINK_LOSS_MS)) {
       report(upstream);
       return;
--- a/packages/router/src/create_crash_detector_test.ts
+++ b/packages/router/src/create_crash_detector_test.ts
@@ -9,9 +9,9 @@
 const PROBED_MS = 100;
 
 function createTestDetector(
-  options: { isUp: boolean; reachesOthers?: boolean },
+  options: { isUp: boolean; reachesOthers?: boolean; isBrittle?: boolean },
 ) {
-  const { isUp, reachesOthers = true } = options;
+  const { isUp, reachesOthers = true, isBrittle = false } = options;
   const clock = createFakeClock(10_000);
   /** Requests in flight, by crash. */
   const crashes: Record<string, string[]> = {};
@@ -37,6 +37,7 @@
       probeOthers: () => Promise.resolve(reachesOthers),
       onConnectFailed() {},
     },
+    isBrittle: () => isBrittle,
   });
   const upstream = { downUntilMs: 0, entry: { id: "u" } } as Upstream;
 
@@ -126,3 +127,14 @@
   assert.deepEqual(crashes, {});
   assert.deepEqual(down, [upstream]);
 });
+
+// Guards against requests that are taken for the cause while a service falls
+// over by itself.
+test("calls that break as a brittle upstream falls over are no crashes", async () => {
+  const { crashes, breakCall, awaitProbe } = createTestDetector(
+    { isUp: false, isBrittle: true },
+  );
+  breakCall("read", "vm/1");
+  await awaitProbe();
+  assert.deepEqual(crashes, {});
+});
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -23,6 +23,7 @@
   createAttemptStarter,
   type StartedAttempt,
 } from "./create_attempt_starter.ts";
+import type { BrittleServices } from "./create_brittle_services.ts";
 import type { CallLimits } from "./create_call_limits.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
@@ -34,6 +35,7 @@
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement, Scheduler } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
+import type { UpstreamLimits } from "./create_upstream_limits.ts";
 import { AttemptResult, LogEvent, RetryDenial, RouteKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import { fingerprintsOf } from "./fingerprints_of.ts";
@@ -65,6 +67,8 @@
   reach: Reach;
   relays: Relays;
   callLimits: CallLimits;
+  brittleServices: BrittleServices;
+  upstreamLimits: UpstreamLimits;
   facts: Pick<SharedFacts, "add">;
   retryBounds: RetryBounds;
   /** Name of this VM. */
@@ -111,7 +115,7 @@
   const { clock, log, metrics, protocol, registry, scheduler, pool, network } =
     options;
   const { origins, containment, reach, relays, callLimits, facts } = options;
-  const { retryBounds, vm } = options;
+  const { brittleServices, upstreamLimits, retryBounds, vm } = options;
   const { configuration, isCurrent } = options;
   const crashDetector = createCrashDetector({
     clock,
@@ -120,6 +124,7 @@
     registry,
     pool,
     reach,
+    isBrittle: brittleServices.isBrittle,
   });
   const allowances = new Map<string, RetryAllowance>();
   const attempts = createAttemptStarter({
@@ -135,6 +140,8 @@
     reach,
     containment,
     callLimits,
+    brittleServices,
+    upstreamLimits,
     facts,
     vm,
     allowanceOf,
@@ -499,7 +506,7 @@
     state.backup = undefined;
     // A restarted upstream is another one and has lost the copy.
     const isEligible = registry.eligible(state.service.name).includes(upstream);
-    if (!isEligible || !callLimits.canAdmit(upstream)) {
+    if (!isEligible || !upstreamLimits.canAdmit(upstream)) {
       denyRetry(state, RetryDenial.BackupUnavailable);
       return undefined;
     }
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -8,6 +8,7 @@
   createPublishedHandler,
   createPublishedItems,
   FACTS_PATH,
+  isFailure,
   type LoadEvent,
   LoadEventKind,
   type Member,
@@ -23,6 +24,7 @@
 import type { RetryBounds } from "@rosemarytiller/policy";
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
 import { createServer, type Server } from "node:http";
+import { createBrittleServices } from "./create_brittle_services.ts";
 import { createCallLimits } from "./create_call_limits.ts";
 import {
   createCallerServer,
@@ -47,6 +49,7 @@
 import { createRouterMetrics } from "./create_router_metrics.ts";
 import { createScheduler } from "./create_scheduler.ts";
 import { createStreamOrigins } from "./create_stream_origins.ts";
+import { createUpstreamLimits } from "./create_upstream_limits.ts";
 import { FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import {
@@ -210,6 +213,7 @@
       configurationVersion: index?.configuration.version ?? 0,
       factsDigest: facts.digest(),
       callLimits: callLimits.list(),
+      brittleServices: brittleServices.list(),
       lostServices: reach.lostServices(),
     }),
   });
@@ -241,12 +245,15 @@
     port: settings.peers.port,
   });
   const containment = createContainment({ clock, log, facts });
-  const callLimits = createCallLimits({
+  const statementOptions = {
     clock,
     log,
     fleet: () => network.loadFleet(),
     publish: () => network.sendHeartbeatNow(),
-  });
+  };
+  const callLimits = createCallLimits(statementOptions);
+  const brittleServices = createBrittleServices(statementOptions);
+  const upstreamLimits = createUpstreamLimits(callLimits, brittleServices);
   const factsSync = createFactsSync({
     clock,
     log,
@@ -257,7 +264,7 @@
     clock,
     registry,
     network,
-    callLimits,
+    upstreamLimits,
     dataCentre,
   });
   const origins = createStreamOrigins({ clock, network, dataCentre });
@@ -289,6 +296,8 @@
     reach,
     relays,
     callLimits,
+    brittleServices,
+    upstreamLimits,
     facts,
     retryBounds: settings.retries,
     vm,
@@ -435,6 +444,7 @@
       upstream.model.reconcile(`${host}:`, keys);
     }
     callLimits.merge(heartbeat.callLimits ?? [], host);
+    brittleServices.merge(heartbeat.brittleServices ?? [], host);
     factsSync.onHeartbeat(host, heartbeat.factsDigest);
     const order = comparePositions(positionOf(member), published.position());
     if (order === 0 && index) {
@@ -540,18 +550,20 @@
           event.parts.map(([id, tokens]) => ({ id, tokens })),
         );
         registry.onSent(upstream, false);
-        callLimits.onSent(upstream, member.host);
+        upstreamLimits.onSent(upstream, member.host);
       } else if (event.kind === LoadEventKind.FirstEvent) {
         upstream.model.onFirstEvent(key, nowMs);
         registry.onPeerReceived(upstream);
       } else {
+        if (event.end === CallEnd.Declined) upstreamLimits.onDeclined(upstream);
         upstream.model.end(key, nowMs);
+        upstreamLimits.onEnded(upstream);
         if (event.end === CallEnd.Other) continue;
         if (event.end === CallEnd.Completed) registry.onPeerReceived(upstream);
         const weight = member.dataCentre === dataCentre
           ? 1
           : REMOTE_CALL_WEIGHT;
-        registry.onCallEnd(upstream, event.end === CallEnd.Failed, weight);
+        registry.onCallEnd(upstream, isFailure(event.end), weight);
       }
     }
     scheduler.recheckQueue();
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -1,5 +1,6 @@
 import {
   CallEnd,
+  isFailure,
   LoadEventKind,
   type PeerNetwork,
 } from "@rosemarytiller/peers";
@@ -15,8 +16,8 @@
   ErrorKind,
   TillerError,
 } from "@rosemarytiller/shared";
-import type { CallLimits } from "./create_call_limits.ts";
 import type { Registry, Upstream } from "./create_registry.ts";
+import type { UpstreamLimits } from "./create_upstream_limits.ts";
 import type { Prompt, ServiceDefinition } from "./ports.ts";
 import { createPauseError } from "./request_errors.ts";
 
@@ -88,7 +89,7 @@
     | "localVmCount"
     | "isLargeFleet"
   >;
-  callLimits: Pick<CallLimits, "isLimited" | "canAdmit" | "onSent">;
+  upstreamLimits: UpstreamLimits;
   /** Data centre of this VM. */
   dataCentre: string;
 }
@@ -140,7 +141,7 @@
 
 /** Creates a scheduler, which polls for capacity while requests are queued. */
 export function createScheduler(options: SchedulerOptions): Scheduler {
-  const { clock, registry, network, callLimits, dataCentre } = options;
+  const { clock, registry, network, upstreamLimits, dataCentre } = options;
   /** Queued requests, the most urgent and oldest first. */
   const queue: QueuedRequest[] = [];
   const callsByUpstream = new Map<string, Set<number>>();
@@ -160,14 +161,14 @@
     for (const upstream of listEligible(request)) {
       if (request.avoid.has(upstream.entry.id)) continue;
       if (!registry.canAdmitAfterPause(upstream)) continue;
-      const isLimited = callLimits.isLimited(upstream);
+      const isShared = upstreamLimits.isShared(upstream);
       const isInWarmUp = upstream.warmUpUntilMs > clock.now();
       // In a large fleet, only VMs in the upstream's data centre know all calls
       // to it.
       const isRemote = upstream.entry.dataCentre !== dataCentre;
-      if ((isLimited || isInWarmUp) && isLarge && isRemote) continue;
+      if ((isShared || isInWarmUp) && isLarge && isRemote) continue;
       if (isInWarmUp && !registry.canAdmitInWarmUp(upstream, vms)) continue;
-      if (!callLimits.canAdmit(upstream)) continue;
+      if (!upstreamLimits.canAdmit(upstream)) continue;
       list.push(upstream);
     }
     return isLarge && request.service.engine ? preferLocal(list) : list;
@@ -286,9 +287,9 @@
       ...work,
       parts: parts.map((part) => [part.id, part.tokens]),
     }, upstreamDataCentre);
-    callLimits.onSent(upstream);
+    upstreamLimits.onSent(upstream);
     // The others count the call before one of them sends the next.
-    if (callLimits.isLimited(upstream)) network.flushLoadEvents();
+    if (upstreamLimits.isShared(upstream)) network.flushLoadEvents();
     let isOpen = true;
     let hasFirstEvent = false;
     return {
@@ -315,10 +316,12 @@
       release(end) {
         if (!isOpen) return;
         isOpen = false;
+        if (end === CallEnd.Declined) upstreamLimits.onDeclined(upstream);
         upstream.model.end(key, clock.now());
+        upstreamLimits.onEnded(upstream);
         endReturn(end === CallEnd.Completed);
         if (end !== CallEnd.Other) {
-          registry.onCallEnd(upstream, end === CallEnd.Failed, 1);
+          registry.onCallEnd(upstream, isFailure(end), 1);
         }
         calls.delete(call);
         if (calls.size === 0) callsByUpstream.delete(id);
@@ -326,6 +329,7 @@
           { kind: LoadEventKind.Ended, call, upstream: id, end },
           upstreamDataCentre,
         );
+        if (upstreamLimits.isShared(upstream)) network.flushLoadEvents();
         recheckQueue();
       },
     };
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -60,10 +60,12 @@
     clock,
     registry,
     dataCentre: "north",
-    callLimits: {
-      isLimited: (upstream) => limited.has(upstream.entry.id),
+    upstreamLimits: {
+      isShared: (upstream) => limited.has(upstream.entry.id),
       canAdmit: (upstream) => limited.get(upstream.entry.id) ?? true,
       onSent: (upstream) => void sentToLimited.push(upstream.entry.id),
+      onDeclined() {},
+      onEnded() {},
     },
     network: {
       flushLoadEvents: () => {},
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -37,6 +37,8 @@
   UpstreamPaused = "upstream-paused",
   /** What an upstream's responses say about its call limit has changed. */
   UpstreamLimited = "upstream-limited",
+  /** What a service's upstreams say about being brittle has changed. */
+  ServiceBrittle = "service-brittle",
   /** A response's retry-after can't be read. */
   RetryAfterIgnored = "retry-after-ignored",
   DataCentreChanged = "data-centre-changed",
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -193,6 +193,13 @@
    * as its responses say so; undefined for no limit.
    */
   callsPerSecond?: number | undefined;
+  /**
+   * Calls a second for which the upstream may have no room before it falls over,
+   * while its service is brittle; undefined otherwise.
+   */
+  maxDeclined?: number | undefined;
+  /** Whether the upstream declined the call, mostly for lack of room. */
+  isDeclined?: boolean;
 }
 
 /** Port: reads and writes the headers of callers and upstreams. */
