--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -175,6 +175,8 @@
   const candidates = new Map<string, number>();
   /** Load events to be sent, by data centre; an empty name stands for all. */
   const queuedEvents = new Map<string, LoadEvent[]>();
+  /** Result of `loadFleet`; undefined after a change of the membership. */
+  let currentLoadFleet: LoadFleet | undefined;
   let cancelFlush: (() => void) | undefined;
   let cancelHeartbeat: (() => void) | undefined;
   let listener: PeerListener | undefined;
@@ -285,12 +287,15 @@
     for (const member of members.values()) {
       const idleMs = nowMs - member.lastMessageMs;
       if (idleMs > unreachableMs(member)) setReachable(member.host, false);
-      if (idleMs > MEMBER_EXPIRY_MS) members.delete(member.host);
+      if (idleMs <= MEMBER_EXPIRY_MS) continue;
+      members.delete(member.host);
+      currentLoadFleet = undefined;
     }
   }
 
   function setReachable(name: string, present: boolean): void {
     if (reachableHosts.has(name) === present) return;
+    currentLoadFleet = undefined;
     if (present) reachableHosts.add(name);
     else reachableHosts.delete(name);
     listener?.onMembership({
@@ -309,6 +314,10 @@
   }
 
   function loadFleet(): LoadFleet {
+    return currentLoadFleet ??= createLoadFleet();
+  }
+
+  function createLoadFleet(): LoadFleet {
     const isLarge = isLargeFleet();
     const reachable = [host];
     for (const name of reachableHosts) {
@@ -369,6 +378,7 @@
         },
       };
       members.set(from, member);
+      currentLoadFleet = undefined;
       candidates.delete(from);
       // Announces this VM to a new member before the next regular heartbeat.
       if (!reachableHosts.has(from)) setImmediate(sendHeartbeat);
@@ -411,7 +421,10 @@
     }
     if (kind !== PeerMessageKind.Heartbeat) return;
     member.heartbeat = decodeHeartbeat(content);
-    member.dataCentre = member.heartbeat.dataCentre;
+    if (member.dataCentre !== member.heartbeat.dataCentre) {
+      member.dataCentre = member.heartbeat.dataCentre;
+      currentLoadFleet = undefined;
+    }
     for (const name of member.heartbeat.members) {
       if (name === host || members.has(name) || candidates.has(name)) continue;
       candidates.set(name, clock.now());
