--- a/platform/src/create_test_links.ts
+++ b/packages/standins/src/create_test_links.ts
@@ -1,4 +1,3 @@
-import type { Connect, UpstreamAddress } from "@rosemarytiller/router";
 import {
   type AddressInfo,
   connect as connectSocket,
@@ -17,10 +16,16 @@
   RefuseNew = "refuse-new",
 }
 
+/** Host and port of an upstream. */
+export interface LinkAddress {
+  host: string;
+  port: number;
+}
+
 /** Links of one VM to all upstreams. */
 export interface TestLinks {
   /** Connects through these links. */
-  connect: Connect;
+  connect(address: LinkAddress): Socket;
   /** Fails the links, or restores them. */
   setFailure(failure: LinkFailure | undefined): void;
   close(): void;
@@ -45,7 +50,7 @@
     upstream.unpipe(client).pause();
   }
 
-  function accept(client: Socket, address: UpstreamAddress): void {
+  function accept(client: Socket, address: LinkAddress): void {
     const upstream = connectSocket({ ...address, noDelay: true });
     const pair: [Socket, Socket] = [client.setNoDelay(), upstream];
     pairs.add(pair);
@@ -60,7 +65,7 @@
     if (failure === LinkFailure.Silent) separate(pair);
   }
 
-  function serverOf(address: UpstreamAddress): Promise<Server> {
+  function serverOf(address: LinkAddress): Promise<Server> {
     const name = `${address.host}:${address.port}`;
     let server = servers.get(name);
     if (server) return server;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -4,5 +4,6 @@
 export * from "./create_stand_in_platform.ts";
 export * from "./create_stand_in_service.ts";
 export * from "./create_relay.ts";
+export * from "./create_test_links.ts";
 export * from "./lease_port.ts";
 export * from "./start_process_fleet.ts";
