policy: leave a part open while another one was at the same three crashes

Change: a part with three crashes stays open while another part has as many and too few requests; a further crash tells them apart, as between requests. Other causes are found meanwhile.

Test: "a part with a rival at the same three crashes stays open" failed before (the sound part was found).

--- a/packages/policy/src/create_crash_evidence.ts
+++ b/packages/policy/src/create_crash_evidence.ts
@@ -144,16 +144,42 @@
     return causes;
   }
 
+  /**
+   * Whether a part that is no cause, for want of requests, was in flight at as
+   * many crashes: a further one shows which of them it is.
+   */
+  function hasRivalPart(
+    [first]: readonly OpenSuspect[],
+    explained: ReadonlySet<string>,
+  ): boolean {
+    const { entry, count } = first!;
+    if (!entry.isPart || count > PART_QUARANTINE_CRASHES) return false;
+    for (const [name, other] of suspects) {
+      if (!other.isPart || other.crashes.size < count) continue;
+      const crashes = openCrashes(name, explained);
+      if (crashes.length >= count && !isCause(other, crashes)) return true;
+    }
+    return false;
+  }
+
   /**
    * Finds the fewest causes: the suspect with the most crashes explains those,
    * which then no longer count against the others that were in flight.
    */
   function findCauses(): Set<string> {
     const found = new Set<string>();
+    const open = new Set<string>();
     const explained = new Set<string>();
     for (;;) {
-      const causes = mostFrequentCauses(explained, found);
+      const causes = mostFrequentCauses(
+        explained,
+        new Set([...found, ...open]),
+      );
       if (causes.length === 0 || isAmbiguous(causes)) return found;
+      if (hasRivalPart(causes, explained)) {
+        for (const { name } of causes) open.add(name);
+        continue;
+      }
       for (const { name } of narrowest(causes)) {
         found.add(name);
         for (const crash of openCrashes(name)) explained.add(crash);
--- a/packages/policy/src/create_crash_evidence_test.ts
+++ b/packages/policy/src/create_crash_evidence_test.ts
@@ -115,6 +115,22 @@
   assert.deepEqual([...evidence.quarantined()], [partSuspectOf("bad")]);
 });
 
+// Guards against a sound part that is refused as it was in flight with more
+// requests than the harmful one, at the same three crashes.
+test("a part with a rival at the same three crashes stays open", () => {
+  const evidence = createCrashEvidence();
+  const bad = { c1: "r1", c2: "r1", c3: "r2" };
+  for (const [number, [crash, request]] of Object.entries(bad).entries()) {
+    evidence.add({ crash, requests: [request], parts: ["bad"] });
+    const parts = ["sound"];
+    evidence.add({ crash, requests: [`s${number}`], parts });
+  }
+  // The request that came again is one cause; the last crash has two suspects.
+  assert.deepEqual([...evidence.quarantined()], ["r1"]);
+  evidence.add({ crash: "c4", requests: ["r3"], parts: ["bad"] });
+  assert.deepEqual([...evidence.quarantined()], [partSuspectOf("bad")]);
+});
+
 // Guards against VMs that quarantine different requests by the same facts.
 test("the order and repetition of changes do not matter", () => {
   const names = fc.constantFrom("a", "b", "c", "d");
