router: pass requests on only if other VMs reach what this one does not

Cause: a VM counted its links as lost if half of a service's upstreams refused connections. They had crashed, for all VMs.

Change: links count as lost only to upstreams that responded to other VMs since this VM failed to connect. Before a request is refused for want of an upstream, another VM is still asked in any case.

--- a/packages/router/src/create_reach.ts
+++ b/packages/router/src/create_reach.ts
@@ -17,10 +17,17 @@
   /** No connection to the upstream could be established. */
   onConnectFailed(upstream: Upstream): void;
   /**
-   * Whether this VM has lost its links to most or all upstreams of the service,
-   * so that another VM can serve its requests better.
+   * Whether this VM has lost its links to half of the service's upstreams or
+   * more, while these respond to other VMs.
    */
   isLost(service: string): boolean;
+  /**
+   * Whether this VM failed to connect to the upstream and has received nothing
+   * from it since, while other VMs have.
+   */
+  isLostUpstream(upstream: Upstream): boolean;
+  /** Whether this VM has lost its links to the service, or its upstreams are down. */
+  mayBeLost(service: string): boolean;
   lostServices(): string[];
   /** Whether another upstream than this one was reached since `sinceMs`. */
   hasReachedOthers(upstream: Upstream, sinceMs: number): boolean;
@@ -37,10 +44,7 @@
 export interface ReachOptions {
   clock: Clock;
   log: EventLog;
-  registry: Pick<
-    Registry,
-    "inService" | "isMostlyUnreached" | "all" | "onReached"
-  >;
+  registry: Pick<Registry, "inService" | "all" | "onReached">;
   pool: Pick<ConnectionPool, "probe">;
   /** Sends the lost services to the other VMs. */
   publish(): void;
@@ -56,6 +60,11 @@
  * upstreams are probed, in milliseconds.
  */
 const MAX_SILENCE_MS = 400;
+/**
+ * Time after a failure to connect from which other VMs' reports of responses
+ * count, in milliseconds: what arrives earlier may be from before a crash.
+ */
+const REPORT_DELAY_MS = 50;
 /** Time between the probes of a silent or lost service, in milliseconds. */
 const PROBE_INTERVAL_MS = 200;
 
@@ -74,6 +83,8 @@
   const { clock, log, registry, pool, publish } = options;
   const services = new Map<string, ServiceReach>();
   const reachedMs = new WeakMap<Upstream, number>();
+  /** First failure to connect since the upstream was reached. */
+  const unreachedMs = new WeakMap<Upstream, number>();
 
   function reachOf(service: string): ServiceReach {
     let reach = services.get(service);
@@ -89,9 +100,17 @@
     return reach;
   }
 
-  const isLost = (service: string) =>
-    services.get(service)?.isAllLost === true ||
-    registry.isMostlyUnreached(service);
+  function isLostUpstream(upstream: Upstream): boolean {
+    const sinceMs = unreachedMs.get(upstream) ?? Infinity;
+    return upstream.fleetLastReceivedMs > sinceMs + REPORT_DELAY_MS;
+  }
+
+  function isLost(service: string): boolean {
+    const list = registry.inService(service);
+    const lost = list.filter(isLostUpstream).length;
+    const isAllLost = services.get(service)?.isAllLost === true;
+    return lost > 0 && (isAllLost || lost * 2 >= list.length);
+  }
 
   function setAllLost(service: string, isAllLost: boolean): void {
     const reach = reachOf(service);
@@ -105,12 +124,15 @@
   function onReceived(upstream: Upstream): void {
     const reach = reachOf(upstream.entry.service);
     reachedMs.set(upstream, clock.now());
+    unreachedMs.delete(upstream);
     reach.silentSinceMs = undefined;
     if (reach.isAllLost) setAllLost(upstream.entry.service, false);
     reach.failed.clear();
   }
 
-  function onConnectFailed({ entry }: Upstream): void {
+  function onConnectFailed(upstream: Upstream): void {
+    const { entry } = upstream;
+    if (!unreachedMs.has(upstream)) unreachedMs.set(upstream, clock.now());
     const reach = reachOf(entry.service);
     reach.failed.add(entry.id);
     const known = registry.inService(entry.service).length;
@@ -138,8 +160,7 @@
   function listProbes(service: string, reach: ServiceReach): Upstream[] {
     const list = registry.inService(service);
     if (reach.isAllLost) return pickRandom(list, 1);
-    const unreached = list.filter(({ assumedWarmUp }) => assumedWarmUp);
-    if (isLost(service)) return pickRandom(unreached, 1);
+    if (isLost(service)) return pickRandom(list.filter(isLostUpstream), 1);
     const { silentSinceMs = Infinity } = reach;
     const isSilent = clock.now() - silentSinceMs >= MAX_SILENCE_MS &&
       isSilentHereOnly(service, silentSinceMs);
@@ -161,6 +182,9 @@
     onReceived,
     onConnectFailed,
     isLost,
+    isLostUpstream,
+    mayBeLost: (service) =>
+      registry.inService(service).some((upstream) => unreachedMs.has(upstream)),
     lostServices: () => [...services.keys()].filter(isLost),
     hasReachedOthers(upstream, sinceMs) {
       for (const other of registry.all()) {
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -76,11 +76,6 @@
    * now.
    */
   inService(service: string): Upstream[];
-  /**
-   * Whether at least half of a service's upstreams failed to connect, and sent
-   * this VM nothing since.
-   */
-  isMostlyUnreached(service: string): boolean;
   /**
    * The upstream accepted a connection. If it responded to other VMs since this
    * VM failed to connect, it was not down.
@@ -357,11 +352,6 @@
       );
     },
     inService: listInService,
-    isMostlyUnreached(service) {
-      const list = listInService(service);
-      const unreached = list.filter(({ assumedWarmUp }) => assumedWarmUp);
-      return list.length > 0 && unreached.length * 2 >= list.length;
-    },
     onReached(upstream) {
       const { assumedWarmUp, fleetLastReceivedMs } = upstream;
       upstream.assumedWarmUp = undefined;
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -296,8 +296,11 @@
   /** Whether another VM should serve the request, as this one can't. */
   function needsRelay(state: RequestState, connectFailures = 0): boolean {
     if (state.request.relay) return false;
-    const { name } = state.service;
-    return connectFailures >= MAX_OWN_CONNECT_FAILURES || reach.isLost(name);
+    if (reach.isLost(state.service.name)) return true;
+    if (connectFailures < MAX_OWN_CONNECT_FAILURES) return false;
+    return registry.inService(state.service.name).some((upstream) =>
+      state.tried.has(upstream.entry.id) && reach.isLostUpstream(upstream)
+    );
   }
 
   function startRelayedStandby(
@@ -317,6 +320,7 @@
   async function runRelayed(
     state: RequestState,
   ): Promise<AttemptEnd | undefined> {
+    if (state.request.relay) return undefined;
     let refusal: TillerError | undefined;
     for (;;) {
       const attempt = relays.start(state, { claimResponse: () => true });
@@ -350,20 +354,28 @@
     return await runCall(state, placement);
   }
 
-  /** Runs a call here or, if the links are lost, at another VM. */
+  /**
+   * Runs a call here or, if the links are lost, at another VM. Before a request
+   * is refused for want of an upstream, another VM is asked in any case.
+   */
   async function runNextCall(
     state: RequestState,
     connectFailures: number,
   ): Promise<{ ended: AttemptEnd; isRelayed: boolean }> {
-    if (needsRelay(state, connectFailures)) {
+    const isOutOfReach = connectFailures >= MAX_CONNECT_FAILURES;
+    if (isOutOfReach || needsRelay(state, connectFailures)) {
       const ended = await runRelayed(state);
       if (ended) return { ended, isRelayed: true };
     }
+    if (isOutOfReach) throw createUnreachableError();
     try {
       return { ended: await runPlaced(state), isRelayed: false };
     } catch (error) {
-      // The links may have been lost while the request was queued.
-      const ended = needsRelay(state) ? await runRelayed(state) : undefined;
+      const hasNoUpstream = toTillerError(error).kind === ErrorKind.NoUpstream;
+      const mayBeLost = hasNoUpstream && reach.mayBeLost(state.service.name);
+      const ended = mayBeLost || needsRelay(state)
+        ? await runRelayed(state)
+        : undefined;
       if (!ended) throw error;
       return { ended, isRelayed: true };
     }
@@ -418,9 +430,7 @@
       }
       if (ended.result === AttemptResult.Aborted) return;
       if (ended.result === AttemptResult.Unsent) {
-        if (++connectFailures >= MAX_CONNECT_FAILURES) {
-          throw createUnreachableError();
-        }
+        connectFailures++;
         continue;
       }
       if (ended.result === AttemptResult.NotRun) {
