--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -3,7 +3,6 @@
   type PeerNetwork,
   type SharedFacts,
 } from "@rosemarytiller/peers";
-import type { RetryAllowance } from "@rosemarytiller/policy";
 import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
 import { chooseBackupUpstream } from "./choose_backup_upstream.ts";
 import type { BrittleServices } from "./create_brittle_services.ts";
@@ -13,6 +12,7 @@
 import type { CrashDetector } from "./create_crash_detector.ts";
 import type { Reach } from "./create_reach.ts";
 import { type Registry, runOf, type Upstream } from "./create_registry.ts";
+import type { Retries } from "./create_retries.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { Placement } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
@@ -48,8 +48,7 @@
   upstreamLimits: Pick<UpstreamLimits, "isShared">;
   /** Name of this VM. */
   vm: string;
-  /** This VM's allowance of retries for a service. */
-  allowanceOf(service: string): RetryAllowance;
+  retries: Pick<Retries, "onFirstSend">;
 }
 
 /** An attempt whose outcome is recorded when it ends. */
@@ -104,7 +103,7 @@
   const { clock, log, metrics, protocol, registry, pool } = options;
   const { network, origins, crashDetector, reach, containment, vm } = options;
   const { facts, callLimits, brittleServices, upstreamLimits } = options;
-  const { allowanceOf } = options;
+  const { retries } = options;
 
   /** Bytes of the bodies of all responses in progress. */
   let bodiesBytes = 0;
@@ -332,9 +331,7 @@
         onStreamStarted: () => publishOrigin(state, entry.softwareVersion),
         onEvent: () => placement.onFirstEvent(),
         onSent() {
-          if (state.sends === 0) {
-            allowanceOf(state.service.name).onFirstSend(clock.now());
-          }
+          if (state.sends === 0) retries.onFirstSend(state.service.name);
           state.sends++;
           state.possibleRuns++;
           state.tried.add(entry.id);
--- /dev/null
+++ b/packages/router/src/create_call_runner.ts
@@ -0,0 +1,296 @@
+import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
+import {
+  type Clock,
+  ErrorKind,
+  type TillerError,
+  toTillerError,
+} from "@rosemarytiller/shared";
+import type {
+  AttemptHooks,
+  AttemptStarter,
+  StartedAttempt,
+} from "./create_attempt_starter.ts";
+import type { ConfigurationIndex } from "./create_configuration_index.ts";
+import type { Reach } from "./create_reach.ts";
+import type { Registry } from "./create_registry.ts";
+import type { Relays } from "./create_relays.ts";
+import type { Retries } from "./create_retries.ts";
+import type { Placement, Scheduler } from "./create_scheduler.ts";
+import type { UpstreamLimits } from "./create_upstream_limits.ts";
+import { AttemptResult, LogEvent, RetryDenial } from "./enums.ts";
+import type { EventLog } from "./event_log.ts";
+import { createUnreachableError } from "./request_errors.ts";
+import type { RequestState } from "./request_state.ts";
+import type { AttemptEnd } from "./run_attempt.ts";
+import { runHedgedCall } from "./run_hedged_call.ts";
+import { watchStall } from "./watch_stall.ts";
+
+/** A call that has ended. */
+export interface EndedCall {
+  ended: AttemptEnd;
+  /** Whether another VM made the call, with its retries. */
+  isRelayed: boolean;
+}
+
+/** Runs the calls of requests, at upstreams or through other VMs. */
+export interface CallRunner {
+  /**
+   * Runs a call here or, if the links are lost, at another VM. Before a request
+   * is refused for want of an upstream, another VM is asked in any case.
+   * `connectFailures` is the number of the request's calls that were not sent.
+   * Throws a `TillerError` if the request is refused.
+   */
+  runNext(state: RequestState, connectFailures: number): Promise<EndedCall>;
+  /**
+   * Resumes a stream at the upstream with the backup copy; `undefined` if that
+   * cannot be used.
+   */
+  resumeFromBackup(state: RequestState): Promise<AttemptEnd | undefined>;
+}
+
+/** Dependencies of the call runner. */
+export interface CallRunnerOptions {
+  clock: Clock;
+  log: EventLog;
+  registry: Registry;
+  scheduler: Scheduler;
+  network: PeerNetwork;
+  attempts: AttemptStarter;
+  retries: Retries;
+  reach: Reach;
+  relays: Relays;
+  upstreamLimits: Pick<UpstreamLimits, "canAdmit">;
+  /** Current configuration; undefined until one has been received. */
+  configuration(): ConfigurationIndex | undefined;
+}
+
+/** Failed connection attempts after which a request is refused. */
+const MAX_CONNECT_FAILURES = 4;
+/** Failed connection attempts after which another VM is to serve a request. */
+const MAX_OWN_CONNECT_FAILURES = 2;
+/** Refusals of one VM that do not hold for the others. */
+const RELAY_AGAIN_KINDS: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.NoUpstream,
+  ErrorKind.Stopping,
+  ErrorKind.NotReady,
+]);
+
+/** Creates the call runner. */
+export function createCallRunner(options: CallRunnerOptions): CallRunner {
+  const { clock, log, registry, scheduler, network, attempts } = options;
+  const { retries, reach, relays, upstreamLimits, configuration } = options;
+
+  function place(
+    state: RequestState,
+    signal: AbortSignal = state.signal,
+  ): Promise<Placement> {
+    return scheduler.place({
+      service: state.service,
+      urgency: state.urgency,
+      rank: state.rank,
+      prompt: state.request.metadata.prompt,
+      maxPauseMs: state.stream.isStream ? state.route.maxPauseMs : Infinity,
+      targetMs: state.route.targetMs,
+      // A started stream has no first event to deliver on time.
+      arrivedMs: state.stream.isStarted ? clock.now() : state.request.arrivedMs,
+      expiresMs: state.expiresMs,
+      avoid: state.tried,
+      softwareVersion: state.stream.softwareVersion,
+    }, signal);
+  }
+
+  /**
+   * Runs one call from the placement's upstream on until it ends, with a
+   * standby while that upstream is silent.
+   */
+  function runCall(
+    state: RequestState,
+    placement: Placement,
+    backupFrom?: string,
+  ): Promise<AttemptEnd> {
+    return runHedgedCall({
+      start: (hooks) => attempts.start(state, placement, { backupFrom, hooks }),
+      startStandby: (hooks, signal) => startStandby(state, { hooks, signal }),
+      watch: (running, onSilent) =>
+        running.placement
+          ? watchStall(
+            { state, placement: running.placement, running, onSilent },
+            { clock, log, registry, network },
+          )
+          : () => {},
+    });
+  }
+
+  /**
+   * Sends a silent call elsewhere as well. A backup copy that was not used is
+   * kept for later; see `HedgedCall.startStandby`.
+   */
+  async function startStandby(
+    state: RequestState,
+    options: { hooks: AttemptHooks; signal: AbortSignal },
+  ): Promise<StartedAttempt | undefined> {
+    const { hooks, signal } = options;
+    if (needsRelay(state)) return startRelayedStandby(state, hooks);
+    const kept = state.stream.isStarted ? state.backup : undefined;
+    const backup = kept && placeAtBackup(state);
+    if (kept ? !backup : !retries.hasLeft(state)) return undefined;
+    const placement = backup?.placement ??
+      await place(state, AbortSignal.any([state.signal, signal]));
+    if (signal.aborted || (!backup && !retries.hasLeft(state))) {
+      placement.release(CallEnd.Other);
+      return undefined;
+    }
+    log.info(LogEvent.Hedged, {
+      id: state.id,
+      at: placement.upstream.entry.id,
+      version: placement.upstream.entry.softwareVersion,
+      call: placement.call,
+      copy: backup?.name,
+      lastEventId: state.stream.lastEventId,
+    });
+    const started = attempts.start(state, placement, {
+      backupFrom: backup?.name,
+      hooks,
+    });
+    if (!backup) retries.spend(state);
+    started.ended.then(({ result }) => {
+      if (result === AttemptResult.Unsent) state.backup ??= kept;
+    });
+    return started;
+  }
+
+  /** Whether another VM should serve the request, as this one can't. */
+  function needsRelay(state: RequestState, connectFailures = 0): boolean {
+    if (state.request.relay) return false;
+    if (reach.isLost(state.service.name)) return true;
+    if (connectFailures < MAX_OWN_CONNECT_FAILURES) return false;
+    return registry.inService(state.service.name).some((upstream) =>
+      state.tried.has(upstream.entry.id) && reach.isLostUpstream(upstream)
+    );
+  }
+
+  function startRelayedStandby(
+    state: RequestState,
+    hooks: AttemptHooks,
+  ): StartedAttempt | undefined {
+    if (!retries.hasLeft(state)) return undefined;
+    const started = relays.start(state, hooks);
+    if (started) retries.spend(state);
+    return started;
+  }
+
+  /**
+   * Has another VM serve the request; `undefined` if none can take it. Throws a
+   * `TillerError` if one has refused it.
+   */
+  async function runRelayed(
+    state: RequestState,
+  ): Promise<AttemptEnd | undefined> {
+    if (state.request.relay) return undefined;
+    let refusal: TillerError | undefined;
+    for (;;) {
+      const attempt = relays.start(state, { claimResponse: () => true });
+      if (!attempt && refusal) throw refusal;
+      if (!attempt) return undefined;
+      const ended = await attempt.ended;
+      if (ended.result === AttemptResult.Unsent) continue;
+      if (ended.result !== AttemptResult.NotRun) return ended;
+      refusal = attempt.refusal();
+      if (refusal && !RELAY_AGAIN_KINDS.has(refusal.kind)) throw refusal;
+    }
+  }
+
+  /** Places the request at an upstream and runs the call there. */
+  async function runPlaced(state: RequestState): Promise<AttemptEnd> {
+    const placement = await place(state);
+    log.info(LogEvent.Placed, {
+      id: state.id,
+      upstream: placement.upstream.entry.id,
+      version: placement.upstream.entry.softwareVersion,
+      resumes: state.request.metadata.resumedId,
+      lastEventId: state.stream.lastEventId,
+      call: placement.call,
+      urgency: state.urgency,
+      heldMs: Math.round(placement.queuedMs),
+      newTokens: placement.newTokens || undefined,
+      calls: placement.upstream.model.callCount(),
+      predictedMs: Math.round(placement.predictedMs),
+      revision: configuration()?.configuration.version,
+    });
+    return await runCall(state, placement);
+  }
+
+  /** See `CallRunner.runNext`. */
+  async function runNext(
+    state: RequestState,
+    connectFailures: number,
+  ): Promise<EndedCall> {
+    const isOutOfReach = connectFailures >= MAX_CONNECT_FAILURES;
+    if (isOutOfReach || needsRelay(state, connectFailures)) {
+      const ended = await runRelayed(state);
+      if (ended) return { ended, isRelayed: true };
+    }
+    if (isOutOfReach) throw createUnreachableError();
+    try {
+      return { ended: await runPlaced(state), isRelayed: false };
+    } catch (error) {
+      const hasNoUpstream = toTillerError(error).kind === ErrorKind.NoUpstream;
+      const mayBeLost = hasNoUpstream && reach.mayBeLost(state.service.name);
+      const ended = mayBeLost || needsRelay(state)
+        ? await runRelayed(state)
+        : undefined;
+      if (!ended) throw error;
+      return { ended, isRelayed: true };
+    }
+  }
+
+  /**
+   * Takes one retry and places the call at the upstream with the backup copy,
+   * which can be used once; `undefined` if it can't be used.
+   */
+  function placeAtBackup(
+    state: RequestState,
+  ): { placement: Placement; name: string } | undefined {
+    const { upstream, name } = state.backup!;
+    state.backup = undefined;
+    // A restarted upstream is another one and has lost the copy.
+    const isEligible = registry.eligible(state.service.name).includes(upstream);
+    if (!isEligible || !upstreamLimits.canAdmit(upstream)) {
+      retries.deny(state, RetryDenial.BackupUnavailable);
+      return undefined;
+    }
+    if (!retries.spend(state)) return undefined;
+    const placement = scheduler.placeAt(upstream, {
+      service: state.service,
+      urgency: state.urgency,
+      rank: state.rank,
+      prompt: undefined,
+      maxPauseMs: state.route.maxPauseMs,
+      targetMs: state.route.targetMs,
+      arrivedMs: clock.now(),
+      expiresMs: state.expiresMs,
+      avoid: state.tried,
+      softwareVersion: state.stream.softwareVersion,
+    });
+    return { placement, name };
+  }
+
+  /** See `CallRunner.resumeFromBackup`. */
+  async function resumeFromBackup(
+    state: RequestState,
+  ): Promise<AttemptEnd | undefined> {
+    const backup = placeAtBackup(state);
+    if (!backup) return undefined;
+    const { placement, name } = backup;
+    log.info(LogEvent.Resumed, {
+      id: state.id,
+      at: placement.upstream.entry.id,
+      version: placement.upstream.entry.softwareVersion,
+      copy: name,
+      lastEventId: state.stream.lastEventId,
+    });
+    return await runCall(state, placement, name);
+  }
+
+  return { runNext, resumeFromBackup };
+}
