--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -1,25 +1,13 @@
 import {
-  CallEnd,
-  comparePositions,
   CONFIGURATION_PATH,
   createConfigurationHandler,
   createFactsHandler,
   createPeerNetwork,
   createPublishedHandler,
-  createPublishedItems,
   FACTS_PATH,
-  isFailure,
-  type LoadEvent,
-  LoadEventKind,
   type Member,
   PUBLISHED_PATH,
-  type PublishedChanges,
-  type PublishedItem,
-  type PublishedPosition,
-  pullConfiguration,
   pullFacts,
-  pullPublished,
-  type PushedItems,
 } from "@rosemarytiller/peers";
 import type { RetryBounds } from "@rosemarytiller/policy";
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
@@ -30,10 +18,6 @@
   createCallerServer,
   HARD_MAX_HEADER_BYTES,
 } from "./create_caller_server.ts";
-import {
-  type ConfigurationIndex,
-  createConfigurationIndex,
-} from "./create_configuration_index.ts";
 import {
   type Connect,
   createConnectionPool,
@@ -42,6 +26,8 @@
 import { createRouterFacts } from "./create_router_facts.ts";
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createReach } from "./create_reach.ts";
+import { createLoadEventHandler } from "./create_load_event_handler.ts";
+import { createPublishedState } from "./create_published_state.ts";
 import { createRegistry } from "./create_registry.ts";
 import { createRelayHandler } from "./create_relay_handler.ts";
 import { createRelays, RELAY_PATH } from "./create_relays.ts";
@@ -52,13 +38,7 @@
 import { createUpstreamLimits } from "./create_upstream_limits.ts";
 import { FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
-import {
-  DecodedItemKind,
-  type DecodeItem,
-  type UpstreamEntry,
-  type WireProtocol,
-} from "./ports.ts";
-import { MIN_CONFIRMED_SILENCE_MS } from "./silence_limits.ts";
+import type { DecodeItem, PublishedSource, WireProtocol } from "./ports.ts";
 
 /** Host and port to listen on. */
 export interface ListenAddress {
@@ -94,29 +74,6 @@
   staleMs: number;
 }
 
-/** Port: watches the platform's published items. */
-export interface PublishedSource {
-  start(sink: PublishedSink): void;
-  stop(): void;
-}
-
-/** Receives what a source reads from the platform. */
-export interface PublishedSink {
-  /** Revision up to which all changes of the era have been received. */
-  head(): number;
-  /** Era of the changes received, 0 at first. */
-  era(): number;
-  /**
-   * The platform responded; `changes` may be empty. The first of a newer era
-   * must be the complete state.
-   */
-  onResponse(changes: PublishedChanges): void;
-  /** Reading from the platform failed. */
-  onReadError(reason: string): void;
-  /** Whether reading can pause, because peers pass the changes on. */
-  canPause(): boolean;
-}
-
 /** Settings and ports of a router. */
 export interface RouterOptions {
   clock: Clock;
@@ -160,17 +117,6 @@
 const SWEEP_MS = 500;
 /** Interval at which silent or lost services are checked, in ms. */
 const REACH_UPDATE_MS = 100;
-/** Delay before newer items are pulled from a peer, in milliseconds. */
-const PULL_DELAY_MS = 60;
-/** Weight of calls reported by VMs of other data centres in failure shares. */
-const REMOTE_CALL_WEIGHT = 0.3;
-/** Age of the last confirmation after which a paused VM reads again, in ms. */
-const MAX_CONFIRMATION_AGE_MS = 3200;
-/**
- * Time for which a data centre stays out of service that a restored platform no
- * longer lists as out, in milliseconds, unless it is listed again.
- */
-const RESTORED_OUT_MS = 10_000;
 /** Poll interval for the end of requests during a stop, in ms. */
 const STOP_POLL_MS = 50;
 
@@ -179,23 +125,9 @@
   const { clock, log, protocol, decode, source } = options;
   let { settings } = options;
   const { vm, dataCentre } = settings;
-  const published = createPublishedItems();
   const registry = createRegistry({ clock, log });
   const pool = createConnectionPool({ clock, connect: options.connect });
-  let index: ConfigurationIndex | undefined;
-  /** The item of `index`; after a restore, `published` may have an older one. */
-  let configurationItem: PublishedItem | undefined;
-  /** Highest version that this VM has pulled on its own, accepted or not. */
-  let pulledVersion = 0;
-  /**
-   * Time at which the platform last confirmed to this VM or a peer that
-   * `published.head()` is the latest revision.
-   */
-  let confirmedMs = -Infinity;
-  let isPlatformLost = false;
-  let regainedMs = -Infinity;
   let isStopping = false;
-  let isPulling = false;
   let timers: CancelTimer[] = [];
   let servers: Server[] = [];
 
@@ -206,17 +138,28 @@
     dataCentre,
     seeds: () => settings.seeds,
     heartbeatState: () => ({
-      era: published.era(),
-      revision: published.head(),
-      confirmedAgeMs: Math.round(clock.now() - confirmedMs),
+      era: state.items.era(),
+      revision: state.items.head(),
+      confirmedAgeMs: Math.round(state.confirmedAgeMs()),
       calls: scheduler.ownCalls(),
-      configurationVersion: index?.configuration.version ?? 0,
+      configurationVersion: state.index()?.configuration.version ?? 0,
       factsDigest: facts.digest(),
       callLimits: callLimits.list(),
       brittleServices: brittleServices.list(),
       lostServices: reach.lostServices(),
     }),
   });
+  const state = createPublishedState({
+    clock,
+    log,
+    decode,
+    registry,
+    network,
+    port: settings.peers.port,
+    entriesBackMs: () => settings.entriesBackMs,
+    onConfiguration: ({ limits }) => callerServer.setLimits(limits),
+    onAdvanced: () => scheduler.recheckQueue(),
+  });
   const facts = createRouterFacts({
     clock,
     network,
@@ -268,13 +211,21 @@
     dataCentre,
   });
   const origins = createStreamOrigins({ clock, network, dataCentre });
+  const handleLoadEvents = createLoadEventHandler({
+    clock,
+    registry,
+    upstreamLimits,
+    facts,
+    origins,
+    dataCentre,
+  });
   const metrics = createRouterMetrics({
     openRequests: () => requestServer.openCount(),
     queuedRequests: () => scheduler.queuedCount(),
     openConnections: () => pool.openCount(),
     presentVms: () => network.reachableVmCount(),
-    revision: () => published.head(),
-    era: () => published.era(),
+    revision: () => state.items.head(),
+    era: () => state.items.era(),
     droppedLines: () => log.dropped(),
     sharedFacts: () => facts.size(),
     droppedFacts: () => facts.droppedCount(),
@@ -301,8 +252,8 @@
     facts,
     retryBounds: settings.retries,
     vm,
-    configuration: () => index,
-    isCurrent: () => clock.now() - confirmedMs <= settings.staleMs,
+    configuration: state.index,
+    isCurrent: () => state.confirmedAgeMs() <= settings.staleMs,
   });
   const callerServer = createCallerServer({
     clock,
@@ -317,124 +268,6 @@
     serve: (request, response) => void requestServer.serve(request, response),
   });
 
-  function applyChanges(changes: PublishedChanges, from: string): void {
-    const before = published.position();
-    const changed = published.apply(changes);
-    const isRestored = before.revision > 0 && published.era() > before.era;
-    if (isRestored) onRestored(before, from);
-    for (const item of changed) {
-      let decoded;
-      try {
-        decoded = decode(item);
-      } catch (error) {
-        log.warn(LogEvent.ItemRefused, {
-          key: item.key,
-          revision: item.revision,
-          reason: (error as Error).message,
-        });
-        continue;
-      }
-      if (!decoded) continue;
-      if (decoded.kind === DecodedItemKind.Configuration) {
-        if (decoded.value) {
-          acceptConfiguration(decoded.value, item, from);
-        }
-      } else if (decoded.kind === DecodedItemKind.Upstream) {
-        if (!decoded.value) registry.remove(decoded.id, keepRemovedMs());
-        else if (isRestored) setRestoredUpstream(decoded.value);
-        else registry.set(decoded.id, decoded.value);
-      } else {
-        const { dataCentre, isOut } = decoded;
-        registry.setDataCentre(
-          dataCentre,
-          isOut,
-          isRestored ? RESTORED_OUT_MS : 0,
-        );
-      }
-    }
-    if (comparePositions(published.position(), before) > 0) {
-      scheduler.recheckQueue();
-    }
-  }
-
-  /** The platform, or a peer that read it, was found in a newer era. */
-  function onRestored(before: PublishedPosition, from: string): void {
-    // Entries that the restored copy lacks count like those that expired while
-    // the platform was unreachable.
-    regainedMs = clock.now();
-    log.warn(LogEvent.PlatformRestored, {
-      fromEra: before.era,
-      era: published.era(),
-      fromRevision: before.revision,
-      revision: published.head(),
-      from,
-    });
-  }
-
-  /** An upstream never stops draining: a restored entry may be from before. */
-  function setRestoredUpstream(entry: UpstreamEntry): void {
-    const known = registry.find(entry.id)?.entry;
-    const isSameRun = known?.startedMs === entry.startedMs &&
-      known?.host === entry.host && known?.port === entry.port;
-    const isDraining = entry.isDraining ||
-      (isSameRun && known?.isDraining === true);
-    registry.set(entry.id, { ...entry, isDraining });
-  }
-
-  function acceptConfiguration(
-    configuration: ConfigurationIndex["configuration"],
-    item: PublishedItem,
-    from: string,
-  ): void {
-    if (index && configuration.version < index.configuration.version) return;
-    index = createConfigurationIndex(configuration);
-    configurationItem = item;
-    registry.setServices(index.findService);
-    callerServer.setLimits(configuration.limits);
-    log.info(LogEvent.ConfigurationAccepted, {
-      version: configuration.version,
-      revision: item.revision,
-      routes: configuration.routes.length,
-      from,
-    });
-  }
-
-  /**
-   * Time for which a removed upstream is kept. Entries that expired during an
-   * outage of the platform are back within `entriesBackMs` after it.
-   */
-  function keepRemovedMs(): number {
-    if (isPlatformLost) return settings.entriesBackMs;
-    return Math.max(0, regainedMs + settings.entriesBackMs - clock.now());
-  }
-
-  const sink = {
-    head: () => published.head(),
-    era: () => published.era(),
-    onResponse(changes: PublishedChanges) {
-      if (isPlatformLost) {
-        isPlatformLost = false;
-        regainedMs = clock.now();
-        log.info(LogEvent.PlatformRegained, { revision: changes.head });
-      }
-      const after = published.head();
-      applyChanges(changes, "platform");
-      confirmedMs = clock.now();
-      if (changes.items.length === 0 && !changes.isWhole) return;
-      if (!changes.isWhole) network.pushItems({ ...changes, after });
-      network.sendHeartbeatNow();
-    },
-    canPause: () =>
-      network.isLargeFleet() && index !== undefined &&
-      !network.isStoreReader() &&
-      clock.now() - confirmedMs < MAX_CONFIRMATION_AGE_MS,
-    onReadError(reason: string) {
-      if (isPlatformLost) return;
-      isPlatformLost = true;
-      log.warn(LogEvent.PlatformLost, { reason, revision: published.head() });
-    },
-  };
-
   function onHeartbeat(member: Member): void {
     const { heartbeat, host } = member;
     for (const upstream of registry.all()) {
@@ -446,138 +279,11 @@
     callLimits.merge(heartbeat.callLimits ?? [], host);
     brittleServices.merge(heartbeat.brittleServices ?? [], host);
     factsSync.onHeartbeat(host, heartbeat.factsDigest);
-    const order = comparePositions(positionOf(member), published.position());
-    if (order === 0 && index) {
-      confirmedMs = Math.max(
-        confirmedMs,
-        clock.now() - heartbeat.confirmedAgeMs,
-      );
-    }
-    if (isPulling) return;
-    const version = heartbeat.configurationVersion ?? 0;
-    const ownVersion = Math.max(
-      index?.configuration.version ?? 0,
-      pulledVersion,
-    );
-    if (order > 0) pull(member);
-    else if (version > ownVersion) void pullLostConfiguration(member, version);
-  }
-
-  /**
-   * Pulls a configuration that a restored platform has lost: a VM that started
-   * afterwards knows only the older one in the restored copy.
-   */
-  async function pullLostConfiguration(
-    { host }: Member,
-    version: number,
-  ): Promise<void> {
-    isPulling = true;
-    try {
-      const port = settings.peers.port;
-      const item = await pullConfiguration({ host, port });
-      pulledVersion = version;
-      const decoded = decode(item);
-      if (decoded?.kind !== DecodedItemKind.Configuration) return;
-      if (decoded.value) acceptConfiguration(decoded.value, item, host);
-    } catch (error) {
-      logPullFailure(host, error as Error);
-    } finally {
-      isPulling = false;
-    }
-  }
-
-  function logPullFailure(peer: string, { message }: Error): void {
-    const what = "pull from a peer";
-    log.warn(LogEvent.Failure, { what, peer, reason: message });
-  }
-
-  /** Position of published state that a member's last heartbeat reported. */
-  function positionOf({ heartbeat }: Member): PublishedPosition {
-    return { era: heartbeat.era ?? 0, revision: heartbeat.revision };
-  }
-
-  function pull(member: Member): void {
-    isPulling = true;
-    // The platform's own response usually arrives within the delay.
-    const delayMs = index ? PULL_DELAY_MS : 0;
-    timers.push(clock.after(delayMs, async () => {
-      try {
-        const before = published.position();
-        if (comparePositions(positionOf(member), before) <= 0) return;
-        const changes = await pullPublished(
-          { host: member.host, port: settings.peers.port },
-          before.revision,
-          before.era,
-        );
-        log.info(LogEvent.PulledFromPeer, {
-          peer: member.host,
-          after: before.revision,
-          era: changes.era ?? 0,
-          revision: changes.head,
-          items: changes.items.length,
-        });
-        applyChanges(changes, member.host);
-      } catch (error) {
-        logPullFailure(member.host, error as Error);
-      } finally {
-        isPulling = false;
-      }
-    }));
-  }
-
-  function onLoadEvents(member: Member, events: LoadEvent[]): void {
-    const nowMs = clock.now();
-    for (const event of events) {
-      if (event.kind === LoadEventKind.Fact) {
-        facts.merge([event], member.host);
-        continue;
-      }
-      if (event.kind === LoadEventKind.StreamStarted) {
-        origins.onPeerOrigin(event);
-        continue;
-      }
-      const upstream = registry.find(event.upstream);
-      if (!upstream) continue;
-      if (event.kind === LoadEventKind.Stalled) {
-        const quietMs = nowMs - upstream.fleetLastReceivedMs;
-        if (quietMs >= MIN_CONFIRMED_SILENCE_MS) registry.onSilent(upstream);
-        continue;
-      }
-      const key = `${member.host}:${event.call}`;
-      if (event.kind === LoadEventKind.Started) {
-        upstream.model.start(key, event, nowMs);
-        upstream.model.addToCache(
-          event.parts.map(([id, tokens]) => ({ id, tokens })),
-        );
-        registry.onSent(upstream, false);
-        upstreamLimits.onSent(upstream, member.host);
-      } else if (event.kind === LoadEventKind.FirstEvent) {
-        upstream.model.onFirstEvent(key, nowMs);
-        registry.onPeerReceived(upstream);
-      } else {
-        if (event.end === CallEnd.Declined) upstreamLimits.onDeclined(upstream);
-        upstream.model.end(key, nowMs);
-        upstreamLimits.onEnded(upstream);
-        if (event.end === CallEnd.Other) continue;
-        if (event.end === CallEnd.Completed) registry.onPeerReceived(upstream);
-        const weight = member.dataCentre === dataCentre
-          ? 1
-          : REMOTE_CALL_WEIGHT;
-        registry.onCallEnd(upstream, isFailure(event.end), weight);
-      }
-    }
-    scheduler.recheckQueue();
-  }
-
-  function onItems(member: Member, push: PushedItems): void {
-    if ((push.era ?? 0) !== published.era()) return;
-    // After a gap, everything missing is pulled when a heartbeat announces it.
-    if (push.after > published.head() || push.head <= published.head()) return;
-    applyChanges(push, member.host);
+    state.onHeartbeat(member);
   }
 
   function isReady(): boolean {
-    return !isStopping && index !== undefined && factsSync.isJoined();
+    return !isStopping && state.index() !== undefined && factsSync.isJoined();
   }
 
   function listen(
@@ -603,8 +309,11 @@
     async start() {
       await network.start({
         onHeartbeat,
-        onLoadEvents,
-        onItems,
+        onLoadEvents(member, events) {
+          handleLoadEvents(member, events);
+          scheduler.recheckQueue();
+        },
+        onItems: state.onItems,
         onStreamQuery: (id) => origins.replyTo(id),
         onRestart(host) {
           for (const upstream of registry.all()) {
@@ -616,11 +325,11 @@
       });
       await Promise.all([
         listen(settings.peers, {
-          [PUBLISHED_PATH]: createPublishedHandler(published),
+          [PUBLISHED_PATH]: createPublishedHandler(state.items),
           [FACTS_PATH]: createFactsHandler(facts),
           [RELAY_PATH]: handleRelayed,
-          [CONFIGURATION_PATH]: createConfigurationHandler(() =>
-            configurationItem
+          [CONFIGURATION_PATH]: createConfigurationHandler(
+            state.configurationItem,
           ),
         }),
         listen(settings.ready, {
@@ -633,7 +342,7 @@
         }),
         callerServer.listen(settings.callers),
       ]);
-      source.start(sink);
+      source.start(state.sink);
       timers.push(repeat(clock, SWEEP_MS, () => {
         pool.sweep();
         relays.sweep();
@@ -689,6 +398,7 @@
       for (const cancel of timers) cancel();
       timers = [];
       source.stop();
+      state.close();
       callerServer.stopListening();
       callerServer.close();
       for (const server of servers) {
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -1,5 +1,5 @@
 import type { PromptPart } from "@rosemarytiller/policy";
-import type { PublishedItem } from "@rosemarytiller/peers";
+import type { PublishedChanges, PublishedItem } from "@rosemarytiller/peers";
 import type { RouteKind } from "./enums.ts";
 
 /** A service of a route, with its weight among the route's services. */
@@ -214,3 +214,26 @@
     headers: Record<string, string | string[] | undefined>,
   ): ResponseMetadata;
 }
+
+/** Port: watches the platform's published items. */
+export interface PublishedSource {
+  start(sink: PublishedSink): void;
+  stop(): void;
+}
+
+/** Receives what a source reads from the platform. */
+export interface PublishedSink {
+  /** Revision up to which all changes of the era have been received. */
+  head(): number;
+  /** Era of the changes received, 0 at first. */
+  era(): number;
+  /**
+   * The platform responded; `changes` may be empty. The first of a newer era
+   * must be the complete state.
+   */
+  onResponse(changes: PublishedChanges): void;
+  /** Reading from the platform failed. */
+  onReadError(reason: string): void;
+  /** Whether reading can pause, because peers pass the changes on. */
+  canPause(): boolean;
+}
