router: use all own links again once one of them is back

After lost links were back, a VM with many upstreams went on passing requests to another one until half of the upstreams had been probed one by one, 200 ms each: 1.4 s with 13 upstreams.

Change: the first lost upstream that accepts a connection ends the loss for its service. Those that still fail are found by their next calls.

Test: "lost links are probed, and the first success ends the loss" failed before; unit tests of create_reach.ts.

--- a/packages/router/src/create_reach.ts
+++ b/packages/router/src/create_reach.ts
@@ -142,11 +142,23 @@
 
   async function probe(upstream: Upstream): Promise<boolean> {
     const isUp = await pool.probe(upstream.entry);
-    if (isUp) {
+    if (!isUp) {
+      onConnectFailed(upstream);
+      return false;
+    }
+    if (isLostUpstream(upstream)) onLinksRegained(upstream.entry.service);
+    registry.onReached(upstream);
+    onReceived(upstream);
+    return true;
+  }
+
+  /** One lost upstream is reached again: the others are taken for reachable. */
+  function onLinksRegained(service: string): void {
+    for (const upstream of registry.inService(service)) {
+      if (!isLostUpstream(upstream)) continue;
       registry.onReached(upstream);
-      onReceived(upstream);
-    } else onConnectFailed(upstream);
-    return isUp;
+      unreachedMs.delete(upstream);
+    }
   }
 
   /** Whether other VMs get responses while this one gets none. */
--- /dev/null
+++ b/packages/router/src/create_reach_test.ts
@@ -0,0 +1,126 @@
+import { createFakeClock } from "@rosemarytiller/shared";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createReach } from "./create_reach.ts";
+import { createRegistry } from "./create_registry.ts";
+import { createNoopLog } from "./event_log.ts";
+
+/** Longer than other VMs' reports take, in milliseconds. */
+const REPORTED_MS = 100;
+
+function createTestReach(upstreams: number) {
+  const clock = createFakeClock(10_000);
+  const log = createNoopLog();
+  const registry = createRegistry({ clock, log });
+  const probed: number[] = [];
+  let isUp = false;
+  for (let number = 0; number < upstreams; number++) {
+    registry.set(`u${number}`, {
+      id: `u${number}`,
+      service: "engines",
+      host: "127.0.0.1",
+      port: number,
+      dataCentre: "north",
+      slots: 8,
+      isDraining: false,
+      warmUpMs: 0,
+      startedMs: undefined,
+      softwareVersion: "v1",
+    });
+  }
+  const reach = createReach({
+    clock,
+    log,
+    registry,
+    pool: {
+      probe({ port }) {
+        probed.push(port);
+        return Promise.resolve(isUp);
+      },
+    },
+    publish() {},
+  });
+  const upstreamOf = (number: number) => registry.find(`u${number}`)!;
+  return {
+    clock,
+    reach,
+    registry,
+    probed,
+    upstreamOf,
+    setUp() {
+      isUp = true;
+    },
+    fail(count: number) {
+      for (let number = 0; number < count; number++) {
+        reach.onConnectFailed(upstreamOf(number));
+      }
+    },
+    /** Other VMs report responses of the first upstreams. */
+    report(count: number) {
+      clock.advance(REPORTED_MS);
+      for (let number = 0; number < count; number++) {
+        registry.onPeerReceived(upstreamOf(number));
+      }
+    },
+  };
+}
+
+test("links are lost to upstreams that respond to other VMs only", () => {
+  const { reach, fail, report, upstreamOf } = createTestReach(6);
+  fail(3);
+  assert.ok(!reach.isLost("engines"));
+  assert.ok(reach.mayBeLost("engines"));
+  report(1);
+  assert.ok(reach.isLost("engines"));
+  assert.deepEqual(reach.lostServices(), ["engines"]);
+  reach.onReceived(upstreamOf(5));
+  assert.ok(!reach.isLost("engines"));
+});
+
+// Guards against taking upstreams that crashed for lost links.
+test("upstreams that respond to no VM are down", () => {
+  const { reach, clock, fail, upstreamOf } = createTestReach(4);
+  fail(4);
+  clock.advance(REPORTED_MS);
+  assert.ok(!reach.isLost("engines"));
+  assert.ok(!reach.isLostUpstream(upstreamOf(0)));
+});
+
+test("links to half of the upstreams are enough to be lost", () => {
+  const { reach, fail, report, upstreamOf } = createTestReach(4);
+  fail(2);
+  reach.onReceived(upstreamOf(3));
+  report(1);
+  assert.ok(!reach.isLost("engines"));
+  report(2);
+  assert.ok(reach.isLost("engines"));
+});
+
+// Guards against a service that stays lost after its links are back.
+test("lost links are probed, and the first success ends the loss", async () => {
+  const { reach, fail, report, probed, setUp, clock } = createTestReach(4);
+  fail(4);
+  report(4);
+  reach.update();
+  reach.update();
+  assert.equal(probed.length, 1);
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.ok(reach.isLost("engines"));
+  setUp();
+  clock.advance(200);
+  reach.update();
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.ok(!reach.isLost("engines"));
+});
+
+// Guards against probes of upstreams that are slow for all VMs.
+test("a service that is silent here only is probed", () => {
+  const { reach, registry, clock, probed, upstreamOf } = createTestReach(4);
+  reach.onSent(upstreamOf(0));
+  clock.advance(400);
+  reach.update();
+  assert.equal(probed.length, 0);
+  registry.onPeerReceived(upstreamOf(1));
+  reach.update();
+  assert.equal(probed.length, 3);
+});
