--- a/packages/policy/src/create_crash_evidence.ts
+++ b/packages/policy/src/create_crash_evidence.ts
@@ -145,7 +145,7 @@
   }
 
   /**
-   * Whether a part that is no cause, for want of requests, was in flight at as
+   * Whether a part that is no cause, as too few requests had it, was in flight at as
    * many crashes: a further one shows which of them it is.
    */
   function hasRivalPart(
--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -36,7 +36,7 @@
 export interface CallRunner {
   /**
    * Runs a call here or, if the links are lost, at another VM. Before a request
-   * is refused for want of an upstream, another VM is asked in any case.
+   * is refused as no upstream can be reached, another VM is asked in any case.
    * `connectFailures` is the number of the request's calls that were not sent.
    * Throws a `TillerError` if the request is refused.
    */
--- a/packages/router/src/create_relays.ts
+++ b/packages/router/src/create_relays.ts
@@ -98,6 +98,47 @@
     else openByHost.delete(host);
   }
 
+  /** The caller's headers, with what the other VM needs to know. */
+  function headersOf({ request, stream, expiresMs, sends }: RequestState) {
+    return [
+      ...endToEndHeaders(
+        request.rawHeaders,
+        (name) => name === "expect" || isRelayHeader(name),
+      ),
+      ...writeRelayHeaders({
+        from: vm,
+        deadlineMs: expiresMs - clock.now(),
+        sends,
+        lastEventId: stream.lastEventId,
+        softwareVersion: stream.softwareVersion,
+      }),
+    ];
+  }
+
+  /**
+   * Reads the other VM's responses. What an upstream says about itself is for
+   * that VM.
+   */
+  function createRelayProtocol(
+    onRefusal: (refusal: TillerError | undefined) => void,
+  ): WireProtocol {
+    return {
+      ...protocol,
+      readResponse(status, headers) {
+        const refusal = readRelayRefusal(headers);
+        onRefusal(refusal);
+        const { id, isSealed } = protocol.readResponse(status, headers);
+        return {
+          id: refusal ? undefined : id,
+          isSealed,
+          isNotRun: refusal !== undefined,
+          isLeaving: false,
+          warmUpMs: undefined,
+        };
+      },
+    };
+  }
+
   function start(
     state: RequestState,
     hooks: AttemptHooks,
@@ -113,19 +154,6 @@
     const startedMs = clock.now();
     let refusal: TillerError | undefined;
     let bodyBytes = 0;
-    const headers = [
-      ...endToEndHeaders(
-        request.rawHeaders,
-        (name) => name === "expect" || isRelayHeader(name),
-      ),
-      ...writeRelayHeaders({
-        from: vm,
-        deadlineMs: state.expiresMs - startedMs,
-        sends: state.sends,
-        lastEventId: stream.lastEventId,
-        softwareVersion: stream.softwareVersion,
-      }),
-    ];
     log.info(LogEvent.Relayed, {
       id: state.id,
       to: host,
@@ -135,28 +163,12 @@
     });
     const running = runAttempt({
       clock,
-      protocol: {
-        ...protocol,
-        readResponse(status, responseHeaders) {
-          refusal = readRelayRefusal(responseHeaders);
-          const { id, isSealed } = protocol.readResponse(
-            status,
-            responseHeaders,
-          );
-          return {
-            id: refusal ? undefined : id,
-            isSealed,
-            isNotRun: refusal !== undefined,
-            isLeaving: false,
-            warmUpMs: undefined,
-          };
-        },
-      },
+      protocol: createRelayProtocol((read) => refusal = read),
       connection,
       requestId: state.id,
       method: request.method,
       path: RELAY_PATH + request.pathAndQuery,
-      headers,
+      headers: headersOf(state),
       body: request.body,
       softwareVersion: stream.softwareVersion,
       stream,
