router: take a named limit of 0 as one

An upstream that names a limit of 0 calls a second, the strictest one, got its usual share: 0 stood for no limit on the way to the other VMs.

Change: such an upstream gets a call every ten seconds, whose response can end the limit; a brittle service that may decline none counts as one that may decline one.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -197,8 +197,12 @@
     const { callsPerSecond, maxDeclined, isSealed, isDeclined } = metadata;
     // Without a value, only the upstream's own response shows that it has none.
     const isOwn = isSealed || isDeclined === true;
-    if (isOwn || callsPerSecond) callLimits.onNamed(upstream, callsPerSecond);
-    if (isOwn || maxDeclined) brittleServices.onNamed(upstream, maxDeclined);
+    if (isOwn || callsPerSecond !== undefined) {
+      callLimits.onNamed(upstream, callsPerSecond);
+    }
+    if (isOwn || maxDeclined !== undefined) {
+      brittleServices.onNamed(upstream, maxDeclined);
+    }
     if (isLeaving) reportLeaving(upstream);
     if (retryAfterMs) registry.onPauseRequested(upstream, retryAfterMs);
     if (invalidRetryAfter !== undefined) {
--- a/packages/router/src/create_brittle_services.ts
+++ b/packages/router/src/create_brittle_services.ts
@@ -82,8 +82,11 @@
   }
 
   return {
-    onNamed: ({ entry }, maxDeclined) =>
-      statements.put(entry.service, maxDeclined ?? 0),
+    onNamed({ entry }, maxDeclined) {
+      // A value of 0 stands for a service that is well.
+      const value = maxDeclined === undefined ? 0 : Math.max(1, maxDeclined);
+      statements.put(entry.service, value);
+    },
     merge: statements.merge,
     list: statements.list,
     isBrittle: (service) => services.has(service),
--- a/packages/router/src/create_call_limits.ts
+++ b/packages/router/src/create_call_limits.ts
@@ -38,6 +38,12 @@
   publish(): void;
 }
 
+/**
+ * Calls a second that an upstream gets at the least: without any, no response
+ * would end its limit.
+ */
+const MIN_PER_SECOND = 0.1;
+
 /** Creates the limits; none is known at first. */
 export function createCallLimits(options: CallLimitsOptions): CallLimits {
   const { clock, log, fleet, publish } = options;
@@ -71,8 +77,12 @@
     allowances.size > 0 ? allowances.get(subjectOf(upstream)) : undefined;
 
   return {
-    onNamed: (upstream, perSecond) =>
-      statements.put(subjectOf(upstream), perSecond ?? 0),
+    onNamed(upstream, perSecond) {
+      const value = perSecond === undefined
+        ? 0
+        : Math.max(MIN_PER_SECOND, perSecond);
+      statements.put(subjectOf(upstream), value);
+    },
     merge: statements.merge,
     list: statements.list,
     isLimited: (upstream) => allowanceOf(upstream) !== undefined,
