router: end an assumed warm-up only on reports from after a failure to connect

An upstream that restarts without having registered needs the warm-up that a failure to connect assumes. Any report of a response since the failure ended it, also one of a response from before the crash that arrived a moment later.

--- a/packages/router/src/create_reach.ts
+++ b/packages/router/src/create_reach.ts
@@ -44,7 +44,7 @@
 export interface ReachOptions {
   clock: Clock;
   log: EventLog;
-  registry: Pick<Registry, "inService" | "all" | "onReached">;
+  registry: Pick<Registry, "inService" | "all" | "onLinkRegained">;
   pool: Pick<ConnectionPool, "probe">;
   /** Sends the lost services to the other VMs. */
   publish(): void;
@@ -147,7 +147,6 @@
       return false;
     }
     if (isLostUpstream(upstream)) onLinksRegained(upstream.entry.service);
-    registry.onReached(upstream);
     onReceived(upstream);
     return true;
   }
@@ -156,7 +155,7 @@
   function onLinksRegained(service: string): void {
     for (const upstream of registry.inService(service)) {
       if (!isLostUpstream(upstream)) continue;
-      registry.onReached(upstream);
+      registry.onLinkRegained(upstream);
       unreachedMs.delete(upstream);
     }
   }
--- a/packages/router/src/create_reach_test.ts
+++ b/packages/router/src/create_reach_test.ts
@@ -4,10 +4,19 @@
 import { createReach } from "./create_reach.ts";
 import { createRegistry } from "./create_registry.ts";
 import { createNoopLog } from "./event_log.ts";
+import type { ServiceDefinition } from "./ports.ts";
 
 /** Longer than other VMs' reports take, in milliseconds. */
 const REPORTED_MS = 100;
 
+const SERVICE: ServiceDefinition = {
+  name: "engines",
+  maxConnections: 100,
+  warmUpMs: 3000,
+  warmUpCallsPerSecond: 18,
+  engine: undefined,
+};
+
 function createTestReach(upstreams: number) {
   const clock = createFakeClock(10_000);
   const log = createNoopLog();
@@ -113,6 +122,27 @@
   assert.ok(!reach.isLost("engines"));
 });
 
+// Guards against a restarted upstream that gets its full load at once: reports
+// right after the failure may be from before its crash.
+test("an upstream that no VM reached meanwhile keeps its assumed warm-up", async () => {
+  const { reach, registry, clock, setUp, upstreamOf } = createTestReach(2);
+  registry.setServices(() => SERVICE);
+  const upstream = upstreamOf(0);
+  registry.onConnectFailed(upstream, "no connection");
+  reach.onConnectFailed(upstream);
+  clock.advance(20);
+  registry.onPeerReceived(upstream);
+  setUp();
+  await reach.probeOthers(upstreamOf(1));
+  assert.ok(upstream.warmUpUntilMs > clock.now());
+  // Later reports show that it has run all the time.
+  reach.onConnectFailed(upstream);
+  clock.advance(REPORTED_MS);
+  registry.onPeerReceived(upstream);
+  await reach.probeOthers(upstreamOf(1));
+  assert.ok(upstream.warmUpUntilMs <= clock.now());
+});
+
 // Guards against probes of upstreams that are slow for all VMs.
 test("a service that is silent here only is probed", () => {
   const { reach, registry, clock, probed, upstreamOf } = createTestReach(4);
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -77,10 +77,10 @@
    */
   inService(service: string): Upstream[];
   /**
-   * The upstream accepted a connection. If it responded to other VMs since this
-   * VM failed to connect, it was not down.
+   * This VM had lost its links to the upstream and has them back: the upstream
+   * was not down, and needs no warm-up for that.
    */
-  onReached(upstream: Upstream): void;
+  onLinkRegained(upstream: Upstream): void;
   all(): Iterable<Upstream>;
   /** The software version of a service, undefined if there were several. */
   onlyVersionOf(service: string): string | undefined;
@@ -352,10 +352,10 @@
       );
     },
     inService: listInService,
-    onReached(upstream) {
-      const { assumedWarmUp, fleetLastReceivedMs } = upstream;
+    onLinkRegained(upstream) {
+      const { assumedWarmUp } = upstream;
+      if (!assumedWarmUp) return;
       upstream.assumedWarmUp = undefined;
-      if (!assumedWarmUp || fleetLastReceivedMs < assumedWarmUp.atMs) return;
       upstream.downUntilMs = 0;
       upstream.consecutiveFailures = 0;
       upstream.warmUpUntilMs = assumedWarmUp.beforeMs;
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -280,15 +280,14 @@
 
 // Guards against a warm-up of upstreams that have not restarted, after this VM
 // lost its links to them.
-test("an upstream that was reached meanwhile needs no warm-up", () => {
+test("an upstream whose links are back needs no warm-up", () => {
   const { clock, registry } = createTestRegistry();
   registry.set("u", entryOf());
   const upstream = registry.find("u")!;
   registry.onConnectFailed(upstream, "no connection");
   assert.ok(upstream.warmUpUntilMs > clock.now());
   clock.advance(100);
-  registry.onPeerReceived(upstream);
-  registry.onReached(upstream);
+  registry.onLinkRegained(upstream);
   assert.ok(upstream.warmUpUntilMs <= clock.now());
   assert.equal(registry.eligible("engines").length, 1);
 });
@@ -305,14 +304,12 @@
 });
 
 // Guards against a restarted upstream that gets its full load at once.
-test("an upstream that no VM reached meanwhile keeps its assumed warm-up", () => {
+test("bytes on a connection from after the failure leave an assumed warm-up", () => {
   const { clock, registry } = createTestRegistry();
   registry.set("u", entryOf());
   const upstream = registry.find("u")!;
   registry.onConnectFailed(upstream, "no connection");
   clock.advance(100);
-  registry.onReached(upstream);
-  assert.ok(upstream.warmUpUntilMs > clock.now());
   registry.onReceived(upstream, clock.now());
   assert.ok(upstream.warmUpUntilMs > clock.now());
 });
