demo: close the stand-ins that have started if one of them cannot

Cause, from the ports that the process held: the range leased to it overlapped with the ports of the example document, 19001 to 19012. The test replaced the addresses one after the other, so leased ports that are also the example's were replaced again and two upstreams got one port. The start then failed, and those already started kept the process alive.

--- a/packages/demo/src/run_stand_ins.ts
+++ b/packages/demo/src/run_stand_ins.ts
@@ -27,7 +27,8 @@
  * Starts a stand-in platform on the ports of the platform addresses in the
  * first settings file, and a stand-in upstream on the port of each upstream
  * address in the document. All listen on the loopback interface; the hosts of
- * the addresses are ignored.
+ * the addresses are ignored. Rejects if one of them cannot start; the others
+ * are closed then.
  */
 export async function runStandIns(
   options: StandInOptions,
@@ -42,7 +43,24 @@
     replicas: ports.length,
     ports,
   });
-  const upstreams = await startUpstreams(document);
+  const upstreams: RunningUpstream[] = [];
+
+  async function closeAll(): Promise<void> {
+    await platform.close();
+    for (const upstream of upstreams) await upstream.close();
+  }
+
+  try {
+    for (
+      const [name, { kind, address }] of Object.entries(document.upstreams)
+    ) {
+      const port = Number(new URL(address).port);
+      upstreams.push(await startUpstream(kind, { name, port }));
+    }
+  } catch (error) {
+    await closeAll();
+    throw error;
+  }
   platform.setVms([
     ...settings.map(toPublishedVm),
     ...listUpstreamVms(document),
@@ -71,23 +89,11 @@
   return {
     async close() {
       unwatchFile(documentFile);
-      await platform.close();
-      for (const upstream of upstreams) await upstream.close();
+      await closeAll();
     },
   };
 }
 
-async function startUpstreams(
-  document: ServiceDocument,
-): Promise<RunningUpstream[]> {
-  const running: RunningUpstream[] = [];
-  for (const [name, upstream] of Object.entries(document.upstreams)) {
-    const port = Number(new URL(upstream.address).port);
-    running.push(await startUpstream(upstream.kind, { name, port }));
-  }
-  return running;
-}
-
 function toPublishedVm(settings: Settings): PublishedVm {
   const { vm, dataCentre, region, broker, entryAdmin } = settings;
   return {
