tools: fail a test file whose process does not end

A test that fails before it has registered how to close its servers keeps its process alive, and the run of all tests waited for it without end. A file now fails after ten minutes; the longest one takes about two. Tried on a file with an open server: failed and ended after the time.

--- a/tools/run_tests.js
+++ b/tools/run_tests.js
@@ -7,6 +7,8 @@
 import { spec } from "node:test/reporters";
 
 const CONCURRENCY = 4;
+/** Time after which a test file fails whose process has not ended, in ms. */
+const FILE_TIMEOUT_MS = 600_000;
 
 function listTestFiles() {
   const files = [];
@@ -40,7 +42,11 @@
 const failures = [];
 const knownFailures = [];
 let passed = 0;
-const events = run({ files, concurrency: CONCURRENCY });
+const events = run({
+  files,
+  concurrency: CONCURRENCY,
+  timeout: FILE_TIMEOUT_MS,
+});
 events.on("test:pass", () => passed++);
 events.on("test:fail", ({ name, details, file }) => {
   // A failed subtest fails its parent too; only the subtest is counted.
