router: resume a stream of unknown origin only at the one version of its time

Cause: a VM that had just started took the only software version it had seen since its start for the version of a stream that a caller resumed without naming its request. After a restart of all VMs, with the old version's upstreams gone, the rest came from the new version (200, no sign of it).

Change: create_version_history.ts keeps when each version was registered. The only version counts if it was observed without a gap for twice the route's timeout and 5 s. It also serves resumes whose named request no VM knows.

Before: 'after a restart of all VMs, a stream whose version has left is refused; its caller names no request' got 200 with events of v1 and v1.1.

--- a/packages/peers/src/create_published_items.ts
+++ b/packages/peers/src/create_published_items.ts
@@ -52,7 +52,8 @@
    * Applies changes and returns the items that changed. Changes may be late or
    * repeated, but must include every change after `head()`: missing ones go
    * unnoticed, as `head()` moves on. An item never returns to an earlier
-   * revision within an era.
+   * revision within an era. The removal of an item that was never received is
+   * returned too.
    *
    * Changes of an older era are ignored. The complete state of a newer era
    * replaces all items, also at lower revisions; other changes of a newer era
@@ -129,7 +130,8 @@
         // If its removal was dropped, an older value must not restore the item.
         if (!current && item.revision <= cutoff && !changes.isWhole) continue;
         items.set(item.key, item);
-        if (current?.value || item.value) changed.push(item);
+        const isRepeatedRemoval = current && !current.value && !item.value;
+        if (!isRepeatedRemoval) changed.push(item);
       }
       if (changes.isWhole) {
         for (const [key, current] of items) {
--- a/packages/router/src/create_published_state.ts
+++ b/packages/router/src/create_published_state.ts
@@ -104,6 +104,8 @@
     const changed = published.apply(changes);
     const isRestored = before.revision > 0 && published.era() > before.era;
     if (isRestored) onRestored(before, from);
+    // What came and left since the former state is not listed.
+    if (changes.isWhole) registry.versions.onGap();
     for (const item of changed) {
       let decoded;
       try {
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -5,6 +5,10 @@
   type SpeedEstimate,
 } from "@rosemarytiller/policy";
 import type { Clock } from "@rosemarytiller/shared";
+import {
+  createVersionHistory,
+  type VersionHistory,
+} from "./create_version_history.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ServiceDefinition, UpstreamEntry } from "./ports.ts";
@@ -82,8 +86,8 @@
    */
   onLinkRegained(upstream: Upstream): void;
   all(): Iterable<Upstream>;
-  /** The software version of a service, undefined if there were several. */
-  onlyVersionOf(service: string): string | undefined;
+  /** Software versions of the upstreams over time. */
+  versions: Pick<VersionHistory, "onGap" | "onlyVersionOf">;
   /**
    * Takes a data centre out of service, or puts it back after `keepMs` (0 by
    * default).
@@ -211,8 +215,7 @@
   /** Leaving runs by the upstream's identifier, in the order of their news. */
   const leavingRuns = new Map<string, string>();
   const speeds = new Map<string, SpeedEstimate>();
-  /** All software versions seen since the start, by service. */
-  const versionsByService = new Map<string, Set<string>>();
+  const versions = createVersionHistory(clock);
   let findService: (name: string) => ServiceDefinition | undefined = () =>
     undefined;
 
@@ -306,8 +309,7 @@
   return {
     set(id, entry) {
       const known = upstreams.get(id);
-      const versions = versionsByService.get(entry.service) ?? new Set();
-      versionsByService.set(entry.service, versions.add(entry.softwareVersion));
+      versions.onEntry(id, entry);
       const isSameRun = known && runOf(known.entry) === runOf(entry);
       if (leavingRuns.get(id) !== runOf(entry)) leavingRuns.delete(id);
       if (!isSameRun) {
@@ -334,6 +336,7 @@
       });
     },
     remove(id, keepMs) {
+      versions.onRemoved(id, keepMs);
       const known = upstreams.get(id);
       if (!known) return;
       if (keepMs > 0) known.removeAtMs = clock.now() + keepMs;
@@ -361,10 +364,7 @@
       upstream.warmUpUntilMs = assumedWarmUp.beforeMs;
     },
     all: () => upstreams.values(),
-    onlyVersionOf(service) {
-      const versions = versionsByService.get(service);
-      return versions?.size === 1 ? [...versions][0] : undefined;
-    },
+    versions,
     setDataCentre(dataCentre, isOut, keepMs = 0) {
       const backMs = clock.now() + keepMs;
       const wasOut = (outUntilMs.get(dataCentre) ?? 0) > clock.now();
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -83,6 +83,14 @@
 /** Retry-after for a resume of an unknown stream, in ms. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 400;
 
+/**
+ * Oldest stream that a caller resumes, in timeouts of its route: the caller may
+ * have tried several times, and the timeout may have been lowered since.
+ */
+const STREAM_AGE_FACTOR = 2;
+/** Time added for connections and for upstreams' late removal, in ms. */
+const STREAM_AGE_MARGIN_MS = 5000;
+
 /** Creates the request server; retries are limited per service. */
 export function createRequestServer(
   options: RequestServerOptions,
@@ -213,13 +221,12 @@
    * `TillerError` if no VM knows which version began it.
    */
   async function resolveOrigin(state: RequestState): Promise<void> {
-    const { request, stream, service } = state;
+    const { request, stream } = state;
     const { lastEventId, resumedId } = request.metadata;
     if (!stream.isStream || lastEventId === undefined) return;
     if (stream.softwareVersion !== undefined) return;
-    stream.softwareVersion = resumedId
-      ? await origins.find(resumedId)
-      : registry.onlyVersionOf(service.name);
+    stream.softwareVersion = resumedId && await origins.find(resumedId);
+    stream.softwareVersion ??= onlyVersionDuring(state);
     if (stream.softwareVersion !== undefined) return;
     throw new TillerError(
       ErrorKind.NotReady,
@@ -228,6 +235,16 @@
     );
   }
 
+  /**
+   * The version that all upstreams have had for as long as the caller's stream
+   * can be old; undefined if this VM does not know that.
+   */
+  function onlyVersionDuring({ route, service }: RequestState) {
+    if (!isCurrent()) return undefined;
+    const windowMs = STREAM_AGE_FACTOR * route.timeoutMs + STREAM_AGE_MARGIN_MS;
+    return registry.versions.onlyVersionOf(service.name, windowMs);
+  }
+
   /** Runs attempts until the request has its final response. */
   async function runAttempts(state: RequestState): Promise<void> {
     await resolveOrigin(state);
