policy: engines fetch cached prompt parts; their models learn the speed under load

Changes: a call fetches leading parts from an engine that caches them where that takes less than half of the prefill (choose_engine, choose_fetch_source). The model of an engine corrects its speed by every first event, and while one is overdue the prompts behind it count as not prefilled (create_engine_model).

Ruled out: fetching alone.

--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -51,6 +51,11 @@
   remoteCostMs: number;
   /** Share of recent calls that failed there, 0 to 1. */
   failureShare: number;
+  /**
+   * Tokens of the leading parts that another engine presumably caches and this
+   * one can fetch; 0 if there is none.
+   */
+  fetchableTokens: number;
 }
 
 /** The engine chosen for a call, with the predictions for it. */
@@ -58,6 +63,10 @@
   candidate: T;
   /** Uncached prompt tokens, which the engine has to prefill. */
   uncachedTokens: number;
+  /** Leading tokens of the prompt to fetch from another engine, 0 for none. */
+  fetchedTokens: number;
+  /** Time of the fetch, in milliseconds. */
+  fetchMs: number;
   /** Predicted time from now to the first event, in milliseconds. */
   predictedMs: number;
   /**
@@ -82,6 +91,10 @@
 const DECODE_DELAY_COST_SHARE = 0.08;
 /** Upper bound of the prefill utilization that the cost is based on. */
 const MAX_PREFILL_UTILIZATION = 0.85;
+/** Cost of each millisecond of a fetch, besides the delay. */
+const FETCH_COST_SHARE = 1;
+/** Least share of the prefill time that a fetch has to save. */
+const MIN_FETCH_SAVING_SHARE = 0.5;
 /** Delay of a first event by each call in the batch, in milliseconds. */
 const BATCH_COST_MS = 0.6;
 /** Share of an engine's memory beyond which calls would be preempted. */
@@ -100,34 +113,39 @@
  * Chooses the engine of least cost: predicted time to the first event, queued
  * prefill, own prefill, interference with concurrent streams, recent failures,
  * delay of the output by other calls' prefill, distance and likely preemption.
- * Cached parts of the prompt cost nothing. Returns `undefined` while each
+ * Cached parts of the prompt cost nothing; those that another engine caches are
+ * fetched from there where that saves time. Returns `undefined` while each
  * engine is full. An engine is an upstream that runs a model and whose
  * state an `EngineModel` estimates.
  */
 export function chooseEngine<T extends EngineCandidate>(
   request: EngineRequest,
   candidates: readonly T[],
-  options: { speed: EngineSpeed; nowMs: number },
+  options: { speed: EngineSpeed; fetchMsPerToken: number; nowMs: number },
 ): EngineChoice<T> | undefined {
-  const { speed, nowMs } = options;
+  const { speed, fetchMsPerToken, nowMs } = options;
   let best: EngineChoice<T> | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
     const { model, size } = candidate;
     if (model.callCount() >= size.slots) continue;
-    const queuedMs = model.queuedPrefillTokens(Infinity, nowMs) /
-      speed.tokensPerMs;
-    const uncachedTokens = request.promptTokens -
-      model.cachedTokens(request.parts);
-    const prefillMs = uncachedTokens / speed.tokensPerMs;
+    const tokensPerMs = model.tokensPerMs(nowMs);
+    const queuedMs = model.queuedPrefillTokens(Infinity, nowMs) / tokensPerMs;
+    const cachedTokens = model.cachedTokens(request.parts);
+    const fetch = planFetch(candidate.fetchableTokens - cachedTokens, {
+      fetchMsPerToken,
+      tokensPerMs,
+    });
+    const uncachedTokens = request.promptTokens - cachedTokens - fetch.tokens;
+    const prefillMs = uncachedTokens / tokensPerMs;
     const aheadMs = model.queuedPrefillTokens(request.urgency, nowMs) /
-      speed.tokensPerMs;
-    const predictedMs = speed.baseMs + aheadMs + prefillMs +
+      tokensPerMs;
+    const predictedMs = speed.baseMs + aheadMs + fetch.ms + prefillMs +
       model.callCount() * BATCH_COST_MS;
     const memory = model.memoryTokens() + request.promptTokens +
       request.outputTokens;
     let cost = predictedMs + queuedMs * QUEUED_PREFILL_COST_SHARE;
-    cost += prefillMs * PREFILL_COST_SHARE;
+    cost += prefillMs * PREFILL_COST_SHARE + fetch.ms * FETCH_COST_SHARE;
     cost += prefillMs * INTERFERENCE_SHARE *
       model.interferenceWeight(request.urgency);
     cost += candidate.failureShare * FAILURE_COST_MS;
@@ -145,7 +163,27 @@
     bestCost = cost;
     const shouldQueue = queuedMs > MAX_QUEUED_PREFILL_MS[request.rank] ||
       (isMemoryFull && request.rank !== CallRank.Tight);
-    best = { candidate, uncachedTokens, predictedMs, shouldQueue };
+    best = {
+      candidate,
+      uncachedTokens,
+      fetchedTokens: fetch.tokens,
+      fetchMs: fetch.ms,
+      predictedMs,
+      shouldQueue,
+    };
   }
   return best;
 }
+
+/** Fetches tokens that would take much longer to prefill, all or none. */
+function planFetch(
+  tokens: number,
+  options: { fetchMsPerToken: number; tokensPerMs: number },
+): { tokens: number; ms: number } {
+  const { fetchMsPerToken, tokensPerMs } = options;
+  const fetchMs = tokens * fetchMsPerToken;
+  const savedMs = tokens / tokensPerMs;
+  const isWorthwhile = tokens > 0 &&
+    fetchMs <= savedMs * (1 - MIN_FETCH_SAVING_SHARE);
+  return isWorthwhile ? { tokens, ms: fetchMs } : { tokens: 0, ms: 0 };
+}
--- a/packages/policy/src/choose_engine_test.ts
+++ b/packages/policy/src/choose_engine_test.ts
@@ -10,6 +10,8 @@
 import { createEngineModel, type EngineModel } from "./create_engine_model.ts";
 
 const SPEED = { tokensPerMs: 50, baseMs: 80 };
+/** Time to fetch a token, a tenth of its prefill time, in milliseconds. */
+const FETCH_MS_PER_TOKEN = 0.002;
 const SIZE = { slots: 16, memoryTokens: 300_000 };
 
 function createEngines(count: number) {
@@ -18,6 +20,7 @@
     size: SIZE,
     remoteCostMs: 0,
     failureShare: 0,
+    fetchableTokens: 0,
   }));
 }
 
@@ -69,6 +72,7 @@
   }
   const choice = chooseEngine(createRequest(CallRank.Loose, 8000), engines, {
     speed: SPEED,
+    fetchMsPerToken: Infinity,
     nowMs: 0,
   });
   assert.equal(choice?.candidate, engines[1]);
@@ -80,6 +84,7 @@
   start(engines[1]!.model, "b", { tokens: 9000 });
   const choice = chooseEngine(createRequest(CallRank.Tight, 500), engines, {
     speed: SPEED,
+    fetchMsPerToken: Infinity,
     nowMs: 0,
   });
   assert.equal(choice?.candidate, engines[2]);
@@ -89,7 +94,7 @@
 test("queued prefill: loose calls should queue outside, tight ones not", () => {
   const engines = createEngines(1);
   start(engines[0]!.model, "a", { tokens: 9000 });
-  const options = { speed: SPEED, nowMs: 0 };
+  const options = { speed: SPEED, fetchMsPerToken: Infinity, nowMs: 0 };
   const loose = chooseEngine(
     createRequest(CallRank.Loose, 5000),
     engines,
@@ -109,7 +114,11 @@
   engines[0]!.model.addToCache([{ id: "session", tokens: 6000 }]);
   start(engines[0]!.model, "a", { tokens: 4500 });
   const request = createRequest(CallRank.Loose, 6000, "session");
-  const choice = chooseEngine(request, engines, { speed: SPEED, nowMs: 0 });
+  const choice = chooseEngine(request, engines, {
+    speed: SPEED,
+    fetchMsPerToken: Infinity,
+    nowMs: 0,
+  });
   assert.equal(choice?.candidate, engines[0]);
   assert.equal(choice?.uncachedTokens, 0);
 });
@@ -119,7 +128,11 @@
   engines[0]!.model.addToCache([{ id: "session", tokens: 3000 }]);
   start(engines[0]!.model, "a", { tokens: 30_000 });
   const request = createRequest(CallRank.Loose, 3000, "session");
-  const choice = chooseEngine(request, engines, { speed: SPEED, nowMs: 0 });
+  const choice = chooseEngine(request, engines, {
+    speed: SPEED,
+    fetchMsPerToken: Infinity,
+    nowMs: 0,
+  });
   assert.equal(choice?.candidate, engines[1]);
 });
 
@@ -128,6 +141,7 @@
   engines[0]!.failureShare = 0.4;
   const choice = chooseEngine(createRequest(CallRank.Tight, 500), engines, {
     speed: SPEED,
+    fetchMsPerToken: Infinity,
     nowMs: 0,
   });
   assert.equal(choice?.candidate, engines[1]);
@@ -140,6 +154,7 @@
   }
   const choice = chooseEngine(createRequest(CallRank.Tight, 500), engines, {
     speed: SPEED,
+    fetchMsPerToken: Infinity,
     nowMs: 0,
   });
   assert.equal(choice, undefined);
@@ -151,7 +166,7 @@
     start(engines[0]!.model, `call-${call}`, { tokens: 90_000 });
     engines[0]!.model.onFirstEvent(`call-${call}`, 0);
   }
-  const options = { speed: SPEED, nowMs: 0 };
+  const options = { speed: SPEED, fetchMsPerToken: Infinity, nowMs: 0 };
   const loose = chooseEngine(
     createRequest(CallRank.Loose, 9000),
     engines,
@@ -165,3 +180,55 @@
   assert.equal(loose?.shouldQueue, true);
   assert.equal(tight?.shouldQueue, false);
 });
+
+test("burst of long shared prompts: an idle engine fetches what a busy one caches", () => {
+  const [busy, idle] = createEngines(2);
+  const request = {
+    ...createRequest(CallRank.Loose, 17_000),
+    parts: [{ id: "shared", tokens: 13_300 }, { id: "own", tokens: 3_700 }],
+  };
+  busy!.model.addToCache([request.parts[0]!]);
+  start(busy!.model, "a", { tokens: 10_000 });
+  const engines = [busy!, idle!].map((engine) => ({
+    ...engine,
+    fetchableTokens: 13_300,
+  }));
+  const choice = chooseEngine(request, engines, {
+    speed: SPEED,
+    fetchMsPerToken: FETCH_MS_PER_TOKEN,
+    nowMs: 0,
+  })!;
+  assert.equal(choice.candidate.model, idle!.model);
+  assert.equal(choice.fetchedTokens, 13_300);
+  assert.equal(choice.uncachedTokens, 3_700);
+  assert.equal(choice.predictedMs, 80 + 13_300 * FETCH_MS_PER_TOKEN + 74);
+});
+
+test("shared prompts at rest: the engine that caches one needs no fetch", () => {
+  const [caching, other] = createEngines(2);
+  const request = createRequest(CallRank.Loose, 13_300, "shared");
+  caching!.model.addToCache(request.parts);
+  const engines = [other!, caching!].map((engine) => ({
+    ...engine,
+    fetchableTokens: 13_300,
+  }));
+  const choice = chooseEngine(request, engines, {
+    speed: SPEED,
+    fetchMsPerToken: FETCH_MS_PER_TOKEN,
+    nowMs: 0,
+  })!;
+  assert.equal(choice.candidate.model, caching!.model);
+  assert.equal(choice.fetchedTokens, 0);
+});
+
+test("a fetch that takes longer than half of the prefill is not worth it", () => {
+  const [engine] = createEngines(1);
+  const request = createRequest(CallRank.Loose, 1000);
+  const choice = chooseEngine(
+    request,
+    [{ ...engine!, fetchableTokens: 1000 }],
+    { speed: SPEED, fetchMsPerToken: 0.011, nowMs: 0 },
+  )!;
+  assert.equal(choice.fetchedTokens, 0);
+  assert.equal(choice.uncachedTokens, 1000);
+});
--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -20,7 +20,12 @@
 interface TrackedCall extends EngineWork {
   /** Prompt tokens still to be prefilled. */
   remainingTokens: number;
+  /** Tokens that were queued before the call or have overtaken it. */
+  aheadTokens: number;
   startedMs: number;
+  /** Time at which its prefill is presumed to have ended; undefined before. */
+  presumedDoneMs: number | undefined;
+  hasFirstEvent: boolean;
 }
 
 /** Capacity of an engine. */
@@ -50,6 +55,11 @@
   reconcile(owner: string, keys: ReadonlySet<string>): void;
   /** Prompt tokens still to be prefilled for calls as urgent or more. */
   queuedPrefillTokens(urgency: number, nowMs: number): number;
+  /**
+   * Prefill speed in prompt tokens per millisecond, as the latest first events
+   * show it; without any, that of the service.
+   */
+  tokensPerMs(nowMs: number): number;
   /** Calls that run or are queued at the engine. */
   callCount(): number;
   /** Tokens of memory that calls occupy or will occupy. */
@@ -70,13 +80,29 @@
 const MAX_SENSITIVE_PAUSE_MS = 400;
 /** Time constant of the average prefill utilization, in milliseconds. */
 const UTILIZATION_SPAN_MS = 1500;
+/** Weight of a first event in the engine's prefill speed. */
+const SPEED_WEIGHT = 0.3;
+/** Fewest tokens before a first event from which the speed is estimated. */
+const MIN_SPEED_TOKENS = 2000;
+/** Range of the speed seen by one first event, in shares of the service's. */
+const SPEED_SHARE_RANGE = [0.1, 1.5] as const;
+/** Time constant with which the speed returns to the service's, in ms. */
+const SPEED_MEMORY_MS = 4000;
+/** Usual time from the end of a prefill to the first event's arrival, in ms. */
+const CONFIRM_MS = 150;
+/**
+ * Time after which a missing first event no longer shows that the engine is
+ * behind, in milliseconds: its report may be lost.
+ */
+const MAX_CONFIRM_MS = 2000;
 /** Share of an engine's memory that calls and cached parts may fill. */
 const MAX_FILL_SHARE = 0.85;
 
 /**
  * Creates the model of an idle engine. It assumes that the engine prefills one
- * prompt after the other, the more urgent first, at the estimated speed; each
- * first event that is reported corrects it.
+ * prompt after the other, the more urgent first. Under load it is slower than
+ * alone: the reported first events correct the speed, and while one is overdue,
+ * the prompts behind it count as not prefilled.
  */
 export function createEngineModel(
   size: EngineSize,
@@ -89,13 +115,53 @@
   let reservedTokens = 0;
   let advancedMs = 0;
   let utilization = 0;
+  /** Difference to the service's speed at `observedMs`, in tokens per ms. */
+  let speedDifference = 0;
+  let observedMs = 0;
+
+  function tokensPerMs(nowMs: number): number {
+    const decay = Math.exp((observedMs - nowMs) / SPEED_MEMORY_MS);
+    return speed.tokensPerMs + speedDifference * Math.min(1, decay);
+  }
+
+  /** Corrects the speed by the time until a call's first event. */
+  function observeSpeed(call: TrackedCall, nowMs: number): void {
+    const tokens = call.aheadTokens + call.newTokens;
+    if (tokens < MIN_SPEED_TOKENS) return;
+    const elapsedMs = Math.max(1, nowMs - call.startedMs - speed.baseMs);
+    const [low, high] = SPEED_SHARE_RANGE;
+    const observed = Math.min(
+      high * speed.tokensPerMs,
+      Math.max(low * speed.tokensPerMs, tokens / elapsedMs),
+    );
+    const current = tokensPerMs(nowMs);
+    speedDifference = current + SPEED_WEIGHT * (observed - current) -
+      speed.tokensPerMs;
+    observedMs = nowMs;
+  }
+
+  /** Whether a first event is overdue, so that the engine is behind. */
+  function isBehind(nowMs: number): boolean {
+    for (const { presumedDoneMs, hasFirstEvent } of calls.values()) {
+      if (hasFirstEvent || presumedDoneMs === undefined) continue;
+      const overdueMs = nowMs - presumedDoneMs - speed.baseMs;
+      if (overdueMs > CONFIRM_MS && overdueMs < MAX_CONFIRM_MS) return true;
+    }
+    return false;
+  }
 
   /** Applies the prefill that the engine has done up to now. */
   function advance(nowMs: number): void {
     const elapsedMs = nowMs - advancedMs;
-    let budget = elapsedMs * speed.tokensPerMs;
+    if (elapsedMs <= 0) return;
     advancedMs = nowMs;
-    if (budget <= 0) return;
+    const rate = tokensPerMs(nowMs);
+    const decay = Math.exp(-elapsedMs / UTILIZATION_SPAN_MS);
+    if (isBehind(nowMs)) {
+      utilization = utilization * decay + 1 - decay;
+      return;
+    }
+    let budget = elapsedMs * rate;
     const queued = [];
     for (const call of calls.values()) {
       if (call.remainingTokens > 0) queued.push(call);
@@ -107,10 +173,10 @@
       const tokens = Math.min(budget, call.remainingTokens);
       call.remainingTokens -= tokens;
       budget -= tokens;
+      if (call.remainingTokens <= 0) call.presumedDoneMs = nowMs;
       if (budget <= 0) break;
     }
-    const idleMs = budget / speed.tokensPerMs;
-    const decay = Math.exp(-elapsedMs / UTILIZATION_SPAN_MS);
+    const idleMs = budget / rate;
     utilization = utilization * decay + (1 - decay) * (1 - idleMs / elapsedMs);
   }
 
@@ -138,16 +204,28 @@
       advance(nowMs);
       removeCall(key);
       reservedTokens += work.memoryTokens;
+      let aheadTokens = 0;
+      for (const call of calls.values()) {
+        if (call.remainingTokens <= 0) continue;
+        if (call.urgency <= work.urgency) aheadTokens += call.remainingTokens;
+        else call.aheadTokens += work.newTokens;
+      }
       calls.set(key, {
         ...work,
         remainingTokens: work.newTokens,
+        aheadTokens,
         startedMs: nowMs,
+        presumedDoneMs: work.newTokens > 0 ? undefined : nowMs,
+        hasFirstEvent: false,
       });
     },
     onFirstEvent(key, nowMs) {
       advance(nowMs);
       const call = calls.get(key);
-      if (call) call.remainingTokens = 0;
+      if (!call || call.hasFirstEvent) return;
+      observeSpeed(call, nowMs);
+      call.hasFirstEvent = true;
+      call.remainingTokens = 0;
     },
     end(key, nowMs) {
       advance(nowMs);
@@ -166,6 +244,7 @@
       }
       return tokens;
     },
+    tokensPerMs,
     callCount: () => calls.size,
     memoryTokens: () => reservedTokens,
     interferenceWeight(urgency) {
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -303,6 +303,7 @@
           lastEventId: state.stream.lastEventId,
           backupTo: backup && addressOf(backup),
           backupFrom,
+          fetchFrom: placement.fetchFrom && addressOf(placement.fetchFrom),
         }),
       ];
       const startedMs = clock.now();
--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -213,6 +213,7 @@
       urgency: state.urgency,
       heldMs: Math.round(placement.queuedMs),
       newTokens: placement.newTokens || undefined,
+      fetchFrom: placement.fetchFrom?.entry.id,
       calls: placement.upstream.model.callCount(),
       predictedMs: Math.round(placement.predictedMs),
       revision: configuration()?.configuration.version,
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -16,6 +16,8 @@
   ErrorKind,
   TillerError,
 } from "@rosemarytiller/shared";
+import { chooseFetchSource } from "./choose_fetch_source.ts";
+import { createCachedPrefixes } from "./create_cached_prefixes.ts";
 import type { Registry, Upstream } from "./create_registry.ts";
 import type { UpstreamLimits } from "./create_upstream_limits.ts";
 import type { Prompt, ServiceDefinition } from "./ports.ts";
@@ -50,6 +52,8 @@
   call: number;
   /** Prompt tokens that are not in the upstream's cache. */
   newTokens: number;
+  /** Upstream from which cached parts of the prompt are fetched. */
+  fetchFrom: Upstream | undefined;
   /** Predicted time to the first event, in milliseconds. */
   predictedMs: number;
   /** Time that the request was queued, in milliseconds. */
@@ -191,6 +195,7 @@
     if (!engine || !request.prompt) return chooseLeastLoaded(list);
     const size = { slots: engine.slots, memoryTokens: engine.memoryTokens };
     const nowMs = clock.now();
+    const cached = createCachedPrefixes(list, request.prompt.parts);
     return chooseEngine(
       {
         urgency: request.urgency,
@@ -205,8 +210,13 @@
         size,
         remoteCostMs: remoteCostMs(upstream),
         failureShare: registry.failureShare(upstream),
+        fetchableTokens: cached.longest(upstream.entry.softwareVersion),
       })),
-      { speed: registry.speedOf(request.service.name).speed, nowMs },
+      {
+        speed: registry.speedOf(request.service.name).speed,
+        fetchMsPerToken: engine.bytesPerToken / engine.fetchBytesPerMs,
+        nowMs,
+      },
     );
   }
 
@@ -248,8 +258,16 @@
       size: { slots: upstream.entry.slots, memoryTokens: Infinity },
       remoteCostMs: 0,
       failureShare: 0,
+      fetchableTokens: 0,
+    };
+    return {
+      candidate,
+      uncachedTokens: 0,
+      fetchedTokens: 0,
+      fetchMs: 0,
+      predictedMs: 0,
+      shouldQueue: false,
     };
-    return { candidate, uncachedTokens: 0, predictedMs: 0, shouldQueue: false };
   }
 
   function startCall(
@@ -273,6 +291,9 @@
         (request.prompt?.likelyOutputTokens ?? 0),
       maxPauseMs: request.maxPauseMs,
     };
+    const fetchFrom = choice.fetchedTokens > 0
+      ? chooseFetchSource(upstream, parts, listEligible(request))
+      : undefined;
     upstream.model.start(key, work, nowMs);
     upstream.model.addToCache(parts);
     registry.onSent(upstream, true);
@@ -296,6 +317,7 @@
       upstream,
       call,
       newTokens: choice.uncachedTokens,
+      fetchFrom,
       predictedMs: choice.predictedMs,
       queuedMs: nowMs - request.arrivedMs,
       onFirstEvent() {
@@ -304,8 +326,12 @@
         const eventMs = clock.now();
         upstream.model.onFirstEvent(key, eventMs);
         endReturn(true);
-        if (request.prompt) {
-          speed.observe(aheadTokens + choice.uncachedTokens, eventMs - nowMs);
+        // Behind other prompts, the engine's model learns the speed.
+        if (request.prompt && aheadTokens === 0) {
+          speed.observe(
+            choice.uncachedTokens,
+            eventMs - nowMs - choice.fetchMs,
+          );
         }
         network.publishLoadEvent(
           { kind: LoadEventKind.FirstEvent, call, upstream: id },
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -25,6 +25,7 @@
     slots: 16,
     memoryTokens: 300_000,
     bytesPerToken: 1000,
+    fetchBytesPerMs: 0,
     keepsBackups: false,
   },
 };
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -43,6 +43,11 @@
   slots: number;
   memoryTokens: number;
   bytesPerToken: number;
+  /**
+   * Speed at which an engine fetches cached parts of a prompt from another one,
+   * in bytes per millisecond; 0 if it can't.
+   */
+  fetchBytesPerMs: number;
   /** Whether an engine can keep a backup copy of another engine's call. */
   keepsBackups: boolean;
 }
@@ -170,6 +175,8 @@
   backupTo: string | undefined;
   /** Address and name of the backup copy from which the call resumes. */
   backupFrom: string | undefined;
+  /** Address of the upstream from which cached parts are fetched. */
+  fetchFrom?: string | undefined;
 }
 
 /** Data read from the status and headers of an upstream's response. */
