policy: count cached parts as fetchable only after their prefill; price late pauses

Changes: the model keeps which call is to prefill a part; only its first event makes the part fetchable, and a call without one leaves none. The usual pause under prefill is learned from own streams; a prefill costs as many late streams as it is likely to cause, nothing where prompts queue anyway, and a stream avoids engines that prefill by the same measure.

--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -41,6 +41,8 @@
   promptTokens: number;
   /** Expected output tokens. */
   outputTokens: number;
+  /** Longest on-time pause between two events, in milliseconds. */
+  maxPauseMs: number;
 }
 
 /** An engine that may be chosen. */
@@ -91,6 +93,15 @@
 const DECODE_DELAY_COST_SHARE = 0.08;
 /** Upper bound of the prefill utilization that the cost is based on. */
 const MAX_PREFILL_UTILIZATION = 0.85;
+/** Cost of a stream that is certain to pause for too long, in ms of delay. */
+const LATE_PAUSE_COST_MS = 1000;
+/**
+ * Range of the usual pause under prefill, in shares of the longest on-time one,
+ * from harmless to certainly too long.
+ */
+const PAUSE_SHARE_RANGE = [0.6, 1.1] as const;
+/** Range of a prefill's time, in ms, from harmless to fully harmful. */
+const HARMFUL_PREFILL_RANGE_MS = [50, 200] as const;
 /** Cost of each millisecond of a fetch, besides the delay. */
 const FETCH_COST_SHARE = 1;
 /** Least share of the prefill time that a fetch has to save. */
@@ -148,6 +159,7 @@
     cost += prefillMs * PREFILL_COST_SHARE + fetch.ms * FETCH_COST_SHARE;
     cost += prefillMs * INTERFERENCE_SHARE *
       model.interferenceWeight(request.urgency);
+    cost += pauseCostMs(request, model, { prefillMs, queuedMs, speed, nowMs });
     cost += candidate.failureShare * FAILURE_COST_MS;
     const utilization = Math.min(
       model.prefillUtilization(nowMs),
@@ -175,6 +187,36 @@
   return best;
 }
 
+/**
+ * Cost of pauses that become too long: those of the engine's streams through the
+ * call's prefill, unless prompts that are queued there prolong them anyway, and
+ * those of the call through the engine's other prefill.
+ */
+function pauseCostMs(
+  request: EngineRequest,
+  model: EngineModel,
+  options: {
+    prefillMs: number;
+    queuedMs: number;
+    speed: EngineSpeed;
+    nowMs: number;
+  },
+): number {
+  const { prefillMs, queuedMs, speed, nowMs } = options;
+  const harmOf = (maxPauseMs: number) =>
+    shareOf(speed.pauseMs / maxPauseMs, PAUSE_SHARE_RANGE);
+  const added = shareOf(prefillMs, HARMFUL_PREFILL_RANGE_MS) *
+    (1 - shareOf(queuedMs, HARMFUL_PREFILL_RANGE_MS));
+  const others = added > 0 ? added * model.sumPauses(harmOf) : 0;
+  const own = harmOf(request.maxPauseMs) * model.prefillUtilization(nowMs);
+  return (others + own) * LATE_PAUSE_COST_MS;
+}
+
+/** Position of a value in a range, 0 to 1. */
+function shareOf(value: number, [low, high]: readonly [number, number]) {
+  return Math.min(1, Math.max(0, (value - low) / (high - low)));
+}
+
 /** Fetches tokens that would take much longer to prefill, all or none. */
 function planFetch(
   tokens: number,
--- a/packages/policy/src/choose_engine_test.ts
+++ b/packages/policy/src/choose_engine_test.ts
@@ -7,9 +7,13 @@
   rankTarget,
   urgencyOf,
 } from "./choose_engine.ts";
-import { createEngineModel, type EngineModel } from "./create_engine_model.ts";
+import {
+  createEngineModel,
+  type EngineModel,
+  type PromptPart,
+} from "./create_engine_model.ts";
 
-const SPEED = { tokensPerMs: 50, baseMs: 80 };
+const SPEED = { tokensPerMs: 50, baseMs: 80, pauseMs: 0 };
 /** Time to fetch a token, a tenth of its prefill time, in milliseconds. */
 const FETCH_MS_PER_TOKEN = 0.002;
 const SIZE = { slots: 16, memoryTokens: 300_000 };
@@ -34,6 +38,7 @@
     urgency: urgencyOf(1, rank),
     promptTokens,
     outputTokens: 50,
+    maxPauseMs: 800,
     parts: [{ id: parts, tokens: promptTokens }],
   };
 }
@@ -49,7 +54,15 @@
     newTokens: tokens,
     memoryTokens: tokens,
     maxPauseMs,
-  }, 0);
+  }, { nowMs: 0, parts: [] });
+}
+
+/** Lets an engine prefill parts in a call that ends at once. */
+function cacheParts(model: EngineModel, parts: readonly PromptPart[]): void {
+  const work = { urgency: 0, newTokens: 0, memoryTokens: 0, maxPauseMs: 800 };
+  model.start("caching", work, { nowMs: 0, parts });
+  model.onFirstEvent("caching", 0);
+  model.end("caching", 0);
 }
 
 test("a target is ranked relative to the tightest one of its service", () => {
@@ -111,7 +124,7 @@
 
 test("cached prompt: its engine is chosen despite a queue", () => {
   const engines = createEngines(2);
-  engines[0]!.model.addToCache([{ id: "session", tokens: 6000 }]);
+  cacheParts(engines[0]!.model, [{ id: "session", tokens: 6000 }]);
   start(engines[0]!.model, "a", { tokens: 4500 });
   const request = createRequest(CallRank.Loose, 6000, "session");
   const choice = chooseEngine(request, engines, {
@@ -125,7 +138,7 @@
 
 test("cached prompt: another engine is used when queueing exceeds prefill", () => {
   const engines = createEngines(2);
-  engines[0]!.model.addToCache([{ id: "session", tokens: 3000 }]);
+  cacheParts(engines[0]!.model, [{ id: "session", tokens: 3000 }]);
   start(engines[0]!.model, "a", { tokens: 30_000 });
   const request = createRequest(CallRank.Loose, 3000, "session");
   const choice = chooseEngine(request, engines, {
@@ -187,7 +200,7 @@
     ...createRequest(CallRank.Loose, 17_000),
     parts: [{ id: "shared", tokens: 13_300 }, { id: "own", tokens: 3_700 }],
   };
-  busy!.model.addToCache([request.parts[0]!]);
+  cacheParts(busy!.model, [request.parts[0]!]);
   start(busy!.model, "a", { tokens: 10_000 });
   const engines = [busy!, idle!].map((engine) => ({
     ...engine,
@@ -207,7 +220,7 @@
 test("shared prompts at rest: the engine that caches one needs no fetch", () => {
   const [caching, other] = createEngines(2);
   const request = createRequest(CallRank.Loose, 13_300, "shared");
-  caching!.model.addToCache(request.parts);
+  cacheParts(caching!.model, request.parts);
   const engines = [other!, caching!].map((engine) => ({
     ...engine,
     fetchableTokens: 13_300,
@@ -232,3 +245,35 @@
   assert.equal(choice.fetchedTokens, 0);
   assert.equal(choice.uncachedTokens, 1000);
 });
+
+test("long prompts beside short-paced streams: both get engines of their own", () => {
+  const speed = { ...SPEED, pauseMs: 160 };
+  const engines = createEngines(2);
+  const [streaming, prefilling] = engines;
+  for (let call = 0; call < 4; call++) {
+    const stream = { tokens: 0, rank: CallRank.Tight, maxPauseMs: 150 };
+    start(streaming!.model, `stream-${call}`, stream);
+  }
+  start(prefilling!.model, "long", { tokens: 20_000 });
+  const options = { speed, fetchMsPerToken: Infinity, nowMs: 0 };
+  const long = createRequest(CallRank.Loose, 15_000);
+  assert.equal(
+    chooseEngine(long, engines, options)!.candidate,
+    prefilling,
+  );
+  const stream = { ...createRequest(CallRank.Tight, 600), maxPauseMs: 150 };
+  assert.equal(chooseEngine(stream, engines, options)!.candidate, streaming);
+});
+
+test("streams whose pauses no prefill prolongs do not repel long prompts", () => {
+  const speed = { ...SPEED, pauseMs: 60 };
+  const engines = createEngines(2);
+  for (let call = 0; call < 4; call++) {
+    const stream = { tokens: 0, rank: CallRank.Loose, maxPauseMs: 800 };
+    start(engines[0]!.model, `stream-${call}`, stream);
+  }
+  start(engines[1]!.model, "long", { tokens: 20_000 });
+  const options = { speed, fetchMsPerToken: Infinity, nowMs: 0 };
+  const long = createRequest(CallRank.Loose, 15_000);
+  assert.equal(chooseEngine(long, engines, options)!.candidate, engines[0]);
+});
--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -42,12 +42,25 @@
   tokensPerMs: number;
   /** Time to the first event of an empty prompt, in milliseconds. */
   baseMs: number;
+  /**
+   * Time that most pauses between two events of a stream do not exceed while the
+   * engine prefills, in milliseconds.
+   */
+  pauseMs: number;
 }
 
 /** Estimated state of one engine, derived from all calls that are known. */
 export interface EngineModel {
-  /** Adds a call, or replaces the one with the same key. */
-  start(key: string, work: EngineWork, nowMs: number): void;
+  /**
+   * Adds a call with the parts of its prompt, or replaces the one with the same
+   * key. Parts that the engine does not cache are in its cache for the calls
+   * after it, and can be fetched from there once its first event has come.
+   */
+  start(
+    key: string,
+    work: EngineWork,
+    options: { nowMs: number; parts: readonly PromptPart[] },
+  ): void;
   /** Records a call's first event, which shows that its prefill is done. */
   onFirstEvent(key: string, nowMs: number): void;
   end(key: string, nowMs: number): void;
@@ -66,12 +79,14 @@
   memoryTokens(): number;
   /** Streams that a long prefill of this urgency would delay, weighted. */
   interferenceWeight(urgency: number): number;
+  /** Sum of `weightOf` over the longest on-time pauses of all calls, in ms. */
+  sumPauses(weightOf: (maxPauseMs: number) => number): number;
   /** Share of recent time in which the engine did prefill, 0 to 1. */
   prefillUtilization(nowMs: number): number;
-  /** Adds parts to the cache, as the engine caches what it prefills. */
-  addToCache(parts: readonly PromptPart[]): void;
-  /** Tokens of the leading parts that are presumably cached. */
+  /** Tokens of the leading parts that are cached once the calls ahead are read. */
   cachedTokens(parts: readonly PromptPart[]): number;
+  /** Tokens of the leading parts that are cached now. */
+  fetchableTokens(parts: readonly PromptPart[]): number;
 }
 
 /** Weight of a stream that isn't more urgent; more urgent ones weigh 1. */
@@ -112,6 +127,8 @@
   /** Cached parts with their tokens, the least recently used first. */
   const cache = new Map<string, number>();
   let cacheTokens = 0;
+  /** Calls that are to prefill parts of the cache, by the part's identifier. */
+  const prefilling = new Map<string, string>();
   let reservedTokens = 0;
   let advancedMs = 0;
   let utilization = 0;
@@ -185,6 +202,31 @@
     if (!call) return;
     reservedTokens -= call.memoryTokens;
     calls.delete(key);
+    // Its prefill may not have begun.
+    if (!call.hasFirstEvent) settleParts(key, { isPrefilled: false });
+  }
+
+  /** Ends the prefill of a call's parts, which are cached from now on or not. */
+  function settleParts(key: string, options: { isPrefilled: boolean }): void {
+    for (const [id, owner] of prefilling) {
+      if (owner !== key) continue;
+      prefilling.delete(id);
+      if (options.isPrefilled) continue;
+      cacheTokens -= cache.get(id) ?? 0;
+      cache.delete(id);
+    }
+  }
+
+  function addToCache(key: string, parts: readonly PromptPart[]): void {
+    for (const part of parts) {
+      const cached = cache.get(part.id);
+      if (cached === undefined) prefilling.set(part.id, key);
+      else cacheTokens -= cached;
+      cache.delete(part.id);
+      cache.set(part.id, part.tokens);
+      cacheTokens += part.tokens;
+    }
+    evict();
   }
 
   function evict(): void {
@@ -195,12 +237,26 @@
     for (const [id, tokens] of cache) {
       if (cacheTokens <= capacity) return;
       cache.delete(id);
+      prefilling.delete(id);
       cacheTokens -= tokens;
     }
   }
 
+  /** Tokens of the leading parts that are cached and meet a condition. */
+  function sumLeading(
+    parts: readonly PromptPart[],
+    isUsable: (id: string) => boolean,
+  ): number {
+    let tokens = 0;
+    for (const part of parts) {
+      if (!cache.has(part.id) || !isUsable(part.id)) return tokens;
+      tokens += part.tokens;
+    }
+    return tokens;
+  }
+
   return {
-    start(key, work, nowMs) {
+    start(key, work, { nowMs, parts }) {
       advance(nowMs);
       removeCall(key);
       reservedTokens += work.memoryTokens;
@@ -218,6 +274,7 @@
         presumedDoneMs: work.newTokens > 0 ? undefined : nowMs,
         hasFirstEvent: false,
       });
+      addToCache(key, parts);
     },
     onFirstEvent(key, nowMs) {
       advance(nowMs);
@@ -225,6 +282,7 @@
       if (!call || call.hasFirstEvent) return;
       observeSpeed(call, nowMs);
       call.hasFirstEvent = true;
+      settleParts(key, { isPrefilled: true });
       call.remainingTokens = 0;
     },
     end(key, nowMs) {
@@ -255,27 +313,16 @@
       }
       return weight;
     },
+    sumPauses(weightOf) {
+      let sum = 0;
+      for (const { maxPauseMs } of calls.values()) sum += weightOf(maxPauseMs);
+      return sum;
+    },
     prefillUtilization(nowMs) {
       advance(nowMs);
       return utilization;
     },
-    addToCache(parts) {
-      for (const part of parts) {
-        const cached = cache.get(part.id);
-        if (cached !== undefined) cacheTokens -= cached;
-        cache.delete(part.id);
-        cache.set(part.id, part.tokens);
-        cacheTokens += part.tokens;
-      }
-      evict();
-    },
-    cachedTokens(parts) {
-      let tokens = 0;
-      for (const part of parts) {
-        if (!cache.has(part.id)) return tokens;
-        tokens += part.tokens;
-      }
-      return tokens;
-    },
+    cachedTokens: (parts) => sumLeading(parts, () => true),
+    fetchableTokens: (parts) => sumLeading(parts, (id) => !prefilling.has(id)),
   };
 }
--- a/packages/policy/src/create_speed_estimate.ts
+++ b/packages/policy/src/create_speed_estimate.ts
@@ -10,6 +10,10 @@
 const INITIAL_TOKENS_PER_MS = 60;
 /** Base time before the first observation, in milliseconds. */
 const INITIAL_BASE_MS = 90;
+/** Share of pauses under prefill that are at most the estimate. */
+const PAUSE_QUANTILE = 0.85;
+/** Largest change of the estimated pause by an observation, in ms. */
+const PAUSE_STEP_MS = 6;
 /** Bounds of an observed speed, against outliers, in tokens per ms. */
 const SPEED_RANGE = [5, 500] as const;
 /** Bounds of an observed base time, against outliers, in milliseconds. */
@@ -24,6 +28,8 @@
    * tokens to be prefilled until then: those queued before it and its own.
    */
   observe(tokens: number, elapsedMs: number): void;
+  /** Records the time between two events while the engine did prefill. */
+  observePause(pauseMs: number): void;
 }
 
 /** Creates an estimate that begins with the initial speed and base time. */
@@ -31,6 +37,7 @@
   const speed: EngineSpeed = {
     tokensPerMs: INITIAL_TOKENS_PER_MS,
     baseMs: INITIAL_BASE_MS,
+    pauseMs: 0,
   };
   return {
     speed,
@@ -45,6 +52,11 @@
       const sample = clamp(tokens / (elapsedMs - speed.baseMs), SPEED_RANGE);
       speed.tokensPerMs += SMOOTHING_WEIGHT * (sample - speed.tokensPerMs);
     },
+    observePause(pauseMs) {
+      const isLonger = pauseMs > speed.pauseMs;
+      const share = isLonger ? PAUSE_QUANTILE : PAUSE_QUANTILE - 1;
+      speed.pauseMs = Math.max(0, speed.pauseMs + PAUSE_STEP_MS * share);
+    },
   };
 }
 
--- a/packages/router/src/choose_fetch_source.ts
+++ b/packages/router/src/choose_fetch_source.ts
@@ -19,7 +19,7 @@
     if (upstream.entry.softwareVersion !== target.entry.softwareVersion) {
       continue;
     }
-    const tokens = upstream.model.cachedTokens(parts);
+    const tokens = upstream.model.fetchableTokens(parts);
     if (tokens < mostTokens || tokens === 0) continue;
     if (tokens > mostTokens) sources = [];
     else if (sources.length === 0) continue;
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -334,7 +334,7 @@
           return true;
         },
         onStreamStarted: () => publishOrigin(state, entry.softwareVersion),
-        onEvent: () => placement.onFirstEvent(),
+        onEvent: () => placement.onEvent(),
         onSent() {
           if (state.sends === 0) retries.onFirstSend(state.service.name);
           state.sends++;
--- a/packages/router/src/create_cached_prefixes.ts
+++ b/packages/router/src/create_cached_prefixes.ts
@@ -15,7 +15,7 @@
   const longest = new Map<string, number>();
   for (const { entry, model } of upstreams) {
     const known = longest.get(entry.softwareVersion) ?? 0;
-    const tokens = model.cachedTokens(parts);
+    const tokens = model.fetchableTokens(parts);
     if (tokens > known) longest.set(entry.softwareVersion, tokens);
   }
   return { longest: (version) => longest.get(version) ?? 0 };
--- a/packages/router/src/create_load_event_handler.ts
+++ b/packages/router/src/create_load_event_handler.ts
@@ -53,10 +53,8 @@
       }
       const key = `${member.host}:${event.call}`;
       if (event.kind === LoadEventKind.Started) {
-        upstream.model.start(key, event, nowMs);
-        upstream.model.addToCache(
-          event.parts.map(([id, tokens]) => ({ id, tokens })),
-        );
+        const parts = event.parts.map(([id, tokens]) => ({ id, tokens }));
+        upstream.model.start(key, event, { nowMs, parts });
         registry.onSent(upstream, false);
         upstreamLimits.onSent(upstream, member.host);
       } else if (event.kind === LoadEventKind.FirstEvent) {
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -104,7 +104,11 @@
 test("an upstream that restarts with the same identifier has no cached parts", () => {
   const { registry } = createTestRegistry();
   registry.set("u", entryOf({ startedMs: 1 }));
-  registry.find("u")!.model.addToCache([{ id: "part", tokens: 9 }]);
+  const work = { urgency: 0, newTokens: 9, memoryTokens: 9, maxPauseMs: 800 };
+  registry.find("u")!.model.start("a", work, {
+    nowMs: 0,
+    parts: [{ id: "part", tokens: 9 }],
+  });
   registry.set("u", entryOf({ startedMs: 2 }));
   const { model } = registry.find("u")!;
   assert.equal(model.cachedTokens([{ id: "part", tokens: 9 }]), 0);
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -58,8 +58,8 @@
   predictedMs: number;
   /** Time that the request was queued, in milliseconds. */
   queuedMs: number;
-  /** Records the first event and notifies the other VMs. */
-  onFirstEvent(): void;
+  /** Records an event; notifies the other VMs of the first one. */
+  onEvent(): void;
   /** Records the end and notifies the other VMs; further calls do nothing. */
   release(end: CallEnd): void;
 }
@@ -203,6 +203,7 @@
         parts: request.prompt.parts,
         promptTokens: request.prompt.promptTokens,
         outputTokens: request.prompt.likelyOutputTokens,
+        maxPauseMs: request.maxPauseMs,
       },
       list.map((upstream) => ({
         upstream,
@@ -294,8 +295,7 @@
     const fetchFrom = choice.fetchedTokens > 0
       ? chooseFetchSource(upstream, parts, listEligible(request))
       : undefined;
-    upstream.model.start(key, work, nowMs);
-    upstream.model.addToCache(parts);
+    upstream.model.start(key, work, { nowMs, parts });
     registry.onSent(upstream, true);
     const endReturn = registry.startReturningCall(upstream);
     let calls = callsByUpstream.get(id);
@@ -312,7 +312,22 @@
     // The others count the call before one of them sends the next.
     if (upstreamLimits.isShared(upstream)) network.flushLoadEvents();
     let isOpen = true;
-    let hasFirstEvent = false;
+    let lastEventMs: number | undefined;
+    let wasPrefilling = false;
+
+    /** Learns how long a stream pauses while the engine prefills. */
+    function observePause(eventMs: number): void {
+      const isPrefilling = upstream.model.queuedPrefillTokens(
+        Infinity,
+        eventMs,
+      ) > 0;
+      if (lastEventMs !== undefined && wasPrefilling && isPrefilling) {
+        speed.observePause(eventMs - lastEventMs);
+      }
+      lastEventMs = eventMs;
+      wasPrefilling = isPrefilling;
+    }
+
     return {
       upstream,
       call,
@@ -320,10 +335,12 @@
       fetchFrom,
       predictedMs: choice.predictedMs,
       queuedMs: nowMs - request.arrivedMs,
-      onFirstEvent() {
-        if (!isOpen || hasFirstEvent) return;
-        hasFirstEvent = true;
+      onEvent() {
+        if (!isOpen) return;
         const eventMs = clock.now();
+        const isFirst = lastEventMs === undefined;
+        observePause(eventMs);
+        if (!isFirst) return;
         upstream.model.onFirstEvent(key, eventMs);
         endReturn(true);
         // Behind other prompts, the engine's model learns the speed.
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -217,7 +217,7 @@
     new AbortController().signal,
   );
   assert.deepEqual(scheduler.ownCalls(), [[placement.upstream.entry.id, [1]]]);
-  placement.onFirstEvent();
+  placement.onEvent();
   placement.release(CallEnd.Completed);
   placement.release(CallEnd.Failed);
   assert.deepEqual(loadEvents.map(({ kind }) => kind), [1, 2, 3]);
