--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -13,6 +13,7 @@
 import type { BrittleServices } from "./create_brittle_services.ts";
 import type { CallLimits } from "./create_call_limits.ts";
 import { createCallRunner } from "./create_call_runner.ts";
+import type { ConfigurationGate } from "./create_configuration_gate.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
 import type { Containment } from "./create_containment.ts";
@@ -58,6 +59,8 @@
   retryBounds: RetryBounds;
   /** Name of this VM. */
   vm: string;
+  /** Holds requests until a configuration has been received. */
+  gate: Pick<ConfigurationGate, "wait">;
   /** Current configuration; undefined until one has been received. */
   configuration(): ConfigurationIndex | undefined;
   /** Whether the configuration was confirmed within the staleness limit. */
@@ -99,7 +102,7 @@
     options;
   const { origins, containment, reach, relays, callLimits, facts } = options;
   const { brittleServices, upstreamLimits, retryBounds, vm } = options;
-  const { configuration, isCurrent } = options;
+  const { configuration, gate, isCurrent } = options;
   const crashDetector = createCrashDetector({
     clock,
     log,
@@ -355,6 +358,8 @@
       openCount++;
       let cancelDeadline = () => {};
       try {
+        await gate.wait(request.metadata);
+        if (response.isClosed()) return;
         state = createState(request, response);
         const current = state;
         response.onDisconnect(() => {
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -27,6 +27,7 @@
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createReach } from "./create_reach.ts";
 import { createLoadEventHandler } from "./create_load_event_handler.ts";
+import { createConfigurationGate } from "./create_configuration_gate.ts";
 import { createPublishedState } from "./create_published_state.ts";
 import { createRegistry } from "./create_registry.ts";
 import { createRelayHandler } from "./create_relay_handler.ts";
@@ -149,6 +150,7 @@
       lostServices: reach.lostServices(),
     }),
   });
+  const gate = createConfigurationGate(clock);
   const state = createPublishedState({
     clock,
     log,
@@ -157,7 +159,10 @@
     network,
     port: settings.peers.port,
     entriesBackMs: () => settings.entriesBackMs,
-    onConfiguration: ({ limits }) => callerServer.setLimits(limits),
+    onConfiguration({ limits }) {
+      callerServer.setLimits(limits);
+      gate.open();
+    },
     onAdvanced: () => scheduler.recheckQueue(),
   });
   const facts = createRouterFacts({
@@ -252,6 +257,7 @@
     facts,
     retryBounds: settings.retries,
     vm,
+    gate,
     configuration: state.index,
     isCurrent: () => state.confirmedAgeMs() <= settings.staleMs,
   });
