--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -91,6 +91,7 @@
       prompt: state.request.metadata.prompt,
       maxPauseMs: state.stream.isStream ? state.route.maxPauseMs : Infinity,
       targetMs: state.route.targetMs,
+      bodyBytes: state.request.body.length,
       // A started stream has no first event to deliver on time.
       arrivedMs: state.stream.isStarted ? clock.now() : state.request.arrivedMs,
       expiresMs: state.expiresMs,
@@ -270,6 +271,7 @@
       targetMs: state.route.targetMs,
       arrivedMs: clock.now(),
       expiresMs: state.expiresMs,
+      bodyBytes: state.request.body.length,
       avoid: state.tried,
       softwareVersion: state.stream.softwareVersion,
     });
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -39,6 +39,8 @@
   arrivedMs: number;
   /** Monotonic time at which the deadline passes, in milliseconds. */
   expiresMs: number;
+  /** Size of the request's body, in bytes. */
+  bodyBytes: number;
   /** Identifiers of upstreams that have been tried. */
   avoid: ReadonlySet<string>;
   /** The only software version that may serve it; undefined for any. */
@@ -117,6 +119,11 @@
 const QUEUE_POLL_MS = 5;
 /** Cost of another data centre's engine, in milliseconds of delay. */
 const REMOTE_COST_MS = 4;
+/**
+ * Cost of each byte of a body that goes to another data centre, in milliseconds
+ * of delay: links between data centres are dearer than those within one.
+ */
+const REMOTE_COST_MS_PER_BYTE = 0.003;
 /** Largest random extra cost of an engine with unknown load, in ms. */
 const UNKNOWN_LOAD_JITTER_MS = 120;
 /** Calls that an upstream of a plain service may queue beyond its slots. */
@@ -209,7 +216,7 @@
         upstream,
         model: upstream.model,
         size,
-        remoteCostMs: remoteCostMs(upstream),
+        remoteCostMs: remoteCostMs(upstream, request),
         failureShare: registry.failureShare(upstream),
         fetchableTokens: cached.longest(upstream.entry.softwareVersion),
       })),
@@ -222,12 +229,16 @@
   }
 
   /** Cost of another data centre; higher if its load is not known. */
-  function remoteCostMs({ entry }: Upstream): number {
+  function remoteCostMs(
+    { entry }: Upstream,
+    { bodyBytes }: PlacementRequest,
+  ): number {
     if (entry.dataCentre === dataCentre) return 0;
-    if (!network.isLargeFleet()) return REMOTE_COST_MS;
+    const costMs = REMOTE_COST_MS + bodyBytes * REMOTE_COST_MS_PER_BYTE;
+    if (!network.isLargeFleet()) return costMs;
     // The random part keeps VMs with the same incomplete view from choosing the
     // same engine.
-    return REMOTE_COST_MS + Math.random() * UNKNOWN_LOAD_JITTER_MS;
+    return costMs + Math.random() * UNKNOWN_LOAD_JITTER_MS;
   }
 
   function chooseLeastLoaded(
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -98,6 +98,7 @@
     targetMs,
     arrivedMs,
     expiresMs: arrivedMs + 5000,
+    bodyBytes: 0,
     avoid: new Set(),
     softwareVersion: undefined,
   };
@@ -296,3 +297,26 @@
   );
   assert.equal(upstream.entry.id, "u1");
 });
+
+test("long bodies stay in their data centre while its engines are hardly slower", async () => {
+  const { scheduler, registry } = createTestScheduler(2, { remoteFrom: 1 });
+  const busy = {
+    urgency: 0,
+    newTokens: 2000,
+    memoryTokens: 2000,
+    maxPauseMs: 800,
+  };
+  registry.find("u0")!.model.start("other", busy, { nowMs: 10_000, parts: [] });
+  const request = requestOf(CallRank.Tight, {
+    tokens: 600,
+    arrivedMs: 10_000,
+    targetMs: 300,
+  });
+  const { signal } = new AbortController();
+  const short = await scheduler.place(request, signal);
+  assert.equal(short.upstream.entry.id, "u1");
+  short.release(CallEnd.Completed);
+  const long = { ...request, bodyBytes: 30_000 };
+  const placement = await scheduler.place(long, signal);
+  assert.equal(placement.upstream.entry.id, "u0");
+});
