router: streams that go on clear the parts of their prompts

Prompt parts in flight on three of them were quarantined until a request with them was answered completely, which takes seconds, and only the VM that had an answer in the last ten seconds knew better; 122 sound requests got 422 in four seconds.

Ruled out: crashing requests; the suspects were parts of several requests each on engines that had crashed together, and requests with them ran elsewhere.

Change: events later than 300 ms after a stream's first one show that its parts crash no upstream that begins to run them; that clears them at all VMs at once. A request that crashes upstreams stays suspect until it is answered.

Test: 'wave of crashes: ...' (failed before: no such report).

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -42,7 +42,7 @@
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
   reach: Pick<Reach, "onSent" | "onReceived" | "onConnectFailed">;
-  containment: Pick<Containment, "check" | "onAnswer">;
+  containment: Pick<Containment, "check" | "onAnswer" | "onProgress">;
   callLimits: Pick<CallLimits, "onNamed">;
   brittleServices: Pick<BrittleServices, "onNamed">;
   upstreamLimits: Pick<UpstreamLimits, "isShared">;
@@ -93,6 +93,11 @@
 /** Characters of an invalid header value that are logged. */
 const MAX_LOGGED_CHARACTERS = 64;
 
+/**
+ * Time after which events of a stream show that its prompt crashes no upstream
+ * that begins to run it, in milliseconds; also the interval of such reports.
+ */
+const PROGRESS_MS = 300;
 /** Bytes of the bodies of responses in progress, over all calls. */
 const MAX_BODIES_BYTES = 64 * 1024 * 1024;
 
@@ -308,6 +313,8 @@
       ];
       const startedMs = clock.now();
       let bodyBytes = 0;
+      /** Time of the first event or of the last report of progress. */
+      let progressMs: number | undefined;
       const isResume = state.stream.isStarted;
       const running = runAttempt({
         clock,
@@ -334,7 +341,14 @@
           return true;
         },
         onStreamStarted: () => publishOrigin(state, entry.softwareVersion),
-        onEvent: () => placement.onEvent(),
+        onEvent() {
+          placement.onEvent();
+          const nowMs = clock.now();
+          progressMs ??= nowMs;
+          if (nowMs - progressMs < PROGRESS_MS) return;
+          progressMs = nowMs;
+          containment.onProgress(state);
+        },
         onSent() {
           if (state.sends === 0) retries.onFirstSend(state.service.name);
           state.sends++;
--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -19,6 +19,11 @@
   onCrash(crash: string, request: ContainedRequest): void;
   /** An upstream answered the request completely and without an error. */
   onAnswer(request: ContainedRequest): void;
+  /**
+   * An upstream sends events of the request long after the first one: no part of
+   * its prompt crashes every upstream that begins to run it.
+   */
+  onProgress(request: ContainedRequest): void;
   /** Handlers of the facts about crashes. */
   factHandlers: Record<FactKind.Crash | FactKind.Cleared, FactHandler>;
   /** Logs what changed, and keeps the reports about new causes for longer. */
@@ -95,6 +100,16 @@
     }
   }
 
+  /** Tells all VMs which crashes the suspects did not cause. */
+  function clear(suspects: Omit<ContainedRequest, "id">): void {
+    const clearings = evidence.clearedBy(suspects);
+    if (clearings.length === 0) return;
+    for (const { suspect, crash } of clearings) {
+      facts.add([FactKind.Cleared, suspect, crash], CLEARING_MS);
+    }
+    update();
+  }
+
   /** See `Containment.update`. */
   function update(): void {
     const before = quarantined;
@@ -141,12 +156,11 @@
     },
     onAnswer(request) {
       noteAnswered(request.parts);
-      const clearings = evidence.clearedBy(request);
-      if (clearings.length === 0) return;
-      for (const { suspect, crash } of clearings) {
-        facts.add([FactKind.Cleared, suspect, crash], CLEARING_MS);
-      }
-      update();
+      clear(request);
+    },
+    onProgress({ parts }) {
+      noteAnswered(parts);
+      clear({ fingerprints: [], parts });
     },
     factHandlers: {
       [FactKind.Crash]: {
--- a/packages/router/src/create_containment_test.ts
+++ b/packages/router/src/create_containment_test.ts
@@ -126,3 +126,35 @@
   }
   first.check(requestWith("r5"));
 });
+
+// Guards against sound requests that are refused after many upstreams crashed
+// at the same moment under requests with the same long part.
+test("wave of crashes: streams that go on elsewhere clear their parts at all VMs", () => {
+  const { containments } = createTestVms(3);
+  const [first, second, third] = containments as [
+    Containment,
+    Containment,
+    Containment,
+  ];
+  const requestWith = (fingerprint: string) => ({
+    id: "id",
+    fingerprints: [fingerprint],
+    parts: ["shared"],
+  });
+  for (const name of ["1", "2", "3", "4"]) {
+    first.onCrash(`c${name}`, requestWith(`r${name}`));
+  }
+  assert.throws(() => third.check(requestWith("r6")));
+  second.onProgress(requestWith("r5"));
+  third.check(requestWith("r6"));
+  first.check(requestWith("r6"));
+});
+
+test("a stream that goes on clears no request", () => {
+  const { containments } = createTestVms(1);
+  const [first] = containments as [Containment];
+  first.onCrash("c1", requestOf("a"));
+  first.onCrash("c2", requestOf("a"));
+  first.onProgress(requestOf("a"));
+  assert.equal(isRefused(first, "a"), true);
+});
