router: announce newly cached prompt parts to all data centres

Change: the VM whose call has cached shared parts that it knew nowhere tells all VMs, once; engines of other data centres then fetch them.

--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -27,6 +27,8 @@
   StreamStarted = 6,
   /** A fact that all VMs are to know; see `SharedFact`. */
   Fact = 8,
+  /** An upstream has prefilled parts that no VM of its data centre knew cached. */
+  PartsCached = 9,
 }
 
 /** How a call ended, as reported to the other VMs. */
@@ -104,6 +106,17 @@
   keepMs: number;
 }
 
+/**
+ * An upstream caches the leading parts of a prompt. Sent to all VMs of a large
+ * fleet, which otherwise know the calls to their own data centre's upstreams.
+ */
+export interface PartsCachedEvent {
+  kind: LoadEventKind.PartsCached;
+  upstream: string;
+  /** Identifier and size in tokens of each part, in their order. */
+  parts: [string, number][];
+}
+
 /** A change of a call or an upstream that a VM sends to the others. */
 export type LoadEvent =
   | StartedEvent
@@ -111,6 +124,7 @@
   | EndedEvent
   | StalledEvent
   | StreamStartedEvent
+  | PartsCachedEvent
   | FactEvent;
 
 /**
@@ -186,6 +200,7 @@
   [LoadEventKind.Fact]: ["values", "remainingMs"],
   [LoadEventKind.Stalled]: ["upstream"],
   [LoadEventKind.StreamStarted]: ["id", "softwareVersion", "keepMs"],
+  [LoadEventKind.PartsCached]: ["upstream", "parts"],
 };
 
 /** Encoded order of a heartbeat's fields. */
--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -64,6 +64,8 @@
   /** Records a call's first event, which shows that its prefill is done. */
   onFirstEvent(key: string, nowMs: number): void;
   end(key: string, nowMs: number): void;
+  /** Parts that are cached through calls that are not known here. */
+  addCached(parts: readonly PromptPart[]): void;
   /** Removes the calls whose keys begin with `owner` and aren't in `keys`. */
   reconcile(owner: string, keys: ReadonlySet<string>): void;
   /** Prompt tokens still to be prefilled for calls as urgent or more. */
@@ -289,6 +291,14 @@
       advance(nowMs);
       removeCall(key);
     },
+    addCached(parts) {
+      for (const { id, tokens } of parts) {
+        cacheTokens += tokens - (cache.get(id) ?? 0);
+        cache.delete(id);
+        cache.set(id, tokens);
+      }
+      evict();
+    },
     reconcile(owner, keys) {
       for (const key of calls.keys()) {
         if (key.startsWith(owner) && !keys.has(key)) removeCall(key);
--- a/packages/router/src/create_load_event_handler.ts
+++ b/packages/router/src/create_load_event_handler.ts
@@ -6,6 +6,7 @@
   type Member,
   type SharedFacts,
 } from "@rosemarytiller/peers";
+import type { PromptPart } from "@rosemarytiller/policy";
 import type { Clock } from "@rosemarytiller/shared";
 import type { Registry } from "./create_registry.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
@@ -26,6 +27,10 @@
 /** Weight of calls reported by VMs of other data centres in failure shares. */
 const REMOTE_CALL_WEIGHT = 0.3;
 
+function toParts(parts: readonly [string, number][]): PromptPart[] {
+  return parts.map(([id, tokens]) => ({ id, tokens }));
+}
+
 /** Creates the handler, which applies what other VMs report. */
 export function createLoadEventHandler(
   options: LoadEventHandlerOptions,
@@ -51,9 +56,13 @@
         if (quietMs >= MIN_CONFIRMED_SILENCE_MS) registry.onSilent(upstream);
         continue;
       }
+      if (event.kind === LoadEventKind.PartsCached) {
+        upstream.model.addCached(toParts(event.parts));
+        continue;
+      }
       const key = `${member.host}:${event.call}`;
       if (event.kind === LoadEventKind.Started) {
-        const parts = event.parts.map(([id, tokens]) => ({ id, tokens }));
+        const parts = toParts(event.parts);
         upstream.model.start(key, event, { nowMs, parts });
         registry.onSent(upstream, false);
         upstreamLimits.onSent(upstream, member.host);
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -9,6 +9,7 @@
   chooseEngine,
   type EngineCandidate,
   type EngineChoice,
+  type PromptPart,
 } from "@rosemarytiller/policy";
 import {
   type CancelTimer,
@@ -115,6 +116,8 @@
  * on-time start.
  */
 const LATE_TOLERANCE_SHARE = 0.25;
+/** Fewest new tokens of shared parts that other data centres are told of. */
+const MIN_ANNOUNCED_TOKENS = 500;
 /** Poll interval for free capacity while requests are queued, in ms. */
 const QUEUE_POLL_MS = 5;
 /** Cost of another data centre's engine, in milliseconds of delay. */
@@ -202,7 +205,10 @@
     if (!engine || !request.prompt) return chooseLeastLoaded(list);
     const size = { slots: engine.slots, memoryTokens: engine.memoryTokens };
     const nowMs = clock.now();
-    const cached = createCachedPrefixes(list, request.prompt.parts);
+    const cached = createCachedPrefixes(
+      listEligible(request),
+      request.prompt.parts,
+    );
     return chooseEngine(
       {
         urgency: request.urgency,
@@ -282,6 +288,23 @@
     };
   }
 
+  /**
+   * Shared parts of a prompt that no engine caches yet, with those before them,
+   * if VMs of other data centres do not learn of the call. The last part is the
+   * request's own.
+   */
+  function listNewParts(
+    request: PlacementRequest,
+    { entry }: Upstream,
+  ): readonly PromptPart[] {
+    const shared = request.prompt?.parts.slice(0, -1) ?? [];
+    if (!network.isLargeFleet()) return [];
+    const tokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+    const cached = createCachedPrefixes(listEligible(request), shared);
+    const newTokens = tokens - cached.longest(entry.softwareVersion);
+    return newTokens >= MIN_ANNOUNCED_TOKENS ? shared : [];
+  }
+
   function startCall(
     request: PlacementRequest,
     choice: EngineChoice<Candidate>,
@@ -303,6 +326,7 @@
         (request.prompt?.likelyOutputTokens ?? 0),
       maxPauseMs: request.maxPauseMs,
     };
+    const newParts = listNewParts(request, upstream);
     const fetchFrom = choice.fetchedTokens > 0
       ? chooseFetchSource(upstream, parts, listEligible(request))
       : undefined;
@@ -365,6 +389,13 @@
           { kind: LoadEventKind.FirstEvent, call, upstream: id },
           upstreamDataCentre,
         );
+        if (newParts.length > 0) {
+          network.publishLoadEvent({
+            kind: LoadEventKind.PartsCached,
+            upstream: id,
+            parts: newParts.map((part) => [part.id, part.tokens]),
+          });
+        }
         recheckQueue();
       },
       release(end) {
