--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -1,4 +1,4 @@
-import { CallEnd, type LoadEvent } from "@rosemarytiller/peers";
+import { CallEnd, type LoadEvent, LoadEventKind } from "@rosemarytiller/peers";
 import { CallRank, urgencyOf } from "@rosemarytiller/policy";
 import {
   createFakeClock,
@@ -33,12 +33,21 @@
 /** Engines from index `remoteFrom` on are in another data centre. */
 function createTestScheduler(
   engines: number,
-  options: { isLarge?: boolean; remoteFrom?: number } = {},
+  options: {
+    isLarge?: boolean;
+    remoteFrom?: number;
+    fetchBytesPerMs?: number;
+  } = {},
 ) {
   const { isLarge = false, remoteFrom = engines } = options;
+  const { fetchBytesPerMs = 0 } = options;
   const clock = createFakeClock(10_000);
   const registry = createRegistry({ clock, log: createNoopLog() });
-  registry.setServices(() => ENGINES);
+  const service = {
+    ...ENGINES,
+    engine: { ...ENGINES.engine!, fetchBytesPerMs },
+  };
+  registry.setServices(() => service);
   for (let engine = 0; engine < engines; engine++) {
     registry.set(`u${engine}`, {
       id: `u${engine}`,
@@ -76,7 +85,15 @@
       isLargeFleet: () => isLarge,
     },
   });
-  return { clock, registry, scheduler, loadEvents, limited, sentToLimited };
+  return {
+    clock,
+    registry,
+    scheduler,
+    service,
+    loadEvents,
+    limited,
+    sentToLimited,
+  };
 }
 
 function requestOf(
@@ -320,3 +337,57 @@
   const placement = await scheduler.place(long, signal);
   assert.equal(placement.upstream.entry.id, "u0");
 });
+
+test("large fleet, shared long prompts: newly cached parts are announced once", async () => {
+  const { scheduler, registry, loadEvents } = createTestScheduler(2, {
+    isLarge: true,
+    remoteFrom: 1,
+  });
+  const parts = [{ id: "shared", tokens: 9000 }, { id: "own", tokens: 600 }];
+  const { signal } = new AbortController();
+  for (let call = 0; call < 2; call++) {
+    const request = requestOf(CallRank.Loose, {
+      tokens: 9600,
+      arrivedMs: 10_000,
+      targetMs: 2000,
+    });
+    const prompt = { ...request.prompt!, parts };
+    const placement = await scheduler.place({ ...request, prompt }, signal);
+    placement.onEvent();
+    placement.release(CallEnd.Completed);
+  }
+  const announced = loadEvents.filter(({ kind }) =>
+    kind === LoadEventKind.PartsCached
+  );
+  assert.deepEqual(announced, [{
+    kind: LoadEventKind.PartsCached,
+    upstream: "u0",
+    parts: [["shared", 9000]],
+  }]);
+  // As a VM of another data centre uses it.
+  const remote = registry.find("u1")!.model;
+  remote.addCached(parts.slice(0, 1));
+  assert.equal(remote.fetchableTokens(parts), 9000);
+});
+
+test("large fleet: parts are fetched from an engine of another data centre", async () => {
+  const { scheduler, registry, service } = createTestScheduler(2, {
+    isLarge: true,
+    remoteFrom: 1,
+    fetchBytesPerMs: 10_000_000,
+  });
+  const parts = [{ id: "shared", tokens: 9000 }, { id: "own", tokens: 600 }];
+  registry.find("u1")!.model.addCached(parts.slice(0, 1));
+  const request = requestOf(CallRank.Loose, {
+    tokens: 9600,
+    arrivedMs: 10_000,
+    targetMs: 2000,
+  });
+  const placement = await scheduler.place(
+    { ...request, service, prompt: { ...request.prompt!, parts } },
+    new AbortController().signal,
+  );
+  assert.equal(placement.upstream.entry.id, "u0");
+  assert.equal(placement.fetchFrom?.entry.id, "u1");
+  assert.equal(placement.newTokens, 600);
+});
