peers: fleets of twelve VMs and more rely on readers of the store

Change: from twelve VMs on, two VMs of each data centre read and the others read again when nothing has confirmed their state for 3.2 s, as before in large fleets.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -32,6 +32,8 @@
 const MAX_BROADCAST_MEMBERS = 24;
 /** VMs of each data centre that always read the platform's store. */
 const READERS_PER_DATA_CENTRE = 2;
+/** Fewest VMs of a fleet in which some rely on the readers. */
+const MIN_VMS_WITH_READERS = 12;
 /** Heartbeat intervals without a message after which a member is no reader. */
 const MAX_READER_MISSED_HEARTBEATS = 2.5;
 /** Members of other data centres that a large fleet's heartbeat goes to. */
@@ -125,6 +127,8 @@
    * hosts in string order of those that recently sent a message.
    */
   isStoreReader(): boolean;
+  /** Whether the fleet has so many VMs that not all need to read the store. */
+  hasStoreReaders(): boolean;
   /**
    * Whether the fleet exceeds `MAX_BROADCAST_MEMBERS`, so that messages mostly
    * stay within a data centre.
@@ -467,6 +471,7 @@
       localHosts.sort();
       return localHosts.indexOf(host) < READERS_PER_DATA_CENTRE;
     },
+    hasStoreReaders: () => members.size + 1 >= MIN_VMS_WITH_READERS,
     isLargeFleet,
     localVmCount,
     loadFleet,
--- a/packages/peers/src/create_peer_network_test.ts
+++ b/packages/peers/src/create_peer_network_test.ts
@@ -99,6 +99,22 @@
   ]);
 });
 
+test("in a small fleet, all VMs read the store", async (t) => {
+  const { networks: few } = await startNetworks(t, ["north", "north", "south"]);
+  assert.equal(few[0]!.hasStoreReaders(), false);
+});
+
+test("of twelve VMs in two data centres, four read the store", async (t) => {
+  const dataCentres = Array.from(
+    { length: 12 },
+    (_, vm) => vm < 6 ? "north" : "south",
+  );
+  const { networks } = await startNetworks(t, dataCentres);
+  assert.ok(networks.every((network) => network.hasStoreReaders()));
+  const readers = networks.filter((network) => network.isStoreReader());
+  assert.equal(readers.length, 4);
+});
+
 test("load events that exceed one datagram are split and all arrive", async (t) => {
   const { networks, received, until } = await startNetworks(t, [
     "north",
--- a/packages/router/src/create_published_state.ts
+++ b/packages/router/src/create_published_state.ts
@@ -56,7 +56,7 @@
   registry: Registry;
   network: Pick<
     PeerNetwork,
-    "pushItems" | "sendHeartbeatNow" | "isLargeFleet" | "isStoreReader"
+    "pushItems" | "sendHeartbeatNow" | "hasStoreReaders" | "isStoreReader"
   >;
   /** Port at which peers serve what they know. */
   port: number;
@@ -209,7 +209,7 @@
       network.sendHeartbeatNow();
     },
     canPause: () =>
-      network.isLargeFleet() && index !== undefined &&
+      network.hasStoreReaders() && index !== undefined &&
       !network.isStoreReader() &&
       clock.now() - confirmedMs < MAX_CONFIRMATION_AGE_MS,
     onReadError(reason: string) {
