--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -228,6 +228,7 @@
       })),
       {
         speed: registry.speedOf(request.service.name).speed,
+        pace: registry.speedOf(request.service.name).pace,
         fetchMsPerToken: engine.bytesPerToken / engine.fetchBytesPerMs,
         nowMs,
       },
@@ -350,14 +351,15 @@
     let lastEventMs: number | undefined;
     let wasPrefilling = false;
 
-    /** Learns how long a stream pauses while the engine prefills. */
+    /** Learns how the engine's load prolongs the pauses of its streams. */
     function observePause(eventMs: number): void {
-      const isPrefilling = upstream.model.queuedPrefillTokens(
-        Infinity,
-        eventMs,
-      ) > 0;
-      if (lastEventMs !== undefined && wasPrefilling && isPrefilling) {
-        speed.observePause(eventMs - lastEventMs);
+      const { model } = upstream;
+      const isPrefilling = model.queuedPrefillTokens(Infinity, eventMs) > 0;
+      if (lastEventMs !== undefined && wasPrefilling === isPrefilling) {
+        speed.pace.observe(
+          { calls: model.callCount(), prefillShare: isPrefilling ? 1 : 0 },
+          eventMs - lastEventMs,
+        );
       }
       lastEventMs = eventMs;
       wasPrefilling = isPrefilling;
