--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -3,7 +3,6 @@
   EngineSize,
   EngineSpeed,
 } from "./create_engine_model.ts";
-import type { PaceEstimate } from "./create_pace_estimate.ts";
 import type { PromptPart } from "./create_engine_model.ts";
 
 /** How tight a call's latency target is among those of its service. */
@@ -97,10 +96,10 @@
 /** Cost of a stream that is certain to pause for too long, in ms of delay. */
 const LATE_PAUSE_COST_MS = 1000;
 /**
- * Range of the predicted pause, in shares of the longest on-time one, from
- * harmless to certainly too long: the longest of a stream exceeds the usual one.
+ * Range of the usual pause under prefill, in shares of the longest on-time one,
+ * from harmless to certainly too long.
  */
-const PAUSE_SHARE_RANGE = [0.3, 0.7] as const;
+const PAUSE_SHARE_RANGE = [0.6, 1.1] as const;
 /** Range of a prefill's time, in ms, from harmless to fully harmful. */
 const HARMFUL_PREFILL_RANGE_MS = [50, 200] as const;
 /** Cost of each millisecond of a fetch, besides the delay. */
@@ -133,14 +132,9 @@
 export function chooseEngine<T extends EngineCandidate>(
   request: EngineRequest,
   candidates: readonly T[],
-  options: {
-    speed: EngineSpeed;
-    pace: PaceEstimate;
-    fetchMsPerToken: number;
-    nowMs: number;
-  },
+  options: { speed: EngineSpeed; fetchMsPerToken: number; nowMs: number },
 ): EngineChoice<T> | undefined {
-  const { speed, pace, fetchMsPerToken, nowMs } = options;
+  const { speed, fetchMsPerToken, nowMs } = options;
   let best: EngineChoice<T> | undefined;
   let bestCost = Infinity;
   for (const candidate of candidates) {
@@ -165,7 +159,7 @@
     cost += prefillMs * PREFILL_COST_SHARE + fetch.ms * FETCH_COST_SHARE;
     cost += prefillMs * INTERFERENCE_SHARE *
       model.interferenceWeight(request.urgency);
-    cost += pauseCostMs(request, model, { prefillMs, queuedMs, pace, nowMs });
+    cost += pauseCostMs(request, model, { prefillMs, queuedMs, speed, nowMs });
     cost += candidate.failureShare * FAILURE_COST_MS;
     const utilization = Math.min(
       model.prefillUtilization(nowMs),
@@ -195,7 +189,8 @@
 
 /**
  * Cost of pauses that become too long: those of the engine's streams through the
- * call, unless they are too long anyway, and those of the call itself.
+ * call's prefill, unless prompts that are queued there prolong them anyway, and
+ * those of the call through the engine's other prefill.
  */
 function pauseCostMs(
   request: EngineRequest,
@@ -203,33 +198,18 @@
   options: {
     prefillMs: number;
     queuedMs: number;
-    pace: PaceEstimate;
+    speed: EngineSpeed;
     nowMs: number;
   },
 ): number {
-  const { prefillMs, queuedMs, pace, nowMs } = options;
-  const calls = model.callCount();
-  const queuedShare = shareOf(queuedMs, HARMFUL_PREFILL_RANGE_MS);
-  const ownShare = shareOf(prefillMs, HARMFUL_PREFILL_RANGE_MS);
-  const beforeMs = pace.predictMs({ calls, prefillShare: queuedShare });
-  const afterMs = pace.predictMs({
-    calls: calls + 1,
-    prefillShare: Math.max(queuedShare, ownShare),
-  });
-  const usualMs = pace.predictMs({
-    calls: calls + 1,
-    prefillShare: model.prefillUtilization(nowMs),
-  });
-  const others = model.sumPauses((maxPauseMs) =>
-    harmOf(afterMs, maxPauseMs) - harmOf(beforeMs, maxPauseMs)
-  );
-  const own = harmOf(usualMs, request.maxPauseMs);
-  return (Math.max(0, others) + own) * LATE_PAUSE_COST_MS;
-}
-
-/** Share of streams that a predicted pause makes late. */
-function harmOf(pauseMs: number, maxPauseMs: number): number {
-  return shareOf(pauseMs / maxPauseMs, PAUSE_SHARE_RANGE);
+  const { prefillMs, queuedMs, speed, nowMs } = options;
+  const harmOf = (maxPauseMs: number) =>
+    shareOf(speed.pauseMs / maxPauseMs, PAUSE_SHARE_RANGE);
+  const added = shareOf(prefillMs, HARMFUL_PREFILL_RANGE_MS) *
+    (1 - shareOf(queuedMs, HARMFUL_PREFILL_RANGE_MS));
+  const others = added > 0 ? added * model.sumPauses(harmOf) : 0;
+  const own = harmOf(request.maxPauseMs) * model.prefillUtilization(nowMs);
+  return (others + own) * LATE_PAUSE_COST_MS;
 }
 
 /** Position of a value in a range, 0 to 1. */
--- a/packages/policy/src/choose_engine_test.ts
+++ b/packages/policy/src/choose_engine_test.ts
@@ -12,14 +12,8 @@
   type EngineModel,
   type PromptPart,
 } from "./create_engine_model.ts";
-import {
-  createPaceEstimate,
-  type PaceEstimate,
-} from "./create_pace_estimate.ts";
 
-const SPEED = { tokensPerMs: 50, baseMs: 80 };
-/** Pauses that no stream of the tests minds. */
-const pace = createPaceEstimate();
+const SPEED = { tokensPerMs: 50, baseMs: 80, pauseMs: 0 };
 /** Time to fetch a token, a tenth of its prefill time, in milliseconds. */
 const FETCH_MS_PER_TOKEN = 0.002;
 const SIZE = { slots: 16, memoryTokens: 300_000 };
@@ -63,16 +57,6 @@
   }, { nowMs: 0, parts: [] });
 }
 
-/** Pace of engines whose streams pause for 30 ms, and longer under prefill. */
-function createTestPace(prefillPauseMs: number): PaceEstimate {
-  const pace = createPaceEstimate();
-  for (let number = 0; number < 200; number++) {
-    pace.observe({ calls: 4, prefillShare: 0 }, 30);
-    pace.observe({ calls: 4, prefillShare: 1 }, prefillPauseMs);
-  }
-  return pace;
-}
-
 /** Lets an engine prefill parts in a call that ends at once. */
 function cacheParts(model: EngineModel, parts: readonly PromptPart[]): void {
   const work = { urgency: 0, newTokens: 0, memoryTokens: 0, maxPauseMs: 800 };
@@ -101,7 +85,6 @@
   }
   const choice = chooseEngine(createRequest(CallRank.Loose, 8000), engines, {
     speed: SPEED,
-    pace,
     fetchMsPerToken: Infinity,
     nowMs: 0,
   });
@@ -114,7 +97,6 @@
   start(engines[1]!.model, "b", { tokens: 9000 });
   const choice = chooseEngine(createRequest(CallRank.Tight, 500), engines, {
     speed: SPEED,
-    pace,
     fetchMsPerToken: Infinity,
     nowMs: 0,
   });
@@ -125,7 +107,7 @@
 test("queued prefill: loose calls should queue outside, tight ones not", () => {
   const engines = createEngines(1);
   start(engines[0]!.model, "a", { tokens: 9000 });
-  const options = { speed: SPEED, pace, fetchMsPerToken: Infinity, nowMs: 0 };
+  const options = { speed: SPEED, fetchMsPerToken: Infinity, nowMs: 0 };
   const loose = chooseEngine(
     createRequest(CallRank.Loose, 5000),
     engines,
@@ -147,7 +129,6 @@
   const request = createRequest(CallRank.Loose, 6000, "session");
   const choice = chooseEngine(request, engines, {
     speed: SPEED,
-    pace,
     fetchMsPerToken: Infinity,
     nowMs: 0,
   });
@@ -162,7 +143,6 @@
   const request = createRequest(CallRank.Loose, 3000, "session");
   const choice = chooseEngine(request, engines, {
     speed: SPEED,
-    pace,
     fetchMsPerToken: Infinity,
     nowMs: 0,
   });
@@ -174,7 +154,6 @@
   engines[0]!.failureShare = 0.4;
   const choice = chooseEngine(createRequest(CallRank.Tight, 500), engines, {
     speed: SPEED,
-    pace,
     fetchMsPerToken: Infinity,
     nowMs: 0,
   });
@@ -188,7 +167,6 @@
   }
   const choice = chooseEngine(createRequest(CallRank.Tight, 500), engines, {
     speed: SPEED,
-    pace,
     fetchMsPerToken: Infinity,
     nowMs: 0,
   });
@@ -201,7 +179,7 @@
     start(engines[0]!.model, `call-${call}`, { tokens: 90_000 });
     engines[0]!.model.onFirstEvent(`call-${call}`, 0);
   }
-  const options = { speed: SPEED, pace, fetchMsPerToken: Infinity, nowMs: 0 };
+  const options = { speed: SPEED, fetchMsPerToken: Infinity, nowMs: 0 };
   const loose = chooseEngine(
     createRequest(CallRank.Loose, 9000),
     engines,
@@ -230,7 +208,6 @@
   }));
   const choice = chooseEngine(request, engines, {
     speed: SPEED,
-    pace,
     fetchMsPerToken: FETCH_MS_PER_TOKEN,
     nowMs: 0,
   })!;
@@ -250,7 +227,6 @@
   }));
   const choice = chooseEngine(request, engines, {
     speed: SPEED,
-    pace,
     fetchMsPerToken: FETCH_MS_PER_TOKEN,
     nowMs: 0,
   })!;
@@ -264,14 +240,14 @@
   const choice = chooseEngine(
     request,
     [{ ...engine!, fetchableTokens: 1000 }],
-    { speed: SPEED, pace, fetchMsPerToken: 0.011, nowMs: 0 },
+    { speed: SPEED, fetchMsPerToken: 0.011, nowMs: 0 },
   )!;
   assert.equal(choice.fetchedTokens, 0);
   assert.equal(choice.uncachedTokens, 1000);
 });
 
 test("long prompts beside short-paced streams: both get engines of their own", () => {
-  const pace = createTestPace(160);
+  const speed = { ...SPEED, pauseMs: 160 };
   const engines = createEngines(2);
   const [streaming, prefilling] = engines;
   for (let call = 0; call < 4; call++) {
@@ -279,12 +255,7 @@
     start(streaming!.model, `stream-${call}`, stream);
   }
   start(prefilling!.model, "long", { tokens: 20_000 });
-  const options = {
-    speed: SPEED,
-    pace,
-    fetchMsPerToken: Infinity,
-    nowMs: 0,
-  };
+  const options = { speed, fetchMsPerToken: Infinity, nowMs: 0 };
   const long = createRequest(CallRank.Loose, 15_000);
   assert.equal(
     chooseEngine(long, engines, options)!.candidate,
@@ -295,19 +266,14 @@
 });
 
 test("streams whose pauses no prefill prolongs do not repel long prompts", () => {
-  const pace = createTestPace(60);
+  const speed = { ...SPEED, pauseMs: 60 };
   const engines = createEngines(2);
   for (let call = 0; call < 4; call++) {
     const stream = { tokens: 0, rank: CallRank.Loose, maxPauseMs: 800 };
     start(engines[0]!.model, `stream-${call}`, stream);
   }
   start(engines[1]!.model, "long", { tokens: 20_000 });
-  const options = {
-    speed: SPEED,
-    pace,
-    fetchMsPerToken: Infinity,
-    nowMs: 0,
-  };
+  const options = { speed, fetchMsPerToken: Infinity, nowMs: 0 };
   const long = createRequest(CallRank.Loose, 15_000);
   assert.equal(chooseEngine(long, engines, options)!.candidate, engines[0]);
 });
--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -42,6 +42,11 @@
   tokensPerMs: number;
   /** Time to the first event of an empty prompt, in milliseconds. */
   baseMs: number;
+  /**
+   * Time that most pauses between two events of a stream do not exceed while the
+   * engine prefills, in milliseconds.
+   */
+  pauseMs: number;
 }
 
 /** Estimated state of one engine, derived from all calls that are known. */
--- a/packages/policy/src/create_engine_model_test.ts
+++ b/packages/policy/src/create_engine_model_test.ts
@@ -6,7 +6,7 @@
   type PromptPart,
 } from "./create_engine_model.ts";
 
-const SPEED = { tokensPerMs: 50, baseMs: 80 };
+const SPEED = { tokensPerMs: 50, baseMs: 80, pauseMs: 0 };
 /** Start of a call without parts. */
 const AT_START = { nowMs: 0, parts: [] };
 const SIZE = { slots: 16, memoryTokens: 10_000 };
--- a/packages/policy/src/create_speed_estimate.ts
+++ b/packages/policy/src/create_speed_estimate.ts
@@ -1,7 +1,3 @@
-import {
-  createPaceEstimate,
-  type PaceEstimate,
-} from "./create_pace_estimate.ts";
 import type { EngineSpeed } from "./create_engine_model.ts";
 
 /** Weight of a new observation in the moving averages. */
@@ -14,6 +10,10 @@
 const INITIAL_TOKENS_PER_MS = 60;
 /** Base time before the first observation, in milliseconds. */
 const INITIAL_BASE_MS = 90;
+/** Share of pauses under prefill that are at most the estimate. */
+const PAUSE_QUANTILE = 0.85;
+/** Largest change of the estimated pause by an observation, in ms. */
+const PAUSE_STEP_MS = 6;
 /** Bounds of an observed speed, against outliers, in tokens per ms. */
 const SPEED_RANGE = [5, 500] as const;
 /** Bounds of an observed base time, against outliers, in milliseconds. */
@@ -23,13 +23,13 @@
 export interface SpeedEstimate {
   /** Current estimate, which is updated in place. */
   readonly speed: EngineSpeed;
-  /** Pauses between the events of streams. */
-  readonly pace: PaceEstimate;
   /**
    * Records the time from the start of a call to its first event, with the
    * tokens to be prefilled until then: those queued before it and its own.
    */
   observe(tokens: number, elapsedMs: number): void;
+  /** Records the time between two events while the engine did prefill. */
+  observePause(pauseMs: number): void;
 }
 
 /** Creates an estimate that begins with the initial speed and base time. */
@@ -37,10 +37,10 @@
   const speed: EngineSpeed = {
     tokensPerMs: INITIAL_TOKENS_PER_MS,
     baseMs: INITIAL_BASE_MS,
+    pauseMs: 0,
   };
   return {
     speed,
-    pace: createPaceEstimate(),
     observe(tokens, elapsedMs) {
       if (tokens <= SHORT_PREFILL_TOKENS) {
         const sample = elapsedMs - tokens / speed.tokensPerMs;
@@ -52,6 +52,11 @@
       const sample = clamp(tokens / (elapsedMs - speed.baseMs), SPEED_RANGE);
       speed.tokensPerMs += SMOOTHING_WEIGHT * (sample - speed.tokensPerMs);
     },
+    observePause(pauseMs) {
+      const isLonger = pauseMs > speed.pauseMs;
+      const share = isLonger ? PAUSE_QUANTILE : PAUSE_QUANTILE - 1;
+      speed.pauseMs = Math.max(0, speed.pauseMs + PAUSE_STEP_MS * share);
+    },
   };
 }
 
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -228,7 +228,6 @@
       })),
       {
         speed: registry.speedOf(request.service.name).speed,
-        pace: registry.speedOf(request.service.name).pace,
         fetchMsPerToken: engine.bytesPerToken / engine.fetchBytesPerMs,
         nowMs,
       },
@@ -351,15 +350,14 @@
     let lastEventMs: number | undefined;
     let wasPrefilling = false;
 
-    /** Learns how the engine's load prolongs the pauses of its streams. */
+    /** Learns how long a stream pauses while the engine prefills. */
     function observePause(eventMs: number): void {
-      const { model } = upstream;
-      const isPrefilling = model.queuedPrefillTokens(Infinity, eventMs) > 0;
-      if (lastEventMs !== undefined && wasPrefilling === isPrefilling) {
-        speed.pace.observe(
-          { calls: model.callCount(), prefillShare: isPrefilling ? 1 : 0 },
-          eventMs - lastEventMs,
-        );
+      const isPrefilling = upstream.model.queuedPrefillTokens(
+        Infinity,
+        eventMs,
+      ) > 0;
+      if (lastEventMs !== undefined && wasPrefilling && isPrefilling) {
+        speed.observePause(eventMs - lastEventMs);
       }
       lastEventMs = eventMs;
       wasPrefilling = isPrefilling;
