router: relay requests that are refused as overloaded while most links fail

Change: a VM that has failed to connect to half of a service's upstreams or more asks another VM before it refuses a request as overloaded, and yet another one if that has lost its links too. Overload alone fails no connection.

--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -170,6 +170,13 @@
     );
   }
 
+  /** Whether yet another VM may serve a request that one has refused. */
+  function canRelayAgain({ service }: RequestState, kind: ErrorKind): boolean {
+    if (RELAY_AGAIN_KINDS.has(kind)) return true;
+    // The other VM may have lost its links too.
+    return kind === ErrorKind.Overloaded && reach.mayBeMostlyLost(service.name);
+  }
+
   function startRelayedStandby(
     state: RequestState,
     hooks: AttemptHooks,
@@ -197,7 +204,7 @@
       if (ended.result === AttemptResult.Unsent) continue;
       if (ended.result !== AttemptResult.NotRun) return ended;
       refusal = attempt.refusal();
-      if (refusal && !RELAY_AGAIN_KINDS.has(refusal.kind)) throw refusal;
+      if (refusal && !canRelayAgain(state, refusal.kind)) throw refusal;
     }
   }
 
@@ -236,8 +243,12 @@
     try {
       return { ended: await runPlaced(state), isRelayed: false };
     } catch (error) {
-      const hasNoUpstream = toTillerError(error).kind === ErrorKind.NoUpstream;
-      const mayBeLost = hasNoUpstream && reach.mayBeLost(state.service.name);
+      const { kind } = toTillerError(error);
+      const { name } = state.service;
+      // Upstreams may look overloaded as those that this VM still reaches are.
+      const mayBeLost =
+        kind === ErrorKind.NoUpstream && reach.mayBeLost(name) ||
+        kind === ErrorKind.Overloaded && reach.mayBeMostlyLost(name);
       const ended = mayBeLost || needsRelay(state)
         ? await runRelayed(state)
         : undefined;
--- a/packages/router/src/create_reach.ts
+++ b/packages/router/src/create_reach.ts
@@ -28,6 +28,8 @@
   isLostUpstream(upstream: Upstream): boolean;
   /** Whether this VM has lost its links to the service, or its upstreams are down. */
   mayBeLost(service: string): boolean;
+  /** Whether this VM has failed to connect to half of the upstreams or more. */
+  mayBeMostlyLost(service: string): boolean;
   lostServices(): string[];
   /** Whether another upstream than this one was reached since `sinceMs`. */
   hasReachedOthers(upstream: Upstream, sinceMs: number): boolean;
@@ -196,6 +198,11 @@
     isLostUpstream,
     mayBeLost: (service) =>
       registry.inService(service).some((upstream) => unreachedMs.has(upstream)),
+    mayBeMostlyLost(service) {
+      const list = registry.inService(service);
+      const unreached = list.filter((upstream) => unreachedMs.has(upstream));
+      return unreached.length > 0 && unreached.length * 2 >= list.length;
+    },
     lostServices: () => [...services.keys()].filter(isLost),
     hasReachedOthers(upstream, sinceMs) {
       for (const other of registry.all()) {
