router: an accepted connection shows no reach, an answered request does

Cause: a probe of a lost service only connected. Links that accept connections and pass nothing on (a middlebox, the kernel of a stopped host) counted as reached, and every request of the VM waited for its deadline.

A service from which this VM has had no byte for a second, while other VMs report bytes from its upstreams, is lost when three of them do not answer; one upstream a second is probed while that lasts.

Crash evidence still trusts connections: links that pass nothing break no call. TCP keep-alive, peers (datagrams) and the store (response timeouts) never trusted a connection alone.

--- a/packages/router/src/create_reach.ts
+++ b/packages/router/src/create_reach.ts
@@ -48,6 +48,8 @@
   log: EventLog;
   registry: Pick<Registry, "inService" | "all" | "onLinkRegained">;
   pool: Pick<ConnectionPool, "probe">;
+  /** Resolves with whether an upstream responds to a health request. */
+  isAnswering(upstream: Upstream): Promise<boolean>;
   /** Sends the lost services to the other VMs. */
   publish(): void;
 }
@@ -62,6 +64,11 @@
  * upstreams are probed, in milliseconds.
  */
 const MAX_SILENCE_MS = 400;
+/**
+ * Time without bytes from a service after which upstreams that accept
+ * connections and do not answer count as lost, in milliseconds.
+ */
+const SILENT_LOSS_MS = 1000;
 /**
  * Time after a failure to connect from which other VMs' reports of responses
  * count, in milliseconds: what arrives earlier may be from before a crash.
@@ -69,6 +76,11 @@
 const REPORT_DELAY_MS = 50;
 /** Time between the probes of a silent or lost service, in milliseconds. */
 const PROBE_INTERVAL_MS = 200;
+/**
+ * The same after an upstream has accepted a connection and said nothing, in
+ * milliseconds: each further probe costs a connection and a health request.
+ */
+const SILENT_PROBE_INTERVAL_MS = 1000;
 
 interface ServiceReach {
   /** Upstreams that failed to connect since one of the service was reached. */
@@ -77,12 +89,13 @@
   isAllLost: boolean;
   /** Start of the first call since one of the service was reached. */
   silentSinceMs: number | undefined;
-  probedMs: number;
+  /** Time before which no upstream is probed again. */
+  nextProbeMs: number;
 }
 
 /** Creates the reach; every service counts as reachable at first. */
 export function createReach(options: ReachOptions): Reach {
-  const { clock, log, registry, pool, publish } = options;
+  const { clock, log, registry, pool, isAnswering, publish } = options;
   const services = new Map<string, ServiceReach>();
   const reachedMs = new WeakMap<Upstream, number>();
   /** First failure to connect since the upstream was reached. */
@@ -95,7 +108,7 @@
         failed: new Set(),
         isAllLost: false,
         silentSinceMs: undefined,
-        probedMs: -Infinity,
+        nextProbeMs: -Infinity,
       };
       services.set(service, reach);
     }
@@ -142,12 +155,29 @@
     setAllLost(entry.service, true);
   }
 
+  /** An upstream that is busy may not answer for a while; a service does. */
+  function onUnanswered(upstream: Upstream): void {
+    const reach = reachOf(upstream.entry.service);
+    const { silentSinceMs = Infinity } = reach;
+    const isSilent = clock.now() - silentSinceMs >= SILENT_LOSS_MS;
+    if (!reach.isAllLost && !isSilent) return;
+    reach.nextProbeMs = clock.now() + SILENT_PROBE_INTERVAL_MS;
+    onConnectFailed(upstream);
+  }
+
+  /**
+   * Connects and sends a health request: a connection may be accepted although
+   * nothing arrives, as by a middlebox or the kernel of a stopped host.
+   */
   async function probe(upstream: Upstream): Promise<boolean> {
-    const isUp = await pool.probe(upstream.entry);
-    if (!isUp) {
+    if (!await pool.probe(upstream.entry)) {
       onConnectFailed(upstream);
       return false;
     }
+    if (!await isAnswering(upstream)) {
+      onUnanswered(upstream);
+      return false;
+    }
     if (isLostUpstream(upstream)) onLinksRegained(upstream.entry.service);
     onReceived(upstream);
     return true;
@@ -182,9 +212,10 @@
 
   function updateService(service: string, reach: ServiceReach): void {
     const nowMs = clock.now();
-    if (nowMs - reach.probedMs < PROBE_INTERVAL_MS) return;
+    if (nowMs < reach.nextProbeMs) return;
     const upstreams = listProbes(service, reach);
-    if (upstreams.length > 0) reach.probedMs = nowMs;
+    if (upstreams.length === 0) return;
+    reach.nextProbeMs = nowMs + PROBE_INTERVAL_MS;
     for (const upstream of upstreams) void probe(upstream);
   }
 
--- a/packages/router/src/create_reach_test.ts
+++ b/packages/router/src/create_reach_test.ts
@@ -11,6 +11,7 @@
 
 const SERVICE: ServiceDefinition = {
   name: "engines",
+  healthPath: "/health",
   maxConnections: 100,
   warmUpMs: 3000,
   warmUpCallsPerSecond: 18,
@@ -23,6 +24,7 @@
   const registry = createRegistry({ clock, log });
   const probed: number[] = [];
   let isUp = false;
+  let answers = true;
   for (let number = 0; number < upstreams; number++) {
     registry.set(`u${number}`, {
       id: `u${number}`,
@@ -47,6 +49,7 @@
         return Promise.resolve(isUp);
       },
     },
+    isAnswering: () => Promise.resolve(answers),
     publish() {},
   });
   const upstreamOf = (number: number) => registry.find(`u${number}`)!;
@@ -59,6 +62,9 @@
     setUp() {
       isUp = true;
     },
+    setAnswering(isAnswering: boolean) {
+      answers = isAnswering;
+    },
     fail(count: number) {
       for (let number = 0; number < count; number++) {
         reach.onConnectFailed(upstreamOf(number));
@@ -154,3 +160,49 @@
   reach.update();
   assert.equal(probed.length, 3);
 });
+
+// Guards against links that accept connections and say nothing, which counted
+// as reached.
+test("accepted connections without an answer are lost after a second", async () => {
+  const { reach, registry, clock, setUp, setAnswering, probed, upstreamOf } =
+    createTestReach(4);
+  setUp();
+  setAnswering(false);
+  reach.onSent(upstreamOf(0));
+  for (let step = 0; step < 8; step++) {
+    clock.advance(200);
+    for (let number = 0; number < 4; number++) {
+      registry.onPeerReceived(upstreamOf(number));
+    }
+    reach.update();
+    await new Promise((resolve) => setImmediate(resolve));
+    if (step < 3) assert.ok(!reach.isLost("engines"));
+  }
+  assert.ok(reach.isLost("engines"));
+  // While it lasts, one upstream is probed each second.
+  const count = probed.length;
+  for (let step = 0; step < 10; step++) {
+    clock.advance(200);
+    reach.update();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.ok(probed.length - count <= 3, `${probed.length - count} probes`);
+  setAnswering(true);
+  clock.advance(1000);
+  reach.update();
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.ok(!reach.isLost("engines"));
+});
+
+test("an upstream that is silent to all VMs is not lost here", async () => {
+  const { reach, clock, setUp, setAnswering, upstreamOf } = createTestReach(4);
+  setUp();
+  setAnswering(false);
+  reach.onSent(upstreamOf(0));
+  for (let step = 0; step < 15; step++) {
+    clock.advance(200);
+    reach.update();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.ok(!reach.isLost("engines"));
+});
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -7,6 +7,7 @@
 
 const SERVICE: ServiceDefinition = {
   name: "engines",
+  healthPath: "/health",
   maxConnections: 100,
   warmUpMs: 3000,
   warmUpCallsPerSecond: 18,
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -28,6 +28,7 @@
 import { createReach } from "./create_reach.ts";
 import { createLoadEventHandler } from "./create_load_event_handler.ts";
 import { createConfigurationGate } from "./create_configuration_gate.ts";
+import { createHealthProbe } from "./create_health_probe.ts";
 import { createPublishedState } from "./create_published_state.ts";
 import { createRegistry } from "./create_registry.ts";
 import { createRelayHandler } from "./create_relay_handler.ts";
@@ -176,11 +177,17 @@
       },
     }),
   });
+  const healthProbe = createHealthProbe({ clock, pool });
   const reach = createReach({
     clock,
     log,
     registry,
     pool,
+    isAnswering: ({ entry }) =>
+      healthProbe(
+        entry,
+        state.index()?.findService(entry.service)?.healthPath ?? "/",
+      ),
     publish: () => network.sendHeartbeatNow(),
   });
   const relays = createRelays({
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -18,6 +18,7 @@
 
 const ENGINES: ServiceDefinition = {
   name: "engines",
+  healthPath: "/health",
   maxConnections: 100,
   warmUpMs: 0,
   warmUpCallsPerSecond: 0,
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -55,6 +55,8 @@
 /** A service, with limits for its upstreams. */
 export interface ServiceDefinition {
   name: string;
+  /** Path of its upstreams' health requests. */
+  healthPath: string;
   /** Connections that an upstream accepts, summed over all VMs. */
   maxConnections: number;
   /** Warm-up time of a started upstream, in milliseconds. */
--- a/packages/standins/src/create_test_links.ts
+++ b/packages/standins/src/create_test_links.ts
@@ -12,6 +12,8 @@
   Reset = "reset",
   /** Nothing arrives any more, in either direction. */
   Silent = "silent",
+  /** New connections are accepted, and nothing arrives on any of them. */
+  AcceptSilent = "accept-silent",
   /** Open connections live on, new ones are refused. */
   RefuseNew = "refuse-new",
 }
@@ -40,6 +42,11 @@
   const pairs = new Set<[Socket, Socket]>();
   let failure: LinkFailure | undefined;
 
+  function isSilent(): boolean {
+    return failure === LinkFailure.Silent ||
+      failure === LinkFailure.AcceptSilent;
+  }
+
   function join([client, upstream]: [Socket, Socket]): void {
     client.pipe(upstream);
     upstream.pipe(client);
@@ -62,7 +69,7 @@
       });
     }
     join(pair);
-    if (failure === LinkFailure.Silent) separate(pair);
+    if (isSilent()) separate(pair);
   }
 
   function serverOf(address: LinkAddress): Promise<Server> {
@@ -82,7 +89,9 @@
       const socket = new Socket();
       socket.setNoDelay();
       if (failure === LinkFailure.Silent) return socket;
-      if (failure) return socket.connect(CLOSED_PORT, "127.0.0.1");
+      if (failure && !isSilent()) {
+        return socket.connect(CLOSED_PORT, "127.0.0.1");
+      }
       void serverOf(address).then((server) => {
         const { port } = server.address() as AddressInfo;
         if (!socket.destroyed) socket.connect(port, "127.0.0.1");
@@ -90,12 +99,12 @@
       return socket;
     },
     setFailure(next) {
-      if (failure === LinkFailure.Silent) {
+      if (isSilent()) {
         for (const pair of pairs) join(pair);
       }
       failure = next;
       for (const pair of [...pairs]) {
-        if (next === LinkFailure.Silent) separate(pair);
+        if (isSilent()) separate(pair);
         if (next !== LinkFailure.Reset) continue;
         for (const socket of pair) socket.resetAndDestroy();
       }
