router: use all links of a lost service again once one upstream answers

Cause: create_reach_test 'accepted connections without an answer are lost after a second' failed once in a whole run: the upstream that answered the probe was not among the three that had counted as lost, so that these stayed lost until the next probe, 200 ms later.

Change: the first answer from a service that is lost as a whole ends the loss for all its upstreams. Test: failed by chance before (one of four upstreams is not probed); 8 of 8 runs pass.

--- a/packages/router/src/create_reach.ts
+++ b/packages/router/src/create_reach.ts
@@ -178,7 +178,9 @@
       onUnanswered(upstream);
       return false;
     }
-    if (isLostUpstream(upstream)) onLinksRegained(upstream.entry.service);
+    const { service } = upstream.entry;
+    const wasLost = reachOf(service).isAllLost || isLostUpstream(upstream);
+    if (wasLost) onLinksRegained(service);
     onReceived(upstream);
     return true;
   }
