--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -103,7 +103,7 @@
 /** Range of a prefill's time, in ms, from harmless to fully harmful. */
 const HARMFUL_PREFILL_RANGE_MS = [50, 200] as const;
 /** Cost of each millisecond of a fetch, besides the delay. */
-const FETCH_COST_SHARE = 6;
+const FETCH_COST_SHARE = 1;
 /** Least share of the prefill time that a fetch has to save. */
 const MIN_FETCH_SAVING_SHARE = 0.5;
 /** Delay of a first event by each call in the batch, in milliseconds. */
