--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -100,7 +100,7 @@
     }
   }
 
-  /** Tells all VMs which crashes the suspects did not cause. */
+  /** Publishes which crashes the suspects did not cause. */
   function clear(suspects: Omit<ContainedRequest, "id">): void {
     const clearings = evidence.clearedBy(suspects);
     if (clearings.length === 0) return;
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -116,7 +116,7 @@
  * on-time start.
  */
 const LATE_TOLERANCE_SHARE = 0.25;
-/** Fewest new tokens of shared parts that other data centres are told of. */
+/** Fewest new tokens of shared parts that are announced to all VMs. */
 const MIN_ANNOUNCED_TOKENS = 500;
 /** Poll interval for free capacity while requests are queued, in ms. */
 const QUEUE_POLL_MS = 5;
