router: log from whom an entry or its removal came, and calls at removed entries

Change: upstream-changed has from, platform-regained lostMs, placed entryRemoved. No decision changed.

--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -220,6 +220,7 @@
       call: placement.call,
       urgency: state.urgency,
       heldMs: Math.round(placement.queuedMs),
+      entryRemoved: placement.upstream.removeAtMs !== undefined || undefined,
       newTokens: placement.newTokens || undefined,
       fetchFrom: placement.fetchFrom?.entry.id,
       calls: placement.upstream.model.callCount(),
--- a/packages/router/src/create_published_state.ts
+++ b/packages/router/src/create_published_state.ts
@@ -97,6 +97,7 @@
    */
   let confirmedMs = -Infinity;
   let isPlatformLost = false;
+  let lostSinceMs = -Infinity;
   let regainedMs = -Infinity;
 
   function applyChanges(changes: PublishedChanges, from: string): void {
@@ -124,9 +125,10 @@
           acceptConfiguration(decoded.value, item, from);
         }
       } else if (decoded.kind === DecodedItemKind.Upstream) {
-        if (!decoded.value) registry.remove(decoded.id, keepRemovedMs());
-        else if (isRestored) setRestoredUpstream(decoded.value);
-        else registry.set(decoded.id, decoded.value);
+        if (!decoded.value) {
+          registry.remove(decoded.id, { keepMs: keepRemovedMs(), from });
+        } else if (isRestored) setRestoredUpstream(decoded.value);
+        else registry.set(decoded.id, decoded.value, from);
       } else {
         const { dataCentre, isOut } = decoded;
         registry.setDataCentre(
@@ -199,7 +201,10 @@
       if (isPlatformLost) {
         isPlatformLost = false;
         regainedMs = clock.now();
-        log.info(LogEvent.PlatformRegained, { revision: changes.head });
+        log.info(LogEvent.PlatformRegained, {
+          revision: changes.head,
+          lostMs: Math.round(regainedMs - lostSinceMs),
+        });
       }
       const after = published.head();
       applyChanges(changes, "platform");
@@ -215,6 +220,7 @@
     onReadError(reason: string) {
       if (isPlatformLost) return;
       isPlatformLost = true;
+      lostSinceMs = clock.now();
       log.warn(LogEvent.PlatformLost, { reason, revision: published.head() });
     },
   };
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -62,13 +62,16 @@
 
 /** Registry of the known upstreams and their state. */
 export interface Registry {
-  /** Adds or updates an entry; a restarted upstream gets a new state. */
-  set(id: string, entry: UpstreamEntry): void;
+  /**
+   * Adds or updates an entry; a restarted upstream gets a new state. `from` is
+   * the platform or the peer that it was received from, for the log.
+   */
+  set(id: string, entry: UpstreamEntry, from?: string): void;
   /**
    * Removes an entry. The upstream is kept for `keepMs`, since entries of
    * healthy upstreams can expire while the platform is unreachable.
    */
-  remove(id: string, keepMs: number): void;
+  remove(id: string, options: { keepMs: number; from?: string }): void;
   find(id: string): Upstream | undefined;
   /**
    * Upstreams of a service that can get calls: not down, not draining, not
@@ -307,7 +310,7 @@
   }
 
   return {
-    set(id, entry) {
+    set(id, entry, from) {
       const known = upstreams.get(id);
       versions.onEntry(id, entry);
       const isSameRun = known && runOf(known.entry) === runOf(entry);
@@ -333,9 +336,10 @@
         draining: entry.isDraining,
         coldMs: entry.warmUpMs,
         newRun: !isSameRun,
+        from,
       });
     },
-    remove(id, keepMs) {
+    remove(id, { keepMs, from }) {
       versions.onRemoved(id, keepMs);
       const known = upstreams.get(id);
       if (!known) return;
@@ -344,7 +348,8 @@
       log.info(LogEvent.UpstreamChanged, {
         upstream: id,
         removed: true,
-        keepMs,
+        keepMs: Math.round(keepMs),
+        from,
       });
     },
     find: (id) => upstreams.get(id),
--- a/packages/router/src/create_registry_test.ts
+++ b/packages/router/src/create_registry_test.ts
@@ -118,7 +118,7 @@
 test("an upstream whose entry expired is kept for a time, then removed", () => {
   const { clock, registry } = createTestRegistry();
   registry.set("u", entryOf());
-  registry.remove("u", 2000);
+  registry.remove("u", { keepMs: 2000 });
   assert.equal(registry.eligible("engines").length, 1);
   clock.advance(2001);
   assert.equal(registry.eligible("engines").length, 0);
@@ -127,7 +127,7 @@
 test("an upstream whose expired entry is registered again is kept", () => {
   const { clock, registry } = createTestRegistry();
   registry.set("u", entryOf());
-  registry.remove("u", 2000);
+  registry.remove("u", { keepMs: 2000 });
   registry.set("u", entryOf());
   clock.advance(5000);
   assert.equal(registry.eligible("engines").length, 1);
@@ -259,7 +259,7 @@
   assert.equal(registry.onLeaving("u", leaving), false);
   clock.advance(3_600_000);
   assert.equal(registry.eligible("engines").length, 0);
-  registry.remove("u", 0);
+  registry.remove("u", { keepMs: 0 });
   registry.set("u", entryOf({ startedMs: 1 }));
   assert.equal(registry.eligible("engines").length, 0);
   registry.set("u", entryOf({ startedMs: 2 }));
