router: a refusal counts for its own request only

What callers saw: 429 "not run" for calls that an upstream had run or was running, and non-idempotent calls that ran at a second upstream, after an upstream wrote an earlier refusal once more on a kept connection. Cause: run_attempt.ts read whether a response is a refusal before it compared the request that it names; any refusal that was the first thing on a connection counted for the call in progress. Its Retry-After, its limits and its leaving were applied again too. Change: every response, also a refusal, must name this request; a response that names none is accepted only as the first one on its connection, where nothing earlier can be due. What it says is applied after that check. The connection is closed, and the call counts as one that may have run. Why it works: the name is the only thing that tells a late response from the due one, and a call whose due answer is not known may have run.

--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -14,6 +14,8 @@
   /** Whether the upstream reset the connection. */
   wasReset: boolean;
   isClosed: boolean;
+  /** Whether it has carried a call before: late bytes of that may follow. */
+  hasCarriedCall: boolean;
   /** Monotonic time at which it was opened, in milliseconds. */
   openedMs: number;
   /** Monotonic time since which it is idle, in milliseconds. */
@@ -117,6 +119,7 @@
       onReceived: undefined,
       wasReset: false,
       isClosed: false,
+      hasCarriedCall: false,
       openedMs: clock.now(),
       idleSinceMs: clock.now(),
       idleLimitMs: DEFAULT_IDLE_LIMIT_MS,
@@ -223,6 +226,7 @@
         close(name, connection);
         return;
       }
+      connection.hasCarriedCall = true;
       keepIdle(name, connection);
     },
     discard(address, connection) {
--- a/packages/router/src/create_relays.ts
+++ b/packages/router/src/create_relays.ts
@@ -120,6 +120,7 @@
    * that VM.
    */
   function createRelayProtocol(
+    requestId: string,
     onRefusal: (refusal: TillerError | undefined) => void,
   ): WireProtocol {
     return {
@@ -129,7 +130,8 @@
         onRefusal(refusal);
         const { id, isSealed } = protocol.readResponse(status, headers);
         return {
-          id: refusal ? undefined : id,
+          // A VM's own errors do not name the request.
+          id: refusal ? requestId : id ?? requestId,
           isSealed,
           isNotRun: refusal !== undefined,
           isLeaving: false,
@@ -163,7 +165,7 @@
     });
     const running = runAttempt({
       clock,
-      protocol: createRelayProtocol((read) => refusal = read),
+      protocol: createRelayProtocol(state.id, (read) => refusal = read),
       connection,
       requestId: state.id,
       method: request.method,
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -142,15 +142,15 @@
     head = received;
     recordReceived();
     const metadata = protocol.readResponse(received.status, received.headers);
+    if (!answersThisRequest(metadata)) {
+      return reject("the upstream sent the response to another request");
+    }
     warmUpMs = metadata.warmUpMs;
     options.onHead(metadata);
     if (metadata.isNotRun) {
       isNotRun = true;
       return true;
     }
-    if (metadata.id !== undefined && metadata.id !== options.requestId) {
-      return reject("the upstream sent the response to another request");
-    }
     const isSuccess = received.status >= 200 && received.status < 300;
     if (!isSuccess) return true;
     if (!metadata.isSealed) {
@@ -163,6 +163,16 @@
     return true;
   }
 
+  /**
+   * Whether a response, also a refusal, is to this request: upstreams may write
+   * that to an earlier one again. Without an identifier, only the first response
+   * on a connection is certain to be.
+   */
+  function answersThisRequest({ id }: ResponseMetadata): boolean {
+    if (id !== undefined) return id === options.requestId;
+    return options.requestId === "" || !options.connection.hasCarriedCall;
+  }
+
   function reject(message: string): boolean {
     reason = message;
     return false;
