router: keep removed upstreams only after an outage that no peer refutes

What callers saw: a request reached an upstream 2.1 s after the platform's store had acknowledged that it leaves; 2 s are allowed. Cause: a VM whose own reads of the store failed kept the upstreams of removed entries for 2.2 s from the moment at which it applied the removal, as entries expire while the store is away. It did so also when only this VM was turned away, when the removal came from a peer that had read the store all the time, and for 2.2 s after a single reset of its connection. Change: create_removal_grace.ts decides. Heartbeats and pushes carry how long ago the platform responded to a VM whose reads had not failed for as long as expired entries take to be back, and for how long the sender keeps removed entries. A response to such a VM after this VM's last failure shows that the store was not away: what was kept is dropped. The time counts from the last failure, not from the removal. Why it works: an entry can only have expired for an outage of the store, which all VMs notice; one VM that was served throughout is proof of none.

--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -169,12 +169,29 @@
    * older versions, which take no relayed requests.
    */
   lostServices?: string[];
+  /**
+   * Time since the platform last responded to a VM that had read it without a
+   * failure for a while, in ms; undefined from VMs of older versions.
+   */
+  steadyReadAgeMs?: number;
+  /**
+   * Time for which entries that were removed may be back, as the platform was
+   * away from the sender, in ms; undefined from VMs of older versions.
+   */
+  keepRemovedMs?: number;
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
 export interface PushedItems extends PublishedChanges {
   /** `items` has every change after this revision, up to `head`. */
   after: number;
+  /** As in a heartbeat. */
+  steadyReadAgeMs?: number;
+  /**
+   * Time for which the sender keeps the entries that are removed, in ms;
+   * undefined from VMs of older versions.
+   */
+  keepRemovedMs?: number;
 }
 
 /** A datagram as encoded: kind, incarnation of the sender, content. */
@@ -216,6 +233,8 @@
   "callLimits",
   "lostServices",
   "brittleServices",
+  "steadyReadAgeMs",
+  "keepRemovedMs",
 ];
 
 /** Encodes as a list, as field names would take up most of a datagram. */
--- a/packages/router/src/create_published_state.ts
+++ b/packages/router/src/create_published_state.ts
@@ -17,6 +17,10 @@
   createConfigurationIndex,
 } from "./create_configuration_index.ts";
 import type { Registry } from "./create_registry.ts";
+import {
+  createRemovalGrace,
+  type PlatformReads,
+} from "./create_removal_grace.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import {
@@ -41,6 +45,8 @@
   configurationItem(): PublishedItem | undefined;
   /** Time since the latest revision was confirmed to this VM or a peer, in ms. */
   confirmedAgeMs(): number;
+  /** What this VM's heartbeats report about reads of the platform. */
+  platformReads(): PlatformReads;
   /** Confirms the revision, or pulls what the sender knows. */
   onHeartbeat(member: Member): void;
   onItems(member: Member, push: PushedItems): void;
@@ -84,6 +90,7 @@
   const { clock, log, decode, registry, network, port } = options;
   const { entriesBackMs, onConfiguration, onAdvanced } = options;
   const published = createPublishedItems();
+  const grace = createRemovalGrace({ clock, entriesBackMs });
   let isPulling = false;
   let timers: CancelTimer[] = [];
   let index: ConfigurationIndex | undefined;
@@ -98,7 +105,6 @@
   let confirmedMs = -Infinity;
   let isPlatformLost = false;
   let lostSinceMs = -Infinity;
-  let regainedMs = -Infinity;
 
   function applyChanges(changes: PublishedChanges, from: string): void {
     const before = published.position();
@@ -126,7 +132,7 @@
         }
       } else if (decoded.kind === DecodedItemKind.Upstream) {
         if (!decoded.value) {
-          registry.remove(decoded.id, { keepMs: keepRemovedMs(), from });
+          registry.remove(decoded.id, { keepMs: grace.keepMs(), from });
         } else if (isRestored) setRestoredUpstream(decoded.value);
         else registry.set(decoded.id, decoded.value, from);
       } else {
@@ -147,7 +153,7 @@
   function onRestored(before: PublishedPosition, from: string): void {
     // Entries that the restored copy lacks count like those that expired while
     // the platform was unreachable.
-    regainedMs = clock.now();
+    grace.onAway();
     log.warn(LogEvent.PlatformRestored, {
       fromEra: before.era,
       era: published.era(),
@@ -185,13 +191,9 @@
     });
   }
 
-  /**
-   * Time for which a removed upstream is kept. Entries that expired during an
-   * outage of the platform are back within `entriesBackMs` after it.
-   */
-  function keepRemovedMs(): number {
-    if (isPlatformLost) return entriesBackMs();
-    return Math.max(0, regainedMs + entriesBackMs() - clock.now());
+  /** Removes kept upstreams once it is known that no entry has expired. */
+  function endGraceIfRefuted(): void {
+    if (grace.keepMs() === 0) registry.dropRemoved();
   }
 
   const sink = {
@@ -200,17 +202,27 @@
     onResponse(changes: PublishedChanges) {
       if (isPlatformLost) {
         isPlatformLost = false;
-        regainedMs = clock.now();
         log.info(LogEvent.PlatformRegained, {
           revision: changes.head,
-          lostMs: Math.round(regainedMs - lostSinceMs),
+          lostMs: Math.round(clock.now() - lostSinceMs),
         });
       }
+      grace.onRead();
+      endGraceIfRefuted();
       const after = published.head();
       applyChanges(changes, "platform");
       confirmedMs = clock.now();
       if (changes.items.length === 0 && !changes.isWhole) return;
-      if (!changes.isWhole) network.pushItems({ ...changes, after });
+      if (!changes.isWhole) {
+        const { steadyReadAgeMs } = grace.reads();
+        const keepRemovedMs = Math.round(grace.keepMs());
+        network.pushItems({
+          ...changes,
+          after,
+          steadyReadAgeMs,
+          keepRemovedMs,
+        });
+      }
       network.sendHeartbeatNow();
     },
     canPause: () =>
@@ -218,6 +230,7 @@
       !network.isStoreReader() &&
       clock.now() - confirmedMs < MAX_CONFIRMATION_AGE_MS,
     onReadError(reason: string) {
+      grace.onAway();
       if (isPlatformLost) return;
       isPlatformLost = true;
       lostSinceMs = clock.now();
@@ -295,6 +308,7 @@
         clock.now() - heartbeat.confirmedAgeMs,
       );
     }
+    applyPeerReads(heartbeat);
     if (isPulling) return;
     const version = heartbeat.configurationVersion ?? 0;
     const ownVersion = Math.max(
@@ -305,7 +319,15 @@
     else if (version > ownVersion) void pullLostConfiguration(member, version);
   }
 
+  function applyPeerReads(
+    { steadyReadAgeMs = Infinity, keepRemovedMs = 0 }: Partial<PlatformReads>,
+  ): void {
+    grace.onPeerReads({ steadyReadAgeMs, keepRemovedMs });
+    endGraceIfRefuted();
+  }
+
   function onItems(member: Member, push: PushedItems): void {
+    applyPeerReads(push);
     if ((push.era ?? 0) !== published.era()) return;
     // After a gap, everything missing is pulled when a heartbeat announces it.
     if (push.after > published.head() || push.head <= published.head()) return;
@@ -318,6 +340,7 @@
     index: () => index,
     configurationItem: () => configurationItem,
     confirmedAgeMs: () => clock.now() - confirmedMs,
+    platformReads: grace.reads,
     onHeartbeat,
     onItems,
     close() {
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -72,6 +72,8 @@
    * healthy upstreams can expire while the platform is unreachable.
    */
   remove(id: string, options: { keepMs: number; from?: string }): void;
+  /** Removes the upstreams that are kept although their entries are gone. */
+  dropRemoved(): void;
   find(id: string): Upstream | undefined;
   /**
    * Upstreams of a service that can get calls: not down, not draining, not
@@ -352,6 +354,11 @@
         from,
       });
     },
+    dropRemoved() {
+      for (const [id, { removeAtMs }] of upstreams) {
+        if (removeAtMs !== undefined) upstreams.delete(id);
+      }
+    },
     find: (id) => upstreams.get(id),
     eligible(service) {
       const nowMs = clock.now();
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -149,6 +149,7 @@
       callLimits: callLimits.list(),
       brittleServices: brittleServices.list(),
       lostServices: reach.lostServices(),
+      ...state.platformReads(),
     }),
   });
   const gate = createConfigurationGate(clock);
