platform: bound how long a silent store connection hides that an upstream leaves

What callers saw: requests to an upstream 1.5 to 2.4 s after it had said that it leaves, while the open store connections of all VMs were silent and new ones worked; 2 s are allowed. Cause: the time within which a change must be known was in no setting. A watch waited 2 s for changes and 0.9 s for its response, the next one came after up to 0.19 s. All watches begin together after a change, so that they also ended together, and no VM could tell the others earlier. A VM that relies on its peers read itself after 3.2 s only. Change: the setting drainMs, from the platform's bound. A VM that relies on its peers reads itself 0.6 s before the time is over.

--- a/packages/router/src/create_published_state.ts
+++ b/packages/router/src/create_published_state.ts
@@ -68,6 +68,8 @@
   port: number;
   /** Time within which expired entries are back after an outage, in ms. */
   entriesBackMs(): number;
+  /** Time after which a leaving upstream must get no more requests, in ms. */
+  drainMs: number;
   onConfiguration(configuration: Configuration): void;
   /** The position has advanced. */
   onAdvanced(): void;
@@ -75,8 +77,11 @@
 
 /** Delay before newer items are pulled from a peer, in milliseconds. */
 const PULL_DELAY_MS = 60;
-/** Age of the last confirmation after which a paused VM reads again, in ms. */
-const MAX_CONFIRMATION_AGE_MS = 3200;
+/**
+ * Part of `drainMs` in which a VM that relies on its peers reads the platform
+ * itself, in milliseconds.
+ */
+const OWN_READ_MS = 600;
 /**
  * Time for which a data centre stays out of service that a restored platform no
  * longer lists as out, in milliseconds, unless it is listed again.
@@ -88,7 +93,7 @@
   options: PublishedStateOptions,
 ): PublishedState {
   const { clock, log, decode, registry, network, port } = options;
-  const { entriesBackMs, onConfiguration, onAdvanced } = options;
+  const { entriesBackMs, drainMs, onConfiguration, onAdvanced } = options;
   const published = createPublishedItems();
   const grace = createRemovalGrace({ clock, entriesBackMs });
   let isPulling = false;
@@ -228,7 +233,7 @@
     canPause: () =>
       network.hasStoreReaders() && index !== undefined &&
       !network.isStoreReader() &&
-      clock.now() - confirmedMs < MAX_CONFIRMATION_AGE_MS,
+      clock.now() - confirmedMs < drainMs - OWN_READ_MS,
     onReadError(reason: string) {
       grace.onAway();
       if (isPlatformLost) return;
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -69,6 +69,8 @@
   stopGraceMs: number;
   /** Time within which expired entries are back after an outage, in ms. */
   entriesBackMs: number;
+  /** Time after which a leaving upstream must get no more requests, in ms. */
+  drainMs: number;
   /**
    * Age beyond which a configuration is stale, in ms. Requests with unknown
    * routes or keys then get the retryable error `NotReady`.
@@ -161,6 +163,7 @@
     network,
     port: settings.peers.port,
     entriesBackMs: () => settings.entriesBackMs,
+    drainMs: settings.drainMs,
     onConfiguration({ limits }) {
       callerServer.setLimits(limits);
       gate.open();
--- a/packages/router/src/create_router_test.ts
+++ b/packages/router/src/create_router_test.ts
@@ -18,6 +18,7 @@
   leaveMs: 100,
   stopGraceMs: 1000,
   entriesBackMs: 300,
+  drainMs: 2000,
   staleMs: 4000,
 };
 
--- a/packages/settings/src/router_settings_schema.ts
+++ b/packages/settings/src/router_settings_schema.ts
@@ -105,6 +105,10 @@
     2200,
     "Time after a platform outage for which lapsed upstreams stay in use.",
   ),
+  drainMs: millisecondsField(
+    2000,
+    "Time after which a leaving upstream must get no more requests.",
+  ),
   staleMs: millisecondsField(
     4000,
     "Time since the last confirmation after which no route or key is denied.",
