router: check that an upstream is still in use once its connection is open

What callers could see: a request reaches an upstream up to 400 ms later than the VM knew that it leaves. Cause: the choice was made before the connection was opened and not checked again. Together with 1.7 s until the change is known this exceeds the 2 s that are allowed. Change: sendAttempt asks once the connection is open; if the upstream is no longer in use, nothing is written, the attempt ends as withdrawn and the request is placed again. The same holds for data centres that are taken out. Why it works: between the check and the first byte there is no wait.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -349,6 +349,7 @@
           progressMs = nowMs;
           containment.onProgress(state);
         },
+        maySend: () => registry.isInUse(upstream),
         onSent() {
           if (state.sends === 0) retries.onFirstSend(state.service.name);
           state.sends++;
--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -155,7 +155,9 @@
     });
     if (!backup) retries.spend(state);
     started.ended.then(({ result }) => {
-      if (result === AttemptResult.Unsent) state.backup ??= kept;
+      const wasSent = result !== AttemptResult.Unsent &&
+        result !== AttemptResult.Withdrawn;
+      if (!wasSent) state.backup ??= kept;
     });
     return started;
   }
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -85,6 +85,8 @@
    * now.
    */
   inService(service: string): Upstream[];
+  /** Whether an upstream is in use, as of now, and still the same run. */
+  isInUse(upstream: Upstream): boolean;
   /**
    * This VM had lost its links to the upstream and has them back: the upstream
    * was not down, and needs no warm-up for that.
@@ -283,19 +285,23 @@
     return true;
   }
 
+  function isInUse(upstream: Upstream): boolean {
+    const { entry, removeAtMs } = upstream;
+    const nowMs = clock.now();
+    if (upstreams.get(entry.id) !== upstream || entry.isDraining) return false;
+    if (removeAtMs !== undefined && removeAtMs <= nowMs) return false;
+    if (leavingRuns.has(entry.id)) return false;
+    return (outUntilMs.get(entry.dataCentre) ?? 0) <= nowMs;
+  }
+
   /** Upstreams of a service, those that are down or paused included. */
   function listInService(service: string): Upstream[] {
     const nowMs = clock.now();
     const list: Upstream[] = [];
     for (const [id, upstream] of upstreams) {
-      const { entry, removeAtMs } = upstream;
-      if (removeAtMs !== undefined && removeAtMs <= nowMs) {
-        upstreams.delete(id);
-        continue;
-      }
-      if (entry.service !== service || entry.isDraining) continue;
-      if (leavingRuns.has(id)) continue;
-      if ((outUntilMs.get(entry.dataCentre) ?? 0) > nowMs) continue;
+      const { removeAtMs } = upstream;
+      if (removeAtMs !== undefined && removeAtMs <= nowMs) upstreams.delete(id);
+      if (upstream.entry.service !== service || !isInUse(upstream)) continue;
       list.push(upstream);
     }
     return list;
@@ -367,6 +373,7 @@
       );
     },
     inService: listInService,
+    isInUse,
     onLinkRegained(upstream) {
       const { assumedWarmUp } = upstream;
       if (!assumedWarmUp) return;
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -267,6 +267,7 @@
         return;
       }
       if (ended.result === AttemptResult.Aborted) return;
+      if (ended.result === AttemptResult.Withdrawn) continue;
       if (ended.result === AttemptResult.Unsent) {
         connectFailures++;
         continue;
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -94,6 +94,8 @@
 export enum AttemptResult {
   /** No connection was established; nothing was sent. */
   Unsent = "unsent",
+  /** The upstream left before the connection was established; nothing was sent. */
+  Withdrawn = "withdrawn",
   /** The upstream declared that it did not execute the request. */
   NotRun = "not-run",
   /** A complete response was received, of any status. */
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -43,6 +43,8 @@
   softwareVersion: string | undefined;
   stream: StreamState;
   response: CallerResponse;
+  /** Whether the upstream can still get the request, as of now. */
+  maySend?(): boolean;
   /** The request is about to be written; it may be executed from now on. */
   onSent(): void;
   /** Headers or data were received from the upstream. */
@@ -301,6 +303,11 @@
   }
 
   const running = sendAttempt(options, {
+    maySend() {
+      if (!options.maySend || options.maySend()) return true;
+      aborted ??= AttemptResult.Withdrawn;
+      return false;
+    },
     onSent: options.onSent,
     onHead: readHead,
     onData: readData,
--- a/packages/router/src/send_attempt.ts
+++ b/packages/router/src/send_attempt.ts
@@ -23,6 +23,8 @@
 
 /** Receives a call's events in this order; `onEnd` is called exactly once. */
 export interface AttemptListener {
+  /** Asked once a connection is established; the call ends if it is false. */
+  maySend?(): boolean;
   /** The request is about to be written; it may be executed from now on. */
   onSent(): void;
   /** Returns false to abort the call. */
@@ -95,6 +97,10 @@
         startedController.abort(new Error("aborted before it was sent"));
         return;
       }
+      if (listener.maySend?.() === false) {
+        abort("no longer to be sent");
+        return;
+      }
       wasSent = true;
       sentAtBytes = connection.bytesReceived();
       connection.onReceived = checkFraming;
--- a/packages/standins/src/create_test_links.ts
+++ b/packages/standins/src/create_test_links.ts
@@ -5,6 +5,7 @@
   type Server,
   Socket,
 } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 
 /** How the links of a VM to all upstreams fail. */
 export enum LinkFailure {
@@ -30,6 +31,8 @@
   connect(address: LinkAddress): Socket;
   /** Fails the links, or restores them. */
   setFailure(failure: LinkFailure | undefined): void;
+  /** Delays new connections by this time, in milliseconds. */
+  setConnectDelay(delayMs: number): void;
   close(): void;
 }
 
@@ -41,6 +44,7 @@
   const servers = new Map<string, Promise<Server>>();
   const pairs = new Set<[Socket, Socket]>();
   let failure: LinkFailure | undefined;
+  let connectDelayMs = 0;
 
   function isSilent(): boolean {
     return failure === LinkFailure.Silent ||
@@ -92,12 +96,14 @@
       if (failure && !isSilent()) {
         return socket.connect(CLOSED_PORT, "127.0.0.1");
       }
-      void serverOf(address).then((server) => {
+      void serverOf(address).then(async (server) => {
+        await sleep(connectDelayMs);
         const { port } = server.address() as AddressInfo;
         if (!socket.destroyed) socket.connect(port, "127.0.0.1");
       });
       return socket;
     },
+    setConnectDelay: (delayMs) => void (connectDelayMs = delayMs),
     setFailure(next) {
       if (isSilent()) {
         for (const pair of pairs) join(pair);
