router: in large fleets, let the excess of a data centre overflow

Cause: in a fleet of more than 24 VMs, a VM uses the engines of its own data centre as long as there is one, whatever the demand and the number of engines. A data centre with one engine left would send it everything: "burst in one data centre of a large fleet: its excess overflows" places 8 long prompts on 8 engines; without the change, 7 of 8 queue for the only one of their data centre. Change: heartbeats carry the prompt tokens a second that a VM's callers ask for. overflow_shares.ts computes which share of a data centre's work the others should take for the same demand for each engine everywhere. That share of its requests, drawn at their arrival, may go there while the engines here are busy.

--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -179,6 +179,11 @@
    * away from the sender, in ms; undefined from VMs of older versions.
    */
   keepRemovedMs?: number;
+  /**
+   * Prompt tokens a second that the sender's callers ask for, by service;
+   * undefined from VMs of older versions.
+   */
+  demand?: [string, number][];
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
@@ -235,6 +240,7 @@
   "brittleServices",
   "steadyReadAgeMs",
   "keepRemovedMs",
+  "demand",
 ];
 
 /** Encodes as a list, as field names would take up most of a datagram. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -16,5 +16,6 @@
 export * from "./create_shared_allowance.ts";
 export * from "./create_speed_estimate.ts";
 export * from "./create_upstream_limit.ts";
+export * from "./overflow_shares.ts";
 export * from "./queued_request.ts";
 export * from "./turn_of.ts";
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -30,6 +30,7 @@
 import { createConfigurationGate } from "./create_configuration_gate.ts";
 import { createHealthProbe } from "./create_health_probe.ts";
 import { createPublishedState } from "./create_published_state.ts";
+import { createOverflow } from "./create_overflow.ts";
 import { createRegistry } from "./create_registry.ts";
 import { createRelayHandler } from "./create_relay_handler.ts";
 import { createRelays, RELAY_PATH } from "./create_relays.ts";
@@ -152,6 +153,7 @@
       brittleServices: brittleServices.list(),
       lostServices: reach.lostServices(),
       ...state.platformReads(),
+      demand: overflow.demand(),
     }),
   });
   const gate = createConfigurationGate(clock);
@@ -219,11 +221,13 @@
     facts,
     pull: (host) => pullFacts({ host, port: settings.peers.port }),
   });
+  const overflow = createOverflow({ clock, registry, network, dataCentre });
   const scheduler = createScheduler({
     clock,
     registry,
     network,
     upstreamLimits,
+    overflow,
     dataCentre,
   });
   const origins = createStreamOrigins({ clock, network, dataCentre });
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -19,6 +19,7 @@
 } from "@rosemarytiller/shared";
 import { chooseFetchSource } from "./choose_fetch_source.ts";
 import { createCachedPrefixes } from "./create_cached_prefixes.ts";
+import type { Overflow } from "./create_overflow.ts";
 import type { Registry, Upstream } from "./create_registry.ts";
 import type { UpstreamLimits } from "./create_upstream_limits.ts";
 import type { Prompt, ServiceDefinition } from "./ports.ts";
@@ -97,6 +98,7 @@
     | "isLargeFleet"
   >;
   upstreamLimits: UpstreamLimits;
+  overflow: Pick<Overflow, "onRequest" | "drawDataCentre">;
   /** Data centre of this VM. */
   dataCentre: string;
 }
@@ -116,6 +118,11 @@
  * on-time start.
  */
 const LATE_TOLERANCE_SHARE = 0.25;
+/**
+ * Fraction of the target beyond which a predicted time to the first event shows
+ * that the engines of this data centre are busy.
+ */
+const BUSY_SHARE = 0.5;
 /** Fewest new tokens of shared parts that are announced to all VMs. */
 const MIN_ANNOUNCED_TOKENS = 500;
 /** Poll interval for free capacity while requests are queued, in ms. */
@@ -143,8 +150,14 @@
 /** Range of the retry-after for refused requests before jitter, in ms. */
 const RETRY_AFTER_RANGE_MS = [150, 1500] as const;
 
+/** A request with what was decided at its arrival. */
+interface ArrivedRequest extends PlacementRequest {
+  /** Data centre that may take it while the engines of this one are busy. */
+  overflowTo: string | undefined;
+}
+
 interface QueuedRequest {
-  request: PlacementRequest;
+  request: ArrivedRequest;
   resolve(placement: Placement): void;
   reject(error: TillerError): void;
 }
@@ -156,6 +169,7 @@
 /** Creates a scheduler, which polls for capacity while requests are queued. */
 export function createScheduler(options: SchedulerOptions): Scheduler {
   const { clock, registry, network, upstreamLimits, dataCentre } = options;
+  const { overflow } = options;
   /** Queued requests, the most urgent and oldest first. */
   const queue: QueuedRequest[] = [];
   const callsByUpstream = new Map<string, Set<number>>();
@@ -185,7 +199,7 @@
       if (!upstreamLimits.canAdmit(upstream)) continue;
       list.push(upstream);
     }
-    return isLarge && request.service.engine ? preferLocal(list) : list;
+    return list;
   }
 
   /**
@@ -198,9 +212,33 @@
   }
 
   function choose(
-    request: PlacementRequest,
+    request: ArrivedRequest,
   ): EngineChoice<Candidate> | undefined {
     const list = listCandidates(request);
+    if (!network.isLargeFleet() || !request.service.engine) {
+      return chooseAmong(list, request);
+    }
+    const choice = chooseAmong(preferLocal(list), request);
+    if (!request.overflowTo || (choice && !isBusy(choice, request))) {
+      return choice;
+    }
+    const others = list.filter(({ entry }) =>
+      entry.dataCentre === request.overflowTo
+    );
+    return chooseAmong(others, request) ?? choice;
+  }
+
+  function isBusy(
+    { shouldQueue, predictedMs }: EngineChoice<Candidate>,
+    { targetMs }: PlacementRequest,
+  ): boolean {
+    return shouldQueue || predictedMs > targetMs * BUSY_SHARE;
+  }
+
+  function chooseAmong(
+    list: readonly Upstream[],
+    request: PlacementRequest,
+  ): EngineChoice<Candidate> | undefined {
     const { engine } = request.service;
     if (!engine || !request.prompt) return chooseLeastLoaded(list);
     const size = { slots: engine.slots, memoryTokens: engine.memoryTokens };
@@ -498,7 +536,7 @@
 
   /** Places or refuses a request; undefined if it should stay queued. */
   function decide(
-    request: PlacementRequest,
+    request: ArrivedRequest,
   ): Placement | TillerError | undefined {
     const choice = choose(request);
     if (!choice) {
@@ -536,6 +574,16 @@
     processQueue();
   }
 
+  function arrive(request: PlacementRequest): ArrivedRequest {
+    const { service, prompt } = request;
+    if (!service.engine || !prompt) {
+      return { ...request, overflowTo: undefined };
+    }
+    overflow.onRequest(service.name, prompt.promptTokens);
+    const overflowTo = overflow.drawDataCentre(service.name);
+    return { ...request, overflowTo };
+  }
+
   function enqueue(entry: QueuedRequest): void {
     let index = queue.length;
     while (
@@ -545,12 +593,13 @@
   }
 
   return {
-    place(request, signal) {
+    place(placementRequest, signal) {
       return new Promise((resolve, reject) => {
         if (signal.aborted) {
           reject(createAbortError());
           return;
         }
+        const request = arrive(placementRequest);
         const entry = { request, resolve, reject };
         const isNext = queue.every((other) =>
           !hasPrecedence(other.request, request)
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -38,6 +38,8 @@
     isLarge?: boolean;
     remoteFrom?: number;
     fetchBytesPerMs?: number;
+    /** Data centre to which requests may overflow. */
+    overflowTo?: string;
   } = {},
 ) {
   const { isLarge = false, remoteFrom = engines } = options;
@@ -78,6 +80,10 @@
       onDeclined() {},
       onEnded() {},
     },
+    overflow: {
+      onRequest() {},
+      drawDataCentre: () => options.overflowTo,
+    },
     network: {
       flushLoadEvents: () => {},
       publishLoadEvent: (event) => void loadEvents.push(event),
@@ -268,6 +274,31 @@
   assert.deepEqual(scheduler.ownCalls().map(([id]) => id), ["u0"]);
 });
 
+// Guards against clients who wait for their own data centre's engines while
+// others have room.
+test("burst in one data centre of a large fleet: its excess overflows", () => {
+  const options = { isLarge: true, remoteFrom: 1, overflowTo: "south" };
+  const { clock, scheduler } = createTestScheduler(8, options);
+  const arrivedMs = clock.now();
+  const requests = Array.from(
+    { length: 8 },
+    () => requestOf(CallRank.Loose, { ...LONG_PROMPT, arrivedMs }),
+  );
+  placeAll(scheduler, requests);
+  assert.equal(scheduler.queuedCount(), 0);
+  assert.ok(scheduler.ownCalls().length > 2);
+});
+
+test("a request that may overflow stays while its own engines are idle", () => {
+  const options = { isLarge: true, remoteFrom: 1, overflowTo: "south" };
+  const { clock, scheduler } = createTestScheduler(8, options);
+  const arrivedMs = clock.now();
+  placeAll(scheduler, [
+    requestOf(CallRank.Loose, { ...LONG_PROMPT, arrivedMs }),
+  ]);
+  assert.deepEqual(scheduler.ownCalls().map(([id]) => id), ["u0"]);
+});
+
 test("large fleet without local engines: calls are spread over remote ones", () => {
   const options = { isLarge: true, remoteFrom: 0 };
   const { clock, scheduler } = createTestScheduler(8, options);
