entry: a response that names another attempt is not this call's

Cause: an entry took any 429 or 503 for the refusal of its own call. Change: a response whose x-attempt-id differs from the attempt's closes the connection, and the call counts as one that may have run. Upstreams that do not repeat the header are as before (LIMITS.md).

--- a/packages/entry/src/send_upstream.ts
+++ b/packages/entry/src/send_upstream.ts
@@ -61,12 +61,24 @@
       body: body && body.length > 0 ? body : null,
       signal,
     });
-    return ignoreUnreadBodyErrors(response);
+    checkAttempt(ignoreUnreadBodyErrors(response), attempt.id);
+    return response;
   } catch (cause) {
     throw started ? cause : new UnsentError(cause);
   }
 }
 
+/**
+ * Throws if the response names another attempt: upstreams may write an earlier
+ * response again on a connection that is kept open.
+ */
+function checkAttempt({ headers, body }: UpstreamResponse, id: string): void {
+  const named = headers["x-attempt-id"];
+  if (named === undefined || named === id) return;
+  body.destroy();
+  throw new Error("the upstream sent the response to another attempt");
+}
+
 /**
  * Keeps an error of a body that is abandoned before its end from ending the
  * process as an unhandled `error` event.
