policy: an engine's state costs the calls that wait, not all calls

Cause: each choice of an engine went through all calls of each candidate four times: 138 us for ten engines with 60 calls each, ten of them before their first event, on this machine. Under load a VM makes hundreds of choices a second. Change: the model keeps the calls without a first event, the only ones that may need prefill, and counts of the others by urgency and pause. Result: 58 us for the same choice; 225 tests of policy and router pass unchanged.

--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -28,6 +28,13 @@
   hasFirstEvent: boolean;
 }
 
+/** Calls that a prefill delays alike. */
+interface CallGroup {
+  urgency: number;
+  maxPauseMs: number;
+  callCount: number;
+}
+
 /** Capacity of an engine. */
 export interface EngineSize {
   /** Number of concurrent calls. */
@@ -126,6 +133,10 @@
   speed: EngineSpeed,
 ): EngineModel {
   const calls = new Map<string, TrackedCall>();
+  /** Calls without a first event, the only ones that may need prefill. */
+  const waiting = new Set<TrackedCall>();
+  /** Groups of all calls, by urgency and pause. */
+  const groups = new Map<string, CallGroup>();
   /** Cached parts with their tokens, the least recently used first. */
   const cache = new Map<string, number>();
   let cacheTokens = 0;
@@ -161,8 +172,8 @@
 
   /** Whether a first event is overdue, so that the engine is behind. */
   function isBehind(nowMs: number): boolean {
-    for (const { presumedDoneMs, hasFirstEvent } of calls.values()) {
-      if (hasFirstEvent || presumedDoneMs === undefined) continue;
+    for (const { presumedDoneMs } of waiting) {
+      if (presumedDoneMs === undefined) continue;
       const overdueMs = nowMs - presumedDoneMs - speed.baseMs;
       if (overdueMs > CONFIRM_MS && overdueMs < MAX_CONFIRM_MS) return true;
     }
@@ -182,7 +193,7 @@
     }
     let budget = elapsedMs * rate;
     const queued = [];
-    for (const call of calls.values()) {
+    for (const call of waiting) {
       if (call.remainingTokens > 0) queued.push(call);
     }
     queued.sort((left, right) =>
@@ -199,11 +210,25 @@
     utilization = utilization * decay + (1 - decay) * (1 - idleMs / elapsedMs);
   }
 
+  function changeGroup(
+    { urgency, maxPauseMs }: EngineWork,
+    difference: number,
+  ): void {
+    const name = `${urgency} ${maxPauseMs}`;
+    const group = groups.get(name);
+    const callCount = (group?.callCount ?? 0) + difference;
+    if (callCount <= 0) groups.delete(name);
+    else if (group) group.callCount = callCount;
+    else groups.set(name, { urgency, maxPauseMs, callCount });
+  }
+
   function removeCall(key: string): void {
     const call = calls.get(key);
     if (!call) return;
     reservedTokens -= call.memoryTokens;
     calls.delete(key);
+    waiting.delete(call);
+    changeGroup(call, -1);
     // Its prefill may not have begun.
     if (!call.hasFirstEvent) settleParts(key, { isPrefilled: false });
   }
@@ -263,19 +288,22 @@
       removeCall(key);
       reservedTokens += work.memoryTokens;
       let aheadTokens = 0;
-      for (const call of calls.values()) {
+      for (const call of waiting) {
         if (call.remainingTokens <= 0) continue;
         if (call.urgency <= work.urgency) aheadTokens += call.remainingTokens;
         else call.aheadTokens += work.newTokens;
       }
-      calls.set(key, {
+      const started: TrackedCall = {
         ...work,
         remainingTokens: work.newTokens,
         aheadTokens,
         startedMs: nowMs,
         presumedDoneMs: work.newTokens > 0 ? undefined : nowMs,
         hasFirstEvent: false,
-      });
+      };
+      calls.set(key, started);
+      waiting.add(started);
+      changeGroup(started, 1);
       addToCache(key, parts);
     },
     onFirstEvent(key, nowMs) {
@@ -284,6 +312,7 @@
       if (!call || call.hasFirstEvent) return;
       observeSpeed(call, nowMs);
       call.hasFirstEvent = true;
+      waiting.delete(call);
       settleParts(key, { isPrefilled: true });
       call.remainingTokens = 0;
     },
@@ -307,7 +336,7 @@
     queuedPrefillTokens(urgency, nowMs) {
       advance(nowMs);
       let tokens = 0;
-      for (const call of calls.values()) {
+      for (const call of waiting) {
         if (call.urgency <= urgency) tokens += call.remainingTokens;
       }
       return tokens;
@@ -317,15 +346,18 @@
     memoryTokens: () => reservedTokens,
     interferenceWeight(urgency) {
       let weight = 0;
-      for (const call of calls.values()) {
-        if (call.maxPauseMs > MAX_SENSITIVE_PAUSE_MS) continue;
-        weight += call.urgency < urgency ? 1 : NOT_MORE_URGENT_WEIGHT;
+      for (const group of groups.values()) {
+        if (group.maxPauseMs > MAX_SENSITIVE_PAUSE_MS) continue;
+        weight += group.callCount *
+          (group.urgency < urgency ? 1 : NOT_MORE_URGENT_WEIGHT);
       }
       return weight;
     },
     sumPauses(weightOf) {
       let sum = 0;
-      for (const { maxPauseMs } of calls.values()) sum += weightOf(maxPauseMs);
+      for (const { maxPauseMs, callCount } of groups.values()) {
+        sum += weightOf(maxPauseMs) * callCount;
+      }
       return sum;
     },
     prefillUtilization(nowMs) {
