router: compare the demand of data centres by reports of the same age

Cause: a VM of a large fleet hears from each VM of another data centre every ten seconds or so. Change: a heartbeat also carries the demand of the sender's data centre, and the latest report of any of its VMs counts; demand is averaged over 15 s in place of 3 s; an excess of up to 5% stays.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -61,6 +61,8 @@
   lastMessageMs: number;
   /** Its last heartbeat; an empty one of revision 0 until it sends one. */
   heartbeat: Heartbeat;
+  /** Time of its last heartbeat on this VM's clock, in milliseconds. */
+  heartbeatMs: number;
 }
 
 /** Callbacks for messages and membership changes. */
@@ -380,6 +382,7 @@
           members: [],
           calls: [],
         },
+        heartbeatMs: -Infinity,
       };
       members.set(from, member);
       currentLoadFleet = undefined;
@@ -424,6 +427,7 @@
       return;
     }
     if (kind !== PeerMessageKind.Heartbeat) return;
+    member.heartbeatMs = clock.now();
     member.heartbeat = decodeHeartbeat(content);
     if (member.dataCentre !== member.heartbeat.dataCentre) {
       member.dataCentre = member.heartbeat.dataCentre;
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -134,6 +134,12 @@
  */
 export type Statement = [subject: string, value: number, ageMs: number];
 
+/**
+ * Prompt tokens a second that callers ask for at a service: at the sender, and
+ * at all VMs of its data centre as the sender knows them.
+ */
+export type ServiceDemand = [service: string, own: number, all: number];
+
 /** Content of a VM's heartbeat. */
 export interface Heartbeat {
   dataCentre: string;
@@ -179,11 +185,8 @@
    * away from the sender, in ms; undefined from VMs of older versions.
    */
   keepRemovedMs?: number;
-  /**
-   * Prompt tokens a second that the sender's callers ask for, by service;
-   * undefined from VMs of older versions.
-   */
-  demand?: [string, number][];
+  /** Demand by service; undefined from VMs of older versions. */
+  demand?: ServiceDemand[];
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
--- a/packages/policy/src/overflow_shares.ts
+++ b/packages/policy/src/overflow_shares.ts
@@ -8,7 +8,7 @@
 }
 
 /** Excess of demand up to which a data centre keeps all of its work. */
-const MAX_EXCESS_SHARE = 0.03;
+const MAX_EXCESS_SHARE = 0.05;
 
 /**
  * Shares of the work of the data centre `own` that others should take, so that
--- a/packages/router/src/create_overflow.ts
+++ b/packages/router/src/create_overflow.ts
@@ -1,4 +1,4 @@
-import type { PeerNetwork } from "@rosemarytiller/peers";
+import type { Member, PeerNetwork, ServiceDemand } from "@rosemarytiller/peers";
 import { type DataCentreLoad, overflowShares } from "@rosemarytiller/policy";
 import type { Clock } from "@rosemarytiller/shared";
 import type { Registry } from "./create_registry.ts";
@@ -10,8 +10,8 @@
 export interface Overflow {
   /** Counts a caller's request with this many prompt tokens. */
   onRequest(service: string, promptTokens: number): void;
-  /** Prompt tokens a second that this VM's callers ask for, by service. */
-  demand(): [string, number][];
+  /** What this VM's heartbeats report. */
+  demand(): ServiceDemand[];
   /**
    * Draws the data centre that may take a request of a service if the engines
    * here are busy; undefined if it should stay.
@@ -30,8 +30,11 @@
   random?: () => number;
 }
 
-/** Time in which the demand of earlier requests halves, in milliseconds. */
-const DEMAND_HALF_LIFE_MS = 3000;
+/**
+ * Time in which the demand of earlier requests halves, in milliseconds; much
+ * longer than reports take, so that a burst everywhere looks like one.
+ */
+const DEMAND_HALF_LIFE_MS = 15_000;
 /** Time for which computed shares are used, in milliseconds. */
 const SHARES_MS = 250;
 
@@ -60,23 +63,46 @@
     return weightedTokens(demand) * Math.LN2 / DEMAND_HALF_LIFE_MS * 1000;
   }
 
-  /** Demand of each data centre; its silent VMs count like the others there. */
-  function listLoads(service: string): DataCentreLoad[] {
-    const own = {
-      sum: tokensPerSecond(demands.get(service)),
-      known: 1,
-      vms: 1,
-    };
-    const centres = new Map([[dataCentre, own]]);
-    for (const { dataCentre: name, heartbeat } of network.reachableMembers()) {
-      if (!name) continue;
-      let centre = centres.get(name);
-      if (!centre) centres.set(name, centre = { sum: 0, known: 0, vms: 0 });
-      centre.vms++;
-      if (!heartbeat.demand) continue;
-      centre.known++;
-      centre.sum += heartbeat.demand.find(([of]) => of === service)?.[1] ?? 0;
+  function demandOf(
+    { heartbeat }: Member,
+    service: string,
+  ): ServiceDemand | undefined {
+    return heartbeat.demand?.find(([name]) => name === service);
+  }
+
+  /** Demand of this data centre; VMs without a report count like the others. */
+  function localDemand(service: string): number {
+    let sum = tokensPerSecond(demands.get(service));
+    let reports = 1;
+    let vms = 1;
+    for (const member of network.reachableMembers()) {
+      if (member.dataCentre !== dataCentre) continue;
+      vms++;
+      const demand = demandOf(member, service);
+      if (!demand) continue;
+      reports++;
+      sum += demand[1];
+    }
+    return sum * vms / reports;
+  }
+
+  /** Demand of the other data centres by the latest report of one of its VMs. */
+  function remoteDemands(service: string): Map<string, number> {
+    const latest = new Map<string, Member>();
+    for (const member of network.reachableMembers()) {
+      const { dataCentre: name, heartbeatMs } = member;
+      if (name === dataCentre || !demandOf(member, service)) continue;
+      const known = latest.get(name);
+      if (!known || known.heartbeatMs < heartbeatMs) latest.set(name, member);
+    }
+    const demandByCentre = new Map<string, number>();
+    for (const [name, member] of latest) {
+      demandByCentre.set(name, demandOf(member, service)![2]);
     }
+    return demandByCentre;
+  }
+
+  function listLoads(service: string): DataCentreLoad[] {
     const capacities = new Map<string, number>();
     for (const { entry, warmUpUntilMs } of registry.eligible(service)) {
       if (warmUpUntilMs > clock.now()) continue;
@@ -84,14 +110,12 @@
       capacities.set(entry.dataCentre, capacity + 1);
     }
     const loads: DataCentreLoad[] = [];
-    for (const [name, { sum, known, vms }] of centres) {
-      // Nothing is passed on to a data centre of unknown demand.
-      if (known === 0) continue;
-      loads.push({
-        dataCentre: name,
-        demand: sum * vms / known,
-        capacity: capacities.get(name) ?? 0,
-      });
+    const demandByCentre = remoteDemands(service);
+    demandByCentre.set(dataCentre, localDemand(service));
+    // Nothing is passed on to a data centre of unknown demand.
+    for (const [name, demand] of demandByCentre) {
+      const capacity = capacities.get(name) ?? 0;
+      loads.push({ dataCentre: name, demand, capacity });
     }
     return loads;
   }
@@ -111,9 +135,13 @@
       demands.set(service, { tokens, atMs: clock.now() });
     },
     demand() {
-      const list: [string, number][] = [];
-      for (const [service, demand] of demands) {
-        list.push([service, Math.round(tokensPerSecond(demand))]);
+      const list: ServiceDemand[] = [];
+      for (const [service, own] of demands) {
+        list.push([
+          service,
+          Math.round(tokensPerSecond(own)),
+          Math.round(localDemand(service)),
+        ]);
       }
       return list;
     },
--- a/packages/router/src/create_overflow_test.ts
+++ b/packages/router/src/create_overflow_test.ts
@@ -15,6 +15,7 @@
 }) {
   const { members, engines } = options;
   const clock = createFakeClock(10_000);
+  let heartbeatMs = 0;
   let position = 0;
   const overflow = createOverflow({
     clock,
@@ -32,13 +33,16 @@
       reachableMembers: () =>
         members.map(([dataCentre, demand]) => ({
           dataCentre,
+          heartbeatMs: heartbeatMs++,
           heartbeat: {
-            demand: demand === undefined ? undefined : [["engines", demand]],
+            demand: demand === undefined
+              ? undefined
+              : [["engines", demand, demand]],
           },
         } as Member)),
     },
   });
-  for (let second = 0; second < 60; second++) {
+  for (let second = 0; second < 300; second++) {
     overflow.onRequest("engines", 1000);
     clock.advance(1000);
   }
@@ -57,7 +61,7 @@
 
 test("the demand of requests is reported in tokens a second", () => {
   const { overflow } = createTestOverflow({ members: [], engines: [] });
-  const [[service, demand]] = overflow.demand() as [[string, number]];
+  const [[service, demand]] = overflow.demand() as [[string, number, number]];
   assert.equal(service, "engines");
   assert.ok(Math.abs(demand - 1000) < 200, `${demand}`);
 });
@@ -80,10 +84,27 @@
   assert.ok(Math.abs(draw().south! - 0.8) < 0.05);
 });
 
-test("VMs that report no demand are assumed to be like the others there", () => {
+test("VMs of this data centre without a report count like the others", () => {
+  const { overflow } = createTestOverflow({
+    members: [["north", 500], ["north", undefined], ["south", undefined]],
+    engines: ["north", "south"],
+  });
+  const [[, own, all]] = overflow.demand() as [[string, number, number]];
+  assert.ok(Math.abs(all - (own + 500) * 3 / 2) < 2, `${own} of ${all}`);
+});
+
+test("nothing goes to a data centre of unknown demand", () => {
+  const { draw } = createTestOverflow({
+    members: [["south", 1000], ["west", undefined]],
+    engines: ["north", "south", "west"],
+  });
+  assert.deepEqual(draw(), {});
+});
+
+test("the latest report of a data centre counts", () => {
   const { draw } = createTestOverflow({
-    members: [["south", 1000], ["south", undefined], ["west", undefined]],
-    engines: ["north", "south", "south", "west"],
+    members: [["south", 100], ["south", 1000]],
+    engines: ["north", "south"],
   });
   assert.deepEqual(draw(), {});
 });
