router: count the time of expired entries from the platform's return

Cause: since the time for which entries may be missing after an outage counted from this VM's last failure, up to 0.75 s before the platform was back; healthy upstreams whose entries came back late were removed for that long. Change: it counts from the first response after the failures; what a peer was served after them refutes the outage as before.

--- a/packages/router/src/create_published_state.ts
+++ b/packages/router/src/create_published_state.ts
@@ -158,7 +158,7 @@
   function onRestored(before: PublishedPosition, from: string): void {
     // Entries that the restored copy lacks count like those that expired while
     // the platform was unreachable.
-    grace.onAway();
+    grace.onRestored();
     log.warn(LogEvent.PlatformRestored, {
       fromEra: before.era,
       era: published.era(),
@@ -235,7 +235,7 @@
       !network.isStoreReader() &&
       clock.now() - confirmedMs < drainMs - OWN_READ_MS,
     onReadError(reason: string) {
-      grace.onAway();
+      grace.onReadFailed();
       if (isPlatformLost) return;
       isPlatformLost = true;
       lostSinceMs = clock.now();
@@ -324,6 +324,7 @@
     else if (version > ownVersion) void pullLostConfiguration(member, version);
   }
 
+  /** Applies what a heartbeat or push says about reads of the platform. */
   function applyPeerReads(
     { steadyReadAgeMs = Infinity, keepRemovedMs = 0 }: Partial<PlatformReads>,
   ): void {
--- a/packages/router/src/create_removal_grace.ts
+++ b/packages/router/src/create_removal_grace.ts
@@ -20,8 +20,10 @@
 export interface RemovalGrace {
   /** The platform responded to this VM. */
   onRead(): void;
-  /** The platform did not respond to this VM, or was restored. */
-  onAway(): void;
+  /** The platform did not respond to this VM. */
+  onReadFailed(): void;
+  /** The platform was restored: entries may be missing as after an outage. */
+  onRestored(): void;
   /** Applies what a peer's message reports. */
   onPeerReads(reads: PlatformReads): void;
   /** Time for which entries that are removed now are kept, in milliseconds. */
@@ -52,25 +54,35 @@
   let readMs = -Infinity;
   /** Start of this VM's uninterrupted reading. */
   let readingSinceMs = Infinity;
+  let isFailing = false;
 
   function remainingMs(sinceMs: number): number {
     if (steadyReadMs > sinceMs) return 0;
     return Math.max(0, sinceMs + entriesBackMs() - clock.now());
   }
 
+  function noteAway(): void {
+    ownAwayMs = clock.now();
+    awayMs = ownAwayMs;
+    readingSinceMs = Infinity;
+  }
+
   return {
     onRead() {
       const nowMs = clock.now();
+      // The platform may have been away until now.
+      if (isFailing && steadyReadMs <= ownAwayMs) noteAway();
+      isFailing = false;
       const isInterrupted = nowMs - readMs > MAX_READ_INTERVAL_MS;
       if (isInterrupted || readingSinceMs > nowMs) readingSinceMs = nowMs;
       readMs = nowMs;
       if (nowMs - readingSinceMs >= entriesBackMs()) steadyReadMs = nowMs;
     },
-    onAway() {
-      ownAwayMs = clock.now();
-      awayMs = ownAwayMs;
-      readingSinceMs = Infinity;
+    onReadFailed() {
+      noteAway();
+      isFailing = true;
     },
+    onRestored: noteAway,
     onPeerReads({ steadyReadAgeMs, keepRemovedMs }) {
       const nowMs = clock.now();
       steadyReadMs = Math.max(steadyReadMs, nowMs - steadyReadAgeMs);
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -217,6 +217,10 @@
     return local.length > 0 ? local : list;
   }
 
+  /**
+   * Chooses among the engines of this data centre in a large fleet, and where a
+   * request may overflow, also among those of the other one if these are busy.
+   */
   function choose(
     request: ArrivedRequest,
   ): EngineChoice<Candidate> | undefined {
@@ -591,6 +595,7 @@
     processQueue();
   }
 
+  /** Counts a request and decides whether it may overflow. */
   function arrive(request: PlacementRequest): ArrivedRequest {
     const { service, prompt } = request;
     if (!service.engine || !prompt) {
