--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -135,7 +135,7 @@
 export type Statement = [subject: string, value: number, ageMs: number];
 
 /**
- * Prompt tokens a second that callers ask for at a service: at the sender, and
+ * Demand of callers for a service, in prompt tokens a second: at the sender, and
  * at all VMs of its data centre as the sender knows them.
  */
 export type ServiceDemand = [service: string, own: number, all: number];
--- a/packages/policy/src/overflow_shares.ts
+++ b/packages/policy/src/overflow_shares.ts
@@ -1,7 +1,7 @@
 /** Demand and capacity of a data centre for one service. */
 export interface DataCentreLoad {
   dataCentre: string;
-  /** Work that its callers ask for, in any unit. */
+  /** Work that its callers request, in any unit. */
   demand: number;
   /** Capacity of its upstreams, in any unit. */
   capacity: number;
--- a/packages/router/src/create_overflow_test.ts
+++ b/packages/router/src/create_overflow_test.ts
@@ -6,7 +6,7 @@
 import type { Upstream } from "./create_registry.ts";
 
 /**
- * A VM in "north", whose callers ask for 1000 tokens a second, with members that
+ * A VM in "north", whose callers request 1000 tokens a second, with members that
  * report the given demand, and engines in these data centres.
  */
 function createTestOverflow(options: {
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -72,7 +72,7 @@
    * healthy upstreams can expire while the platform is unreachable.
    */
   remove(id: string, options: { keepMs: number; from?: string }): void;
-  /** Removes the upstreams that are kept although their entries are gone. */
+  /** Removes the upstreams that are kept although their entries were removed. */
   dropRemoved(): void;
   find(id: string): Upstream | undefined;
   /**
--- a/packages/router/src/create_removal_grace.ts
+++ b/packages/router/src/create_removal_grace.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "@rosemarytiller/shared";
 
-/** What VMs tell each other about their reads of the platform, in ms. */
+/** What VMs report to each other about their reads of the platform, in ms. */
 export interface PlatformReads {
   /**
    * Time since the platform last responded to a VM whose reads had succeeded for
--- a/packages/router/src/send_attempt.ts
+++ b/packages/router/src/send_attempt.ts
@@ -23,7 +23,7 @@
 
 /** Receives a call's events in this order; `onEnd` is called exactly once. */
 export interface AttemptListener {
-  /** Asked once a connection is established; the call ends if it is false. */
+  /** Called once a connection is established; false ends the call unsent. */
   maySend?(): boolean;
   /** The request is about to be written; it may be executed from now on. */
   onSent(): void;
