standins: do not reset connections that are being shut down

Change: such a connection is closed instead. Result: not reproduced on purpose; the cause is inferred from the stack and from what Node.js does with a failed reset.

--- a/packages/standins/src/create_test_links.ts
+++ b/packages/standins/src/create_test_links.ts
@@ -39,6 +39,15 @@
 /** A port of the loopback address at which nothing listens. */
 const CLOSED_PORT = 1;
 
+/**
+ * Resets a connection. One that is being shut down can't be reset: Node.js would
+ * lose its handle and wait for it forever when the process exits.
+ */
+function reset(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 /** Creates links, with a relaying socket for each upstream that is called. */
 export function createTestLinks(): TestLinks {
   const servers = new Map<string, Promise<Server>>();
@@ -66,7 +75,7 @@
     const pair: [Socket, Socket] = [client.setNoDelay(), upstream];
     pairs.add(pair);
     for (const [socket, other] of [pair, [upstream, client] as const]) {
-      socket.on("error", () => other.resetAndDestroy());
+      socket.on("error", () => reset(other));
       socket.on("close", () => {
         pairs.delete(pair);
         other.destroySoon();
@@ -112,7 +121,7 @@
       for (const pair of [...pairs]) {
         if (isSilent()) separate(pair);
         if (next !== LinkFailure.Reset) continue;
-        for (const socket of pair) socket.resetAndDestroy();
+        for (const socket of pair) reset(socket);
       }
     },
     close() {
