review: case 1, a stream that may run once runs again without its backup

Cause: if the standby of a silent stream could not be sent, the request goes on to a further upstream without a check of whether the first one may have run it. No code of the project is changed.

--- a/review/lib/engine.js
+++ b/review/lib/engine.js
@@ -4,17 +4,26 @@
 /** Runs of all engines in the order of their starts. */
 export const runs = [];
 
+/** Tokens in an event. */
+const STRIDE = 5;
+
 /** Backup copies by `ADDRESS/ATTEMPT`. */
 const copies = new Set();
 
+/** Notes a copy that another engine has sent to this one. */
+export function addCopy(name) {
+  copies.add(name);
+}
+
 /**
  * Starts an engine. `address` is what the store says; connections arrive at
- * `target`, behind a link. Options: `id`, `gapMs` between events, `eventsOf`
- * (request's headers, path) -> number of events, `onRequest(facts)` for the
- * record.
+ * `target`, behind a link. Options: `id`, `tokenMsOf(path)` for the time of the
+ * next token, `eventsOf(path)` for the number of events, `onRun(run)`,
+ * `onEnd(run)` and `onCopy(name)` for the record.
  */
 export async function startEngine(options) {
-  const { id, host = "127.0.0.1", gapMsOf, eventsOf, onRun } = options;
+  const { id, host = "127.0.0.1", tokenMsOf, eventsOf, onRun } = options;
+  const { onEnd, onCopy, backlog = 511, prefillMs = 0 } = options;
   let address = "";
   const server = createServer((request, response) => {
     const { headers } = request;
@@ -54,7 +63,10 @@
       return refuse(response, 503, attempt);
     }
     const backup = headers["rosemarytiller-kv-backup"];
-    if (backup !== undefined) copies.add(`${backup}/${attempt}`);
+    if (backup !== undefined) {
+      copies.add(`${backup}/${attempt}`);
+      onCopy?.(`${backup}/${attempt}`);
+    }
     const lastEventId = headers["last-event-id"];
     const run = {
       attempt,
@@ -76,30 +88,39 @@
     response.flushHeaders();
     const total = eventsOf(request.url);
     let next = lastEventId === undefined ? 1 : Number(lastEventId) + 1;
-    const tick = () => {
+    let tokens = 0;
+    let timer;
+    const readToken = () => {
       if (response.destroyed) return;
+      run.firstTokenMs ??= Date.now();
+      if (++tokens % STRIDE === 0 && next <= total) {
+        response.write(`id: ${next}\ndata: ${id} ${attempt} ${next}\n\n`);
+        next++;
+        run.events++;
+      }
       if (next > total) {
         run.state = "complete";
         run.endMs = Date.now();
-        clearInterval(timer);
+        onEnd?.(run);
         response.end();
         return;
       }
-      response.write(`id: ${next}\ndata: ${id} ${attempt} ${next}\n\n`);
-      next++;
-      run.events++;
+      timer = setTimeout(readToken, tokenMsOf(request.url));
     };
-    const timer = setInterval(tick, gapMsOf(request.url));
+    timer = setTimeout(readToken, prefillMs + tokenMsOf(request.url));
     response.on("close", () => {
-      clearInterval(timer);
+      clearTimeout(timer);
       if (run.state === "running") {
         run.state = "dropped, as its connection closed";
         run.endMs = Date.now();
+        onEnd?.(run);
       }
     });
   }
 
-  await new Promise((resolve) => server.listen(0, host, resolve));
+  await new Promise((resolve) =>
+    server.listen({ port: 0, host, backlog }, resolve)
+  );
   return {
     id,
     target: { host, port: server.address().port },
