--- a/review/2/main.js
+++ b/review/2/main.js
@@ -38,7 +38,7 @@
       public: false,
       session_affinity: true,
       resumable: false,
-      max_gap_ms: 200,
+      max_gap_ms: 400,
     },
     {
       name: "draft",
--- a/review/lib/engine_pool.js
+++ b/review/lib/engine_pool.js
@@ -33,6 +33,8 @@
       PROGRAM,
       JSON.stringify({ id, ...settings }),
     ], { stdio: ["ignore", "inherit", "inherit", "ipc"] });
+    // A message to an engine that has just been killed fails.
+    child.on("error", () => {});
     const engine = { id, zone, child, target: undefined };
     engine.ended = new Promise((resolve) => child.once("exit", resolve));
     await new Promise((resolve) => {
