--- a/review/lib/fleet.js
+++ b/review/fleet.js
@@ -9,7 +9,7 @@
 import { fileURLToPath } from "node:url";
 
 /** The repository's root. */
-export const ROOT = join(dirname(fileURLToPath(import.meta.url)), "../..");
+export const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..");
 
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
