router: log and count sends of requests that may have run before

Change: a log line sent-again and the counter rosemarytiller_repeated_sends_total at each send of a request of which an earlier send may have been executed. No logic is changed.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -20,6 +20,7 @@
 import { AttemptResult, FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ResponseMetadata, WireProtocol } from "./ports.ts";
+import { reportRepeatedSend } from "./report_repeated_send.ts";
 import { FULL_RETRY_AFTER_MS } from "./request_errors.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
 import {
@@ -351,6 +352,11 @@
         },
         maySend: () => registry.isInUse(upstream),
         onSent() {
+          reportRepeatedSend(state, {
+            to: entry.id,
+            copy: backupFrom,
+            report: { log, metrics },
+          });
           if (state.sends === 0) retries.onFirstSend(state.service.name);
           state.sends++;
           state.possibleRuns++;
--- a/packages/router/src/create_relays.ts
+++ b/packages/router/src/create_relays.ts
@@ -5,12 +5,14 @@
 import { endToEndHeaders } from "./end_to_end_headers.ts";
 import { AttemptResult, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
+import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { WireProtocol } from "./ports.ts";
 import {
   isRelayHeader,
   readRelayRefusal,
   writeRelayHeaders,
 } from "./relay_headers.ts";
+import { reportRepeatedSend } from "./report_repeated_send.ts";
 import type { RequestState } from "./request_state.ts";
 import { type AttemptEnd, runAttempt } from "./run_attempt.ts";
 
@@ -41,6 +43,7 @@
 export interface RelaysOptions {
   clock: Clock;
   log: EventLog;
+  metrics: Pick<RouterMetrics, "onRepeatedSend">;
   protocol: WireProtocol;
   network: Pick<PeerNetwork, "reachableMembers">;
   /** Name and data centre of this VM. */
@@ -62,7 +65,8 @@
 
 /** Creates the relays; they connect when the first request is passed on. */
 export function createRelays(options: RelaysOptions): Relays {
-  const { clock, log, protocol, network, vm, dataCentre, port } = options;
+  const { clock, log, metrics, protocol, network } = options;
+  const { vm, dataCentre, port } = options;
   const pool = createConnectionPool({ clock });
   const failedUntilMs = new Map<string, number>();
   const openByHost = new Map<string, number>();
@@ -187,6 +191,8 @@
       onStreamStarted() {},
       onEvent() {},
       onSent() {
+        const report = { log, metrics };
+        reportRepeatedSend(state, { to: host, copy: undefined, report });
         state.sends++;
         state.possibleRuns++;
       },
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -196,9 +196,24 @@
       ),
     publish: () => network.sendHeartbeatNow(),
   });
+  const metrics = createRouterMetrics({
+    openRequests: () => requestServer.openCount(),
+    queuedRequests: () => scheduler.queuedCount(),
+    openConnections: () => pool.openCount(),
+    presentVms: () => network.reachableVmCount(),
+    revision: () => state.items.head(),
+    era: () => state.items.era(),
+    droppedLines: () => log.dropped(),
+    sharedFacts: () => facts.size(),
+    droppedFacts: () => facts.droppedCount(),
+    limitedUpstreams: () => callLimits.limitedCount(),
+    openRelays: () => relays.openCount(),
+    lostServices: () => reach.lostServices().length,
+  }, { loadAfterMs: METRICS_LOAD_DELAY_MS });
   const relays = createRelays({
     clock,
     log,
+    metrics,
     protocol,
     network,
     vm,
@@ -239,20 +254,6 @@
     origins,
     dataCentre,
   });
-  const metrics = createRouterMetrics({
-    openRequests: () => requestServer.openCount(),
-    queuedRequests: () => scheduler.queuedCount(),
-    openConnections: () => pool.openCount(),
-    presentVms: () => network.reachableVmCount(),
-    revision: () => state.items.head(),
-    era: () => state.items.era(),
-    droppedLines: () => log.dropped(),
-    sharedFacts: () => facts.size(),
-    droppedFacts: () => facts.droppedCount(),
-    limitedUpstreams: () => callLimits.limitedCount(),
-    openRelays: () => relays.openCount(),
-    lostServices: () => reach.lostServices().length,
-  }, { loadAfterMs: METRICS_LOAD_DELAY_MS });
   const requestServer = createRequestServer({
     clock,
     log,
--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -42,6 +42,11 @@
   onAttempt(service: string, result: AttemptResult): void;
   onFirstEvent(urgency: number, ms: number): void;
   onRefusal(kind: ErrorKind): void;
+  /**
+   * A request was sent of which an earlier send may have been executed;
+   * `isCopy`: to go on from a backup copy of that.
+   */
+  onRepeatedSend(kind: RouteKind, isCopy: boolean): void;
   /** All metrics in the Prometheus text format. */
   text(): Promise<string>;
   /** Descriptions of all metrics, for the documentation. */
@@ -103,6 +108,10 @@
       record(({ firstEvents }) => firstEvents.observe({ urgency }, ms / 1000));
     },
     onRefusal: (kind) => record(({ refusals }) => refusals.inc({ kind })),
+    onRepeatedSend(kind, isCopy) {
+      const labels = { kind, copy: isCopy ? "yes" : "no" };
+      record(({ repeatedSends }) => repeatedSends.inc(labels));
+    },
     text: async () => (await load()).registry.metrics(),
     list: async () => (await load()).descriptions,
   };
@@ -147,6 +156,12 @@
     help: "Requests that ended with an error of this system by kind.",
     labelNames: ["kind"] as const,
   }));
+  const repeatedSends = new Counter(describe("counter", {
+    name: "rosemarytiller_repeated_sends_total",
+    help: "Sends of requests that may have been executed before, by the " +
+      "route's kind and whether the run goes on from a backup copy.",
+    labelNames: ["kind", "copy"] as const,
+  }));
   const readings: [string, string, () => number][] = [
     ["open_requests", "Requests in progress.", gauges.openRequests],
     ["held_requests", "Requests that wait for room.", gauges.queuedRequests],
@@ -189,5 +204,13 @@
       },
     });
   }
-  return { registry, descriptions, responses, attempts, firstEvents, refusals };
+  return {
+    registry,
+    descriptions,
+    responses,
+    attempts,
+    firstEvents,
+    refusals,
+    repeatedSends,
+  };
 }
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -70,6 +70,8 @@
   CallSilent = "call-silent",
   /** A silent call was sent to another upstream as well. */
   Hedged = "hedged",
+  /** A request was sent of which an earlier send may have been executed. */
+  SentAgain = "sent-again",
   /** A failed call was not sent again. */
   RetryDenied = "retry-denied",
   Resumed = "resumed",
