router: decide what may follow an attempt from all sends of its request

Cause: what may follow an attempt was decided at seven places, each from the last result. After an attempt that was not sent, was withdrawn or was refused, the request was sent again as a new run although an earlier attempt may have run; a VM without links passed such a stream on in the same way. A copy that was not used is kept. After a failed call one function decides. Stand-in links no longer open a server after they were closed, which kept a test from ending.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -17,16 +17,18 @@
 import type { Placement } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
 import type { UpstreamLimits } from "./create_upstream_limits.ts";
-import { AttemptResult, FactKind, LogEvent } from "./enums.ts";
+import { AttemptResult, FactKind, LogEvent, SendKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { ResponseMetadata, WireProtocol } from "./ports.ts";
 import { reportRepeatedSend } from "./report_repeated_send.ts";
 import { FULL_RETRY_AFTER_MS } from "./request_errors.ts";
-import { isRetryable, type RequestState } from "./request_state.ts";
+import { isRetryable } from "./create_send_history.ts";
+import type { BackupCopy, RequestState } from "./request_state.ts";
 import {
   type AttemptEnd,
   type AttemptOptions,
   type AttemptRun,
+  isUnsent,
   runAttempt,
 } from "./run_attempt.ts";
 
@@ -63,8 +65,8 @@
 
 /** What distinguishes an attempt from the first one of a request. */
 export interface StartOptions {
-  /** Name of the backup copy from which the upstream resumes. */
-  backupFrom?: string | undefined;
+  /** Backup copy from which the upstream continues the run. */
+  backupFrom?: BackupCopy | undefined;
   hooks: AttemptHooks;
 }
 
@@ -255,7 +257,6 @@
     if (result === AttemptResult.Complete && status < 400) {
       containment.onAnswer(state);
     }
-    if (result === AttemptResult.NotRun) state.possibleRuns--;
     if (warmUpMs) {
       upstream.warmUpUntilMs = Math.max(
         upstream.warmUpUntilMs,
@@ -293,11 +294,15 @@
   }
 
   return {
-    start(state, placement, { backupFrom, hooks }) {
+    start(state, placement, options) {
+      const { backupFrom, hooks } = options;
       const { upstream } = placement;
       const { entry } = upstream;
       checkContainment(state, placement);
       const connection = acquireConnection(state, placement);
+      const send = state.sendHistory.begin(
+        backupFrom ? SendKind.Continue : SendKind.Run,
+      );
       const backup = backupFrom ? undefined : chooseBackup(state, placement);
       const headers = [
         ...state.request.metadata.forwardedHeaders,
@@ -308,7 +313,7 @@
           urgency: state.urgency,
           lastEventId: state.stream.lastEventId,
           backupTo: backup && addressOf(backup),
-          backupFrom,
+          backupFrom: backupFrom?.name,
           fetchFrom: placement.fetchFrom && addressOf(placement.fetchFrom),
         }),
       ];
@@ -350,16 +355,17 @@
           progressMs = nowMs;
           containment.onProgress(state);
         },
-        maySend: () => registry.isInUse(upstream),
+        maySend: () => registry.isInUse(upstream) && send.isAllowed(),
         onSent() {
           reportRepeatedSend(state, {
             to: entry.id,
-            copy: backupFrom,
+            copy: backupFrom?.name,
             report: { log, metrics },
           });
-          if (state.sends === 0) retries.onFirstSend(state.service.name);
-          state.sends++;
-          state.possibleRuns++;
+          if (state.sendHistory.count() === 0) {
+            retries.onFirstSend(state.service.name);
+          }
+          send.onSent();
           state.tried.add(entry.id);
           reach.onSent(upstream);
         },
@@ -370,6 +376,8 @@
 
       async function finish(): Promise<AttemptEnd> {
         const ended = await running.ended;
+        send.onEnd(ended.result);
+        if (backupFrom && isUnsent(ended)) state.backup ??= backupFrom;
         bodiesBytes -= bodyBytes;
         state.signal.removeEventListener("abort", onAbort);
         if (ended.isReusable) {
--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -17,10 +17,10 @@
 import type { Retries } from "./create_retries.ts";
 import type { Placement, Scheduler } from "./create_scheduler.ts";
 import type { UpstreamLimits } from "./create_upstream_limits.ts";
-import { AttemptResult, LogEvent, RetryDenial } from "./enums.ts";
+import { AttemptResult, LogEvent, RetryDenial, SendKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import { createUnreachableError } from "./request_errors.ts";
-import type { RequestState } from "./request_state.ts";
+import type { BackupCopy, RequestState } from "./request_state.ts";
 import type { AttemptEnd } from "./run_attempt.ts";
 import { runHedgedCall } from "./run_hedged_call.ts";
 import { watchStall } from "./watch_stall.ts";
@@ -42,8 +42,8 @@
    */
   runNext(state: RequestState, connectFailures: number): Promise<EndedCall>;
   /**
-   * Resumes a stream at the upstream with the backup copy; `undefined` if that
-   * cannot be used.
+   * Resumes a started stream at the upstream with the backup copy; `undefined`
+   * if there is none that can be used.
    */
   resumeFromBackup(state: RequestState): Promise<AttemptEnd | undefined>;
 }
@@ -107,7 +107,7 @@
   function runCall(
     state: RequestState,
     placement: Placement,
-    backupFrom?: string,
+    backupFrom?: BackupCopy,
   ): Promise<AttemptEnd> {
     return runHedgedCall({
       start: (hooks) => attempts.start(state, placement, { backupFrom, hooks }),
@@ -123,21 +123,24 @@
   }
 
   /**
-   * Sends a silent call elsewhere as well. A backup copy that was not used is
-   * kept for later; see `HedgedCall.startStandby`.
+   * Sends a silent call elsewhere as well, a stream that has a backup copy only
+   * to the upstream with the copy; see `HedgedCall.startStandby`.
    */
   async function startStandby(
     state: RequestState,
     options: { hooks: AttemptHooks; signal: AbortSignal },
   ): Promise<StartedAttempt | undefined> {
     const { hooks, signal } = options;
-    if (needsRelay(state)) return startRelayedStandby(state, hooks);
-    const kept = state.stream.isStarted ? state.backup : undefined;
-    const backup = kept && placeAtBackup(state);
-    if (kept ? !backup : !retries.hasLeft(state)) return undefined;
-    const placement = backup?.placement ??
+    const hasCopy = state.stream.isStarted && state.backup !== undefined;
+    if (!hasCopy && needsRelay(state)) {
+      return startRelayedStandby(state, hooks);
+    }
+    if (!hasCopy && !retries.hasLeft(state, SendKind.Run)) return undefined;
+    const resumed = hasCopy ? placeAtBackup(state) : undefined;
+    if (hasCopy && !resumed) return undefined;
+    const placement = resumed?.placement ??
       await place(state, AbortSignal.any([state.signal, signal]));
-    if (signal.aborted || (!backup && !retries.hasLeft(state))) {
+    if (!resumed && (signal.aborted || !retries.claim(state, SendKind.Run))) {
       placement.release(CallEnd.Other);
       return undefined;
     }
@@ -146,20 +149,13 @@
       at: placement.upstream.entry.id,
       version: placement.upstream.entry.softwareVersion,
       call: placement.call,
-      copy: backup?.name,
+      copy: resumed?.copy.name,
       lastEventId: state.stream.lastEventId,
     });
-    const started = attempts.start(state, placement, {
-      backupFrom: backup?.name,
+    return attempts.start(state, placement, {
+      backupFrom: resumed?.copy,
       hooks,
     });
-    if (!backup) retries.spend(state);
-    started.ended.then(({ result }) => {
-      const wasSent = result !== AttemptResult.Unsent &&
-        result !== AttemptResult.Withdrawn;
-      if (!wasSent) state.backup ??= kept;
-    });
-    return started;
   }
 
   /** Whether another VM should serve the request, as this one can't. */
@@ -183,10 +179,8 @@
     state: RequestState,
     hooks: AttemptHooks,
   ): StartedAttempt | undefined {
-    if (!retries.hasLeft(state)) return undefined;
-    const started = relays.start(state, hooks);
-    if (started) retries.spend(state);
-    return started;
+    if (!retries.claim(state, SendKind.Relay)) return undefined;
+    return relays.start(state, hooks);
   }
 
   /**
@@ -266,16 +260,18 @@
    */
   function placeAtBackup(
     state: RequestState,
-  ): { placement: Placement; name: string } | undefined {
-    const { upstream, name } = state.backup!;
-    state.backup = undefined;
+  ): { placement: Placement; copy: BackupCopy } | undefined {
+    const copy = state.backup;
+    if (!copy) return undefined;
+    const { upstream } = copy;
     // A restarted upstream is another one and has lost the copy.
     const isEligible = registry.eligible(state.service.name).includes(upstream);
     if (!isEligible || !upstreamLimits.canAdmit(upstream)) {
       retries.deny(state, RetryDenial.BackupUnavailable);
       return undefined;
     }
-    if (!retries.spend(state)) return undefined;
+    if (!retries.claim(state, SendKind.Continue)) return undefined;
+    state.backup = undefined;
     const placement = scheduler.placeAt(upstream, {
       service: state.service,
       urgency: state.urgency,
@@ -289,24 +285,25 @@
       avoid: state.tried,
       softwareVersion: state.stream.softwareVersion,
     });
-    return { placement, name };
+    return { placement, copy };
   }
 
   /** See `CallRunner.resumeFromBackup`. */
   async function resumeFromBackup(
     state: RequestState,
   ): Promise<AttemptEnd | undefined> {
-    const backup = placeAtBackup(state);
-    if (!backup) return undefined;
-    const { placement, name } = backup;
+    if (!state.stream.isStarted) return undefined;
+    const resumed = placeAtBackup(state);
+    if (!resumed) return undefined;
+    const { placement, copy } = resumed;
     log.info(LogEvent.Resumed, {
       id: state.id,
       at: placement.upstream.entry.id,
       version: placement.upstream.entry.softwareVersion,
-      copy: name,
+      copy: copy.name,
       lastEventId: state.stream.lastEventId,
     });
-    return await runCall(state, placement, name);
+    return await runCall(state, placement, copy);
   }
 
   return { runNext, resumeFromBackup };
--- a/packages/router/src/create_relays.ts
+++ b/packages/router/src/create_relays.ts
@@ -3,7 +3,7 @@
 import type { AttemptHooks, StartedAttempt } from "./create_attempt_starter.ts";
 import { createConnectionPool } from "./create_connection_pool.ts";
 import { endToEndHeaders } from "./end_to_end_headers.ts";
-import { AttemptResult, LogEvent } from "./enums.ts";
+import { AttemptResult, LogEvent, SendKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import type { WireProtocol } from "./ports.ts";
@@ -103,7 +103,8 @@
   }
 
   /** The caller's headers, with what the other VM needs to know. */
-  function headersOf({ request, stream, expiresMs, sends }: RequestState) {
+  function headersOf(state: RequestState) {
+    const { request, stream, expiresMs, sendHistory } = state;
     return [
       ...endToEndHeaders(
         request.rawHeaders,
@@ -112,7 +113,7 @@
       ...writeRelayHeaders({
         from: vm,
         deadlineMs: expiresMs - clock.now(),
-        sends,
+        sends: sendHistory.count(),
         lastEventId: stream.lastEventId,
         softwareVersion: stream.softwareVersion,
       }),
@@ -164,9 +165,10 @@
       id: state.id,
       to: host,
       service: state.service.name,
-      sends: state.sends,
+      sends: state.sendHistory.count(),
       lastEventId: stream.lastEventId,
     });
+    const send = state.sendHistory.begin(SendKind.Relay);
     const running = runAttempt({
       clock,
       protocol: createRelayProtocol(state.id, (read) => refusal = read),
@@ -190,11 +192,11 @@
       },
       onStreamStarted() {},
       onEvent() {},
+      maySend: send.isAllowed,
       onSent() {
         const report = { log, metrics };
         reportRepeatedSend(state, { to: host, copy: undefined, report });
-        state.sends++;
-        state.possibleRuns++;
+        send.onSent();
       },
     });
     count(host, 1);
@@ -205,6 +207,7 @@
     async function finish(): Promise<AttemptEnd> {
       const ended = await running.ended;
       const { result, status, reason, isReusable, idleLimitMs } = ended;
+      send.onEnd(result);
       count(host, -1);
       bodiesBytes -= bodyBytes;
       state.signal.removeEventListener("abort", onAbort);
@@ -214,10 +217,6 @@
       if (result === AttemptResult.Unsent) {
         failedUntilMs.set(host, clock.now() + FAILED_MS);
       }
-      if (result === AttemptResult.NotRun) {
-        state.sends--;
-        state.possibleRuns--;
-      }
       log.info(LogEvent.RelayEnded, {
         id: state.id,
         to: host,
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -12,7 +12,7 @@
 import { createAttemptStarter } from "./create_attempt_starter.ts";
 import type { BrittleServices } from "./create_brittle_services.ts";
 import type { CallLimits } from "./create_call_limits.ts";
-import { createCallRunner } from "./create_call_runner.ts";
+import { createCallRunner, type EndedCall } from "./create_call_runner.ts";
 import type { ConfigurationGate } from "./create_configuration_gate.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
@@ -23,10 +23,11 @@
 import type { Relays } from "./create_relays.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import { createRetries } from "./create_retries.ts";
+import { createSendHistory } from "./create_send_history.ts";
 import type { Scheduler } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
 import type { UpstreamLimits } from "./create_upstream_limits.ts";
-import { AttemptResult, LogEvent, RouteKind } from "./enums.ts";
+import { AttemptResult, LogEvent, RouteKind, SendKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import { fingerprintsOf } from "./fingerprints_of.ts";
 import type { WireProtocol } from "./ports.ts";
@@ -36,7 +37,8 @@
   createPauseError,
   withRunState,
 } from "./request_errors.ts";
-import { isRetryable, type RequestState } from "./request_state.ts";
+import type { RequestState } from "./request_state.ts";
+import { type AttemptEnd, isUnsent } from "./run_attempt.ts";
 
 /** Dependencies of the request server. */
 export interface RequestServerOptions {
@@ -192,8 +194,10 @@
       abort: () => controller.abort(),
       tried: new Set(),
       relayedTo: new Set(),
-      sends: relay?.sends ?? 0,
-      possibleRuns: 0,
+      sendHistory: createSendHistory({
+        route,
+        earlierSends: relay?.sends ?? 0,
+      }),
       stream: {
         isStream: route.kind === RouteKind.Stream,
         lastEventId: metadata.lastEventId,
@@ -248,52 +252,58 @@
     return registry.versions.onlyVersionOf(service.name, windowMs);
   }
 
-  /** Runs attempts until the request has its final response. */
-  async function runAttempts(state: RequestState): Promise<void> {
+  /** Runs calls until the request has its final response. */
+  async function runCalls(state: RequestState): Promise<void> {
     await resolveOrigin(state);
+    await resolveRelayedVersion(state);
     let connectFailures = 0;
+    let call: EndedCall | undefined = await calls.runNext(state, 0);
     for (;;) {
-      await resolveRelayedVersion(state);
-      const { ended, isRelayed } = await calls.runNext(
-        state,
-        connectFailures,
-      );
-      if (ended.result === AttemptResult.Complete) {
-        // The other VM has made the retries.
-        if (!isRelayed && retries.claimAfterError(state, ended.status)) {
-          continue;
-        }
-        deliver(state, ended);
-        return;
-      }
+      const { ended, isRelayed } = call;
       if (ended.result === AttemptResult.Aborted) return;
-      if (ended.result === AttemptResult.Withdrawn) continue;
-      if (ended.result === AttemptResult.Unsent) {
-        connectFailures++;
-        continue;
-      }
-      if (ended.result === AttemptResult.NotRun) {
-        if (retries.claim(state)) continue;
-        throw createPauseErrorOf(state) ?? createNotExecutedError();
-      }
-      if (state.backup && state.stream.isStarted) {
-        const resumed = await calls.resumeFromBackup(state);
-        if (resumed?.result === AttemptResult.Aborted) return;
-        if (resumed?.result === AttemptResult.Complete) {
-          deliver(state, resumed);
-          return;
-        }
-      }
-      if (isRetryable(state.route) && retries.claim(state)) {
-        log.info(LogEvent.Resumed, {
-          id: state.id,
-          version: state.stream.softwareVersion,
-          lastEventId: state.stream.lastEventId,
-        });
-        continue;
-      }
-      throw new TillerError(ErrorKind.OutcomeUnknown, ended.reason);
+      const isComplete = ended.result === AttemptResult.Complete;
+      const isAnswer = isComplete &&
+        (isRelayed || state.stream.isStarted || ended.status < 500);
+      if (isAnswer) return deliver(state, ended);
+      if (ended.result === AttemptResult.Unsent) connectFailures++;
+      call = await runFurtherCall(state, connectFailures);
+      if (call) continue;
+      if (isComplete) return deliver(state, ended);
+      throw createFinalError(state, ended);
+    }
+  }
+
+  /** Resumes or repeats a failed call; `undefined` if neither is allowed. */
+  async function runFurtherCall(
+    state: RequestState,
+    connectFailures: number,
+  ): Promise<EndedCall | undefined> {
+    const resumed = await calls.resumeFromBackup(state);
+    if (resumed) return { ended: resumed, isRelayed: false };
+    if (!retries.claim(state, SendKind.Run)) return undefined;
+    if (state.stream.isStarted) {
+      log.info(LogEvent.Resumed, {
+        id: state.id,
+        version: state.stream.softwareVersion,
+        lastEventId: state.stream.lastEventId,
+      });
+    }
+    await resolveRelayedVersion(state);
+    return await calls.runNext(state, connectFailures);
+  }
+
+  /** Error of a request whose last call has failed. */
+  function createFinalError(
+    state: RequestState,
+    { result, reason }: AttemptEnd,
+  ): TillerError {
+    const mayHaveRun = state.sendHistory.possibleRuns() > 0;
+    if (
+      mayHaveRun || (result !== AttemptResult.NotRun && !isUnsent({ result }))
+    ) {
+      return new TillerError(ErrorKind.OutcomeUnknown, reason);
     }
+    return createPauseErrorOf(state) ?? createNotExecutedError();
   }
 
   /** Error while all upstreams of the request's service pause. */
@@ -321,7 +331,7 @@
       route: state.route.name,
       status,
       ms: Math.round(ms),
-      sends: state.sends,
+      sends: state.sendHistory.count(),
       events: state.stream.isStream ? state.stream.eventCount : undefined,
     });
   }
@@ -343,7 +353,7 @@
       run: error.run,
       detail: error.message,
       retryAfterMs: error.retryAfterMs && Math.round(error.retryAfterMs),
-      sends: state?.sends,
+      sends: state?.sendHistory.count(),
       urgency: state?.urgency,
       ms: state && Math.round(clock.now() - state.request.arrivedMs),
     });
@@ -364,7 +374,8 @@
         state = createState(request, response);
         const current = state;
         response.onDisconnect(() => {
-          log.info(LogEvent.CallerLeft, { id, sends: current.sends });
+          const sends = current.sendHistory.count();
+          log.info(LogEvent.CallerLeft, { id, sends });
           current.abort();
         });
         cancelDeadline = clock.after(current.expiresMs - clock.now(), () => {
@@ -372,7 +383,7 @@
           fail(current, createDeadlineError(current), { response, id });
           current.abort();
         });
-        await runAttempts(current);
+        await runCalls(current);
       } catch (error) {
         if (!state?.signal.aborted) {
           fail(state, toTillerError(error), { response, id });
--- a/packages/router/src/create_retries.ts
+++ b/packages/router/src/create_retries.ts
@@ -5,28 +5,22 @@
   type RetryBounds,
 } from "@rosemarytiller/policy";
 import type { Clock } from "@rosemarytiller/shared";
-import { LogEvent, RetryDenial } from "./enums.ts";
+import { LogEvent, RetryDenial, type SendKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
-import { isRetryable, type RequestState } from "./request_state.ts";
+import type { RequestState } from "./request_state.ts";
 
-/** Decides which requests may be sent again. */
+/** Limits how often requests are sent again. */
 export interface Retries {
   /** A request for the service was sent for the first time. */
   onFirstSend(service: string): void;
   /**
-   * Takes one retry if the route's attempts and the allowance permit it;
-   * returns whether they did.
+   * Permits a further send if the request's history allows it; takes a retry
+   * from this VM's allowance for the service unless the send is covered. Logs
+   * why if the result is false.
    */
-  claim(state: RequestState): boolean;
-  /** Takes one retry after a 5xx response; false if it cannot be retried. */
-  claimAfterError(state: RequestState, status: number): boolean;
-  /** Whether a call can be sent again; logs why if it cannot. */
-  hasLeft(state: RequestState): boolean;
-  /**
-   * Takes one retry from this VM's allowance for the service; false if it is
-   * used up.
-   */
-  spend(state: RequestState): boolean;
+  claim(state: RequestState, kind: SendKind): boolean;
+  /** Whether `claim` would return true; logs why if it would not. */
+  hasLeft(state: RequestState, kind: SendKind): boolean;
   /** Logs why a call is not sent again; returns false. */
   deny(state: RequestState, cause: RetryDenial): false;
 }
@@ -52,47 +46,39 @@
     return allowance;
   }
 
-  function claim(state: RequestState): boolean {
-    return hasLeft(state) && spend(state);
+  function claim(state: RequestState, kind: SendKind): boolean {
+    if (!hasLeft(state, kind)) return false;
+    const { sendHistory, service } = state;
+    if (sendHistory.isCovered()) return true;
+    allowanceOf(service.name).spend(clock.now(), network.knownVmCount());
+    sendHistory.onRetryTaken();
+    return true;
   }
 
-  function hasLeft(state: RequestState): boolean {
-    const { service, route, sends } = state;
-    if (sends >= route.maxAttempts) {
-      return deny(state, RetryDenial.Attempts);
-    }
+  function hasLeft(state: RequestState, kind: SendKind): boolean {
+    const { sendHistory, service } = state;
+    const denial = sendHistory.denialOf(kind);
+    if (denial) return deny(state, denial);
+    if (sendHistory.isCovered()) return true;
     const allowance = allowanceOf(service.name);
     if (allowance.hasLeft(clock.now(), network.knownVmCount())) return true;
     return deny(state, RetryDenial.Allowance);
   }
 
-  function spend(state: RequestState): boolean {
-    const allowance = allowanceOf(state.service.name);
-    if (allowance.spend(clock.now(), network.knownVmCount())) return true;
-    return deny(state, RetryDenial.Allowance);
-  }
-
   function deny(state: RequestState, cause: RetryDenial): false {
     log.warn(LogEvent.RetryDenied, {
       id: state.id,
       cause,
-      sends: state.sends,
+      sends: state.sendHistory.count(),
       maxAttempts: state.route.maxAttempts,
     });
     return false;
   }
 
-  function claimAfterError(state: RequestState, status: number): boolean {
-    if (status < 500 || state.stream.isStarted) return false;
-    return isRetryable(state.route) && claim(state);
-  }
-
   return {
     onFirstSend: (service) => allowanceOf(service).onFirstSend(clock.now()),
     claim,
-    claimAfterError,
     hasLeft,
-    spend,
     deny,
   };
 }
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -82,8 +82,20 @@
   Failure = "failure",
 }
 
+/** What a send asks of its receiver. */
+export enum SendKind {
+  /** An upstream executes the request; a started stream from an event on. */
+  Run = "run",
+  /** Another VM has the request executed. */
+  Relay = "relay",
+  /** An upstream continues an earlier run from its backup copy. */
+  Continue = "continue",
+}
+
 /** Why a failed call is not sent again; the `cause` field of a log line. */
 export enum RetryDenial {
+  /** An earlier send may have been executed, and the route allows one run. */
+  MayHaveRun = "may-have-run",
   /** The route's attempts are used up. */
   Attempts = "attempts",
   /** This VM's allowance of retries for the service is used up. */
--- a/packages/router/src/report_repeated_send.ts
+++ b/packages/router/src/report_repeated_send.ts
@@ -1,10 +1,11 @@
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
-import { isRetryable, type RequestState } from "./request_state.ts";
+import { isRetryable } from "./create_send_history.ts";
+import type { RequestState } from "./request_state.ts";
 
-/** A send of a request, to an upstream or to another VM. */
-export interface RequestSend {
+/** Where a request is sent again. */
+export interface RepeatedSend {
   /** Identifier of the upstream, or host of the VM. */
   to: string;
   /** Backup copy from which the run goes on; undefined for a new run. */
@@ -19,13 +20,14 @@
 
 /**
  * Logs and counts a send of a request of which an earlier send may have been
- * executed; to be called just before the send is counted in `state`.
+ * executed; to be called just before the send is added to its history.
  */
 export function reportRepeatedSend(
   state: RequestState,
-  send: RequestSend & { report: SendReport },
+  send: RepeatedSend & { report: SendReport },
 ): void {
-  if (state.possibleRuns === 0) return;
+  const possibleRuns = state.sendHistory.possibleRuns();
+  if (possibleRuns === 0) return;
   const { to, copy, report } = send;
   const { route, stream } = state;
   report.log.info(LogEvent.SentAgain, {
@@ -35,8 +37,8 @@
     route: route.name,
     kind: route.kind,
     canRetry: isRetryable(route),
-    sends: state.sends,
-    possibleRuns: state.possibleRuns,
+    sends: state.sendHistory.count(),
+    possibleRuns,
     lastEventId: stream.lastEventId,
   });
   report.metrics.onRepeatedSend(route.kind, copy !== undefined);
--- a/packages/router/src/request_errors.ts
+++ b/packages/router/src/request_errors.ts
@@ -51,9 +51,9 @@
  * upstream may have executed it, else `Overloaded`.
  */
 export function createDeadlineError(
-  { possibleRuns }: RequestState,
+  { sendHistory }: RequestState,
 ): TillerError {
-  if (possibleRuns > 0) {
+  if (sendHistory.possibleRuns() > 0) {
     return new TillerError(
       ErrorKind.DeadlineExceeded,
       "the deadline passed before the response was complete",
@@ -76,7 +76,7 @@
   state: RequestState,
   error: TillerError,
 ): TillerError {
-  if (state.possibleRuns === 0) return error;
+  if (state.sendHistory.possibleRuns() === 0) return error;
   const { kind, message, retryAfterMs } = error;
   const isRefusal = ERROR_RESPONSES[kind].retryable &&
     kind !== ErrorKind.DeadlineExceeded;
--- a/packages/router/src/request_state.ts
+++ b/packages/router/src/request_state.ts
@@ -1,7 +1,7 @@
 import type { CallRank } from "@rosemarytiller/policy";
 import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
 import type { Upstream } from "./create_registry.ts";
-import { RouteKind } from "./enums.ts";
+import type { SendHistory } from "./create_send_history.ts";
 import type { Account, Route, ServiceDefinition } from "./ports.ts";
 import type { StreamState } from "./run_attempt.ts";
 
@@ -30,17 +30,16 @@
   tried: Set<string>;
   /** Hosts of the VMs that the request was passed on to. */
   relayedTo: Set<string>;
-  /** Number of times that the request was sent, whatever the outcome. */
-  sends: number;
-  /** Number of sends after which the request may have been executed. */
-  possibleRuns: number;
+  /** All sends of the request; decides which further ones are allowed. */
+  sendHistory: SendHistory;
   stream: StreamState;
-  /** Upstream that keeps a backup copy of the call, and the copy's name. */
-  backup: { upstream: Upstream; name: string } | undefined;
+  /** Backup copy of the newest run; undefined while it is in use or gone. */
+  backup: BackupCopy | undefined;
 }
 
-/** Whether a route's requests may be executed more than once. */
-export function isRetryable(route: Route): boolean {
-  if (route.kind === RouteKind.Stream) return route.isResumable;
-  return route.kind === RouteKind.Idempotent;
+/** Copy of a run's KV cache, from which it can be continued once. */
+export interface BackupCopy {
+  /** Upstream that keeps the copy. */
+  upstream: Upstream;
+  name: string;
 }
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -88,6 +88,11 @@
   firstMs: number | undefined;
 }
 
+/** Whether an attempt has ended before its request was written. */
+export function isUnsent({ result }: Pick<AttemptEnd, "result">): boolean {
+  return result === AttemptResult.Unsent || result === AttemptResult.Withdrawn;
+}
+
 /** Controls an attempt in progress. */
 export interface AttemptRun {
   /** Resolves when the attempt has ended; never rejects. */
--- a/packages/router/src/watch_stall.ts
+++ b/packages/router/src/watch_stall.ts
@@ -2,9 +2,9 @@
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
 import type { Registry } from "./create_registry.ts";
 import type { Placement } from "./create_scheduler.ts";
-import { LogEvent } from "./enums.ts";
+import { LogEvent, SendKind } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
-import { isRetryable, type RequestState } from "./request_state.ts";
+import type { RequestState } from "./request_state.ts";
 import type { AttemptRun } from "./run_attempt.ts";
 import {
   IDLE_TIMEOUT_FACTOR,
@@ -101,7 +101,7 @@
         upstream: upstream.entry.id,
       });
     }
-    const canRetry = isRetryable(route) && state.sends < route.maxAttempts;
+    const canRetry = state.sendHistory.denialOf(SendKind.Run) === undefined;
     const canRecover = canRetry || (isStarted && state.backup !== undefined);
     if (!isLogged) {
       isLogged = true;
--- a/packages/router/src/watch_stall_test.ts
+++ b/packages/router/src/watch_stall_test.ts
@@ -1,6 +1,7 @@
 import { type Clock, createFakeClock } from "@rosemarytiller/shared";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createSendHistory } from "./create_send_history.ts";
 import { createRegistry } from "./create_registry.ts";
 import type { Placement } from "./create_scheduler.ts";
 import { RouteKind } from "./enums.ts";
@@ -31,16 +32,18 @@
   registry.onReceived(upstream);
   const startedMs = clock.now();
   const silences: number[] = [];
+  const route = {
+    kind: RouteKind.Stream,
+    isResumable: true,
+    maxAttempts: 2,
+    maxPauseMs: 200,
+    targetMs: 400,
+  };
+  const sendHistory = createSendHistory({ route, earlierSends: 1 });
   watchStall({
     state: {
-      sends: 1,
-      route: {
-        kind: RouteKind.Stream,
-        isResumable: true,
-        maxAttempts: 2,
-        maxPauseMs: 200,
-        targetMs: 400,
-      },
+      sendHistory,
+      route,
       stream: { isStream: true, isStarted: options.isStarted },
     } as RequestState,
     placement: { upstream, predictedMs: 100 } as Placement,
--- a/packages/standins/src/create_test_links.ts
+++ b/packages/standins/src/create_test_links.ts
@@ -54,6 +54,7 @@
   const pairs = new Set<[Socket, Socket]>();
   let failure: LinkFailure | undefined;
   let connectDelayMs = 0;
+  let isClosed = false;
 
   function isSilent(): boolean {
     return failure === LinkFailure.Silent ||
@@ -101,14 +102,15 @@
     connect(address) {
       const socket = new Socket();
       socket.setNoDelay();
-      if (failure === LinkFailure.Silent) return socket;
+      if (isClosed || failure === LinkFailure.Silent) return socket;
       if (failure && !isSilent()) {
         return socket.connect(CLOSED_PORT, "127.0.0.1");
       }
       void serverOf(address).then(async (server) => {
         await sleep(connectDelayMs);
+        if (isClosed || socket.destroyed) return;
         const { port } = server.address() as AddressInfo;
-        if (!socket.destroyed) socket.connect(port, "127.0.0.1");
+        socket.connect(port, "127.0.0.1");
       });
       return socket;
     },
@@ -125,6 +127,7 @@
       }
     },
     close() {
+      isClosed = true;
       for (const pair of pairs) {
         for (const socket of pair) socket.destroy();
       }
