router: hand a stream over before two upstreams work on it

Cause: a silent attempt was ended only once its standby had sent an event. A slow upstream, which is sound, worked on meanwhile, with no bound. Change: the standby of a started stream takes over when its response begins, or 300 ms after it was sent and not refused. It uses a new connection, so that the first attempt is not given up for an upstream that cannot be reached. Open: a standby that took over and then fails cuts the stream off, also if the first upstream had only paused.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -61,12 +61,19 @@
 }
 
 /** Connects an attempt with the other attempts of its call. */
-export type AttemptHooks = Pick<AttemptOptions, "claimResponse">;
+export type AttemptHooks =
+  & Pick<AttemptOptions, "claimResponse">
+  & Partial<Pick<AttemptOptions, "onSent" | "onAccepted">>;
 
 /** What distinguishes an attempt from the first one of a request. */
 export interface StartOptions {
   /** Backup copy from which the upstream continues the run. */
   backupFrom?: BackupCopy | undefined;
+  /**
+   * Whether an idle connection must not be used: a new one shows that the
+   * upstream can be reached.
+   */
+  needsNewConnection?: boolean;
   hooks: AttemptHooks;
 }
 
@@ -140,14 +147,20 @@
   }
 
   /** Acquires a connection; throws a `TillerError` if none is left. */
-  function acquireConnection(state: RequestState, placement: Placement) {
+  function acquireConnection(
+    state: RequestState,
+    placement: Placement,
+    isNew: boolean,
+  ) {
     // This VM's share of 90 % of the connections that the upstream accepts, at
     // least 4.
     const maxOpen = Math.max(
       4,
       Math.floor(state.service.maxConnections * 0.9 / network.knownVmCount()),
     );
-    const connection = pool.acquire(placement.upstream.entry, maxOpen);
+    const connection = pool.acquire(placement.upstream.entry, maxOpen, {
+      isNew,
+    });
     if (connection) return connection;
     placement.release(CallEnd.Other);
     throw new TillerError(
@@ -295,11 +308,15 @@
 
   return {
     start(state, placement, options) {
-      const { backupFrom, hooks } = options;
+      const { backupFrom, needsNewConnection = false, hooks } = options;
       const { upstream } = placement;
       const { entry } = upstream;
       checkContainment(state, placement);
-      const connection = acquireConnection(state, placement);
+      const connection = acquireConnection(
+        state,
+        placement,
+        needsNewConnection,
+      );
       const send = state.sendHistory.begin(
         backupFrom ? SendKind.Continue : SendKind.Run,
       );
@@ -340,6 +357,7 @@
         },
         onHead: (metadata) => recordHead(upstream, metadata),
         claimResponse: hooks.claimResponse,
+        onAccepted: hooks.onAccepted,
         reserveBytes(bytes) {
           if (bodiesBytes + bytes > MAX_BODIES_BYTES) return false;
           bodiesBytes += bytes;
@@ -366,6 +384,7 @@
             retries.onFirstSend(state.service.name);
           }
           send.onSent();
+          hooks.onSent?.();
           state.tried.add(entry.id);
           reach.onSent(upstream);
         },
--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -119,6 +119,9 @@
             { clock, log, registry, network },
           )
           : () => {},
+      // The caller of a started stream gets the events of one upstream only.
+      isExclusive: () => state.stream.isStarted,
+      after: (delayMs, callback) => clock.after(delayMs, callback),
     });
   }
 
@@ -154,6 +157,7 @@
     });
     return attempts.start(state, placement, {
       backupFrom: resumed?.copy,
+      needsNewConnection: state.stream.isStarted,
       hooks,
     });
   }
--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -28,8 +28,13 @@
 export interface ConnectionPool {
   /**
    * Returns an idle connection or opens one; undefined if `maxOpen` are open.
+   * With `isNew`, it opens one in any case, in place of an idle one if need be.
    */
-  acquire(address: UpstreamAddress, maxOpen: number): Connection | undefined;
+  acquire(
+    address: UpstreamAddress,
+    maxOpen: number,
+    options?: { isNew?: boolean },
+  ): Connection | undefined;
   /**
    * Opens a connection and keeps it as idle; resolves with whether the upstream
    * accepted it in time.
@@ -200,12 +205,13 @@
   }
 
   return {
-    acquire(address, maxOpen) {
+    acquire(address, maxOpen, { isNew = false } = {}) {
       const name = nameOf(address);
       const list = idle.get(name);
-      while (list && list.length > 0) {
+      const mustMakeRoom = () => (open.get(name)?.size ?? 0) >= maxOpen;
+      while (list && list.length > 0 && (!isNew || mustMakeRoom())) {
         const connection = list.pop()!;
-        if (isReusable(connection)) return connection;
+        if (!isNew && isReusable(connection)) return connection;
         close(name, connection);
       }
       if ((open.get(name)?.size ?? 0) >= maxOpen) return undefined;
--- a/packages/router/src/create_relays.ts
+++ b/packages/router/src/create_relays.ts
@@ -184,6 +184,7 @@
       onReceived() {},
       onHead() {},
       claimResponse: hooks.claimResponse,
+      onAccepted: hooks.onAccepted,
       reserveBytes(bytes) {
         if (bodiesBytes + bytes > MAX_BODIES_BYTES) return false;
         bodiesBytes += bytes;
@@ -197,6 +198,7 @@
         const report = { log, metrics };
         reportRepeatedSend(state, { to: host, copy: undefined, report });
         send.onSent();
+        hooks.onSent?.();
       },
     });
     count(host, 1);
--- a/packages/router/src/run_attempt.ts
+++ b/packages/router/src/run_attempt.ts
@@ -51,6 +51,8 @@
   onReceived(): void;
   /** The status and headers of a response were received. */
   onHead(metadata: ResponseMetadata): void;
+  /** The headers of an accepted response were received. */
+  onAccepted?: (() => void) | undefined;
   /** At least one complete event was received. */
   onEvent(): void;
   /**
@@ -167,6 +169,7 @@
       return reject("the answer's body is encoded");
     }
     isEventStream = stream.isStream;
+    options.onAccepted?.();
     return true;
   }
 
--- a/packages/router/src/run_hedged_call.ts
+++ b/packages/router/src/run_hedged_call.ts
@@ -16,14 +16,26 @@
   ): Promise<StartedAttempt | undefined>;
   /** Calls `onSilent` while an attempt is silent, until cancelled. */
   watch(attempt: StartedAttempt, onSilent: () => void): CancelTimer;
+  /** Whether only one upstream may work on the call, as of now. */
+  isExclusive(): boolean;
+  /** Calls `callback` after `delayMs`, unless cancelled. */
+  after(delayMs: number, callback: () => void): CancelTimer;
 }
 
+/**
+ * Time after which a standby that was sent takes over an exclusive call, in ms:
+ * an upstream that cannot resume a stream refuses it at once.
+ */
+const HAND_OVER_MS = 300;
+
 /**
  * Runs a call until it ends. While its upstream is silent, the call is also
  * sent to a standby upstream. Whichever sends an event or a complete response
  * first goes on, and the other attempt is aborted: a silent attempt is never
- * ended before another one has replaced it. Returns the end of the attempt that
- * decided the call; throws a `TillerError` if the first cannot be started.
+ * ended before another one has replaced it. In an exclusive call, the standby
+ * replaces it when its response begins, or `HAND_OVER_MS` after it was sent and
+ * not refused. Returns the end of the attempt that decided the call; throws a
+ * `TillerError` if the first cannot be started.
  */
 export async function runHedgedCall(call: HedgedCall): Promise<AttemptEnd> {
   let standby: StartedAttempt | undefined;
@@ -31,6 +43,7 @@
   let standbyStart: Promise<void> | undefined;
   let standbySearch = new AbortController();
   let cancelStandbyWatch: CancelTimer = () => {};
+  let cancelHandOver: CancelTimer = () => {};
 
   function dropStandby(result = AttemptResult.Superseded): void {
     if (!standbyStart) return;
@@ -38,6 +51,7 @@
     standby = standbyStart = undefined;
     standbySearch.abort();
     cancelStandbyWatch();
+    cancelHandOver();
     dropped?.abort(result);
   }
 
@@ -47,6 +61,7 @@
     active = standby!;
     standby = standbyStart = undefined;
     cancelStandbyWatch();
+    cancelHandOver();
     cancelWatch();
     cancelWatch = call.watch(active, onSilent);
     replaced.abort(AttemptResult.Stalled);
@@ -66,10 +81,19 @@
   async function startStandby(): Promise<void> {
     const search = new AbortController();
     standbySearch = search;
-    const started: StartedAttempt | undefined = await call.startStandby(
-      { claimResponse: () => claimResponse(started) },
-      search.signal,
-    ).catch(() => undefined);
+    const takeOver = () => {
+      if (standby && standby === started) promoteStandby();
+    };
+    const started: StartedAttempt | undefined = await call.startStandby({
+      claimResponse: () => claimResponse(started),
+      onSent() {
+        if (!call.isExclusive()) return;
+        cancelHandOver = call.after(HAND_OVER_MS, takeOver);
+      },
+      onAccepted() {
+        if (call.isExclusive()) takeOver();
+      },
+    }, search.signal).catch(() => undefined);
     if (search.signal.aborted) {
       started?.abort(AttemptResult.Superseded);
       return;
--- a/packages/router/src/run_hedged_call_test.ts
+++ b/packages/router/src/run_hedged_call_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { Buffer } from "node:buffer";
+import { createFakeClock } from "@rosemarytiller/shared";
 import { test } from "node:test";
 import type { AttemptHooks, StartedAttempt } from "./create_attempt_starter.ts";
 import { AttemptResult } from "./enums.ts";
@@ -46,8 +47,11 @@
 }
 
 /** Starts a hedged call whose attempts the test controls. */
-function startCall(options: { hasStandby?: boolean } = {}) {
-  const { hasStandby = true } = options;
+function startCall(
+  options: { hasStandby?: boolean; isExclusive?: boolean } = {},
+) {
+  const { hasStandby = true, isExclusive = false } = options;
+  const { advance, after } = createFakeClock(0);
   const attempts: TestAttempt[] = [];
   const watchers = new Map<StartedAttempt, () => void>();
   const ended = runHedgedCall({
@@ -65,9 +69,12 @@
       watchers.set(attempt, onSilent);
       return () => watchers.delete(attempt);
     },
+    isExclusive: () => isExclusive,
+    after,
   });
   return {
     ended,
+    advance,
     first: attempts[0]!,
     /** Reports that an attempt is silent; returns the newest attempt. */
     async fallSilent(attempt = attempts[0]!): Promise<TestAttempt> {
@@ -190,3 +197,50 @@
   assert.equal((await ended).result, AttemptResult.Aborted);
   assert.equal(standby.result, AttemptResult.Superseded);
 });
+
+// Guards against two upstreams that work on one stream for longer than its
+// hand-over takes.
+test("a standby of an exclusive call takes over when its response begins", async () => {
+  const { ended, first, fallSilent } = startCall({ isExclusive: true });
+  const standby = await fallSilent();
+  standby.hooks.onSent!();
+  assert.equal(first.result, undefined);
+  standby.hooks.onAccepted!();
+  assert.equal(first.result, AttemptResult.Stalled);
+  standby.end(AttemptResult.Complete);
+  assert.equal((await ended).result, AttemptResult.Complete);
+});
+
+// Guards against the same if the response begins late.
+test("a standby of an exclusive call takes over soon after it was sent", async () => {
+  const { ended, first, fallSilent, advance } = startCall({
+    isExclusive: true,
+  });
+  const standby = await fallSilent();
+  advance(1000);
+  assert.equal(first.result, undefined, "the standby is connecting");
+  standby.hooks.onSent!();
+  advance(299);
+  assert.equal(first.result, undefined);
+  advance(1);
+  assert.equal(first.result, AttemptResult.Stalled);
+  standby.end(AttemptResult.Complete);
+  assert.equal((await ended).result, AttemptResult.Complete);
+});
+
+// Guards against cutting a stream off because its standby was refused.
+for (const result of [AttemptResult.NotRun, AttemptResult.Unsent]) {
+  test(`an exclusive call goes on after its standby ended as ${result}`, async () => {
+    const { ended, first, fallSilent, advance } = startCall({
+      isExclusive: true,
+    });
+    const standby = await fallSilent();
+    if (result !== AttemptResult.Unsent) standby.hooks.onSent!();
+    standby.end(result);
+    await settle();
+    advance(1000);
+    assert.equal(first.result, undefined);
+    first.end(AttemptResult.Complete);
+    assert.equal((await ended).result, AttemptResult.Complete);
+  });
+}
