--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,3 +8,4 @@
 export * from "./create_test_links.ts";
 export * from "./lease_port.ts";
 export * from "./start_process_fleet.ts";
+export * from "./start_process_link.ts";
--- a/packages/standins/src/start_process_fleet.ts
+++ b/packages/standins/src/start_process_fleet.ts
@@ -28,6 +28,10 @@
   startCount(router: number): number;
   /** Number of times that a router was killed without a planned stop. */
   killCount(router: number): number;
+  /** Monotonic times of these kills, in milliseconds. */
+  killTimesOf(router: number): readonly number[];
+  /** All that a router's processes have logged. */
+  logOf(router: number): string;
   /** Kills a router unless it is starting, and starts it again. */
   kill(router: number): Promise<void>;
   /**
@@ -76,7 +80,7 @@
   exited: Promise<void>;
   state: RouterState;
   starts: number;
-  kills: number;
+  killTimesMs: number[];
 }
 
 enum RouterState {
@@ -110,9 +114,13 @@
     renameSync(newFile, settingsFile);
   }
 
+  function logFileOf(number: number): string {
+    return join(logDirectory ?? directory, `vm-${number + 1}.log`);
+  }
+
   function spawnRouter(number: number): void {
     const router = routers[number]!;
-    const logFile = join(logDirectory ?? directory, `vm-${number + 1}.log`);
+    const logFile = logFileOf(number);
     const output = openSync(logFile, "a");
     const child = spawn(process.execPath, [program.mainFile], {
       env: { ...process.env, [program.settingsVariable]: router.settingsFile },
@@ -206,7 +214,7 @@
       exited: Promise.resolve(),
       state: RouterState.Up,
       starts: 0,
-      kills: 0,
+      killTimesMs: [],
     };
     routers.push(router);
     writeSettings(router);
@@ -220,11 +228,13 @@
     }),
     isReady: async (number) => (await readiness(number)) === 200,
     startCount: (number) => routers[number]!.starts,
-    killCount: (number) => routers[number]!.kills,
+    killCount: (number) => routers[number]!.killTimesMs.length,
+    killTimesOf: (number) => routers[number]!.killTimesMs,
+    logOf: (number) => readFileSync(logFileOf(number), "utf8"),
     async kill(number) {
       const router = routers[number]!;
       if (router.state === RouterState.Starting) return;
-      router.kills++;
+      router.killTimesMs.push(performance.now());
       // A planned stop that is in progress starts the router again.
       if (router.state === RouterState.Stopping) router.child?.kill("SIGKILL");
       else await replace(number, "SIGKILL");
