router: crashes at the same moment count as one against what was in flight

Callers saw every request of a route refused with 422 for ten minutes, at all VMs, after three engines had crashed at the same moment while they read prompts with a shared part; and a prompt refused likewise after two engines that ran it had crashed at once. No request was the cause.

Cause: each crash counted as independent evidence against the requests and prompt parts in flight, also if all calls had been sent before any of the crashes. A quarantined suspect is refused before it is sent, so that no answer could clear it.

Change: a report of a crash names the crashes of its suspects that the VM knew of when it sent the call, and only crashes in succession count: two for a request, three for a part (design 0016). This needs no clock, and is the same on all VMs in any order. What was in flight at an outage is sent again, and its answer clears it. Reports of former versions count as before. The log line request-crashed-upstream has these crashes as `earlier`.

--- a/packages/policy/src/create_crash_evidence.ts
+++ b/packages/policy/src/create_crash_evidence.ts
@@ -1,9 +1,12 @@
 /**
- * Number of crashes from which a request is quarantined, one more if several
- * requests were in flight at the same ones.
+ * Number of successive crashes from which a request is quarantined, one more if
+ * several requests were in flight at the same ones.
  */
 export const REQUEST_QUARANTINE_CRASHES = 2;
-/** Number of crashes, and of different requests, that quarantine a part. */
+/**
+ * Number of successive crashes, and of different requests, that quarantine a
+ * part.
+ */
 export const PART_QUARANTINE_CRASHES = 3;
 
 /** A call that was in flight when an upstream crashed. */
@@ -14,6 +17,11 @@
   requests: readonly string[];
   /** Parts of its prompt that other requests may share, in their order. */
   parts?: readonly string[];
+  /**
+   * Crashes of the same suspects that its VM knew of when it sent the call;
+   * undefined if that is unknown, which counts as all others.
+   */
+  earlier?: readonly string[] | undefined;
 }
 
 /** A complete answer after a crash: the suspect did not cause that crash. */
@@ -46,6 +54,8 @@
   quarantined(): ReadonlySet<string>;
   /** The reports that name a suspect. */
   reportsOf(suspect: string): CrashReport[];
+  /** Crashes that count against the request or its parts, at most `maxCount`. */
+  crashesOf(request: SuspectRequest, maxCount: number): string[];
 }
 
 interface SuspectEntry {
@@ -77,8 +87,8 @@
   const clearings = new Map<string, Set<string>>();
   let cached: Set<string> | undefined;
 
-  const keyOf = ({ crash, requests }: CrashReport) =>
-    [crash, ...requests].join("\n");
+  const keyOf = ({ crash, requests, earlier }: CrashReport) =>
+    JSON.stringify([crash, requests, earlier]);
 
   function openCrashes(
     name: string,
@@ -117,11 +127,12 @@
 
   /** Whether open crashes suffice to quarantine a suspect. */
   function isCause(entry: SuspectEntry, crashes: readonly string[]): boolean {
-    if (!entry.isPart) return crashes.length >= REQUEST_QUARANTINE_CRASHES;
-    if (crashes.length < PART_QUARANTINE_CRASHES) return false;
+    if (!hasSuccession(entry, crashes)) return false;
+    if (!entry.isPart) return true;
+    const open = new Set(crashes);
     const requests = new Set<string>();
     for (const { crash, requests: names } of entry.reports.values()) {
-      if (crashes.includes(crash)) requests.add(names[0]!);
+      if (open.has(crash)) requests.add(names[0]!);
     }
     return requests.size >= PART_QUARANTINE_CRASHES;
   }
@@ -146,7 +157,7 @@
 
   /**
    * Whether a part that is no cause, as too few requests had it, was in flight at as
-   * many crashes: a further one shows which of them it is.
+   * many crashes in succession: a further one shows which of them it is.
    */
   function hasRivalPart(
     [first]: readonly OpenSuspect[],
@@ -157,7 +168,8 @@
     for (const [name, other] of suspects) {
       if (!other.isPart || other.crashes.size < count) continue;
       const crashes = openCrashes(name, explained);
-      if (crashes.length >= count && !isCause(other, crashes)) return true;
+      if (crashes.length < count || isCause(other, crashes)) continue;
+      if (hasSuccession(other, crashes)) return true;
     }
     return false;
   }
@@ -233,9 +245,58 @@
     },
     quarantined: () => cached ??= findCauses(),
     reportsOf: (suspect) => [...suspects.get(suspect)?.reports.values() ?? []],
+    crashesOf({ fingerprints, parts }, maxCount) {
+      if (suspects.size === 0) return [];
+      const names = [...fingerprints, ...parts.map(partSuspectOf).reverse()];
+      const crashes = names.flatMap((name) =>
+        openCrashes(name).slice(-maxCount).reverse()
+      );
+      return [...new Set(crashes)].slice(0, maxCount);
+    },
   };
 }
 
+/**
+ * Whether so many of the crashes followed one another that they can be the
+ * suspect's doing. Crashes whose calls were all sent before any of them was known
+ * may have a common cause, such as the loss of power, and count as one.
+ */
+function hasSuccession(
+  { isPart, reports }: SuspectEntry,
+  crashes: readonly string[],
+): boolean {
+  const needed = isPart ? PART_QUARANTINE_CRASHES : REQUEST_QUARANTINE_CRASHES;
+  if (crashes.length < needed) return false;
+  const left = new Map<string, Set<string>>();
+  for (const crash of crashes) left.set(crash, new Set());
+  const isolated = new Set<string>();
+  for (const { crash, earlier } of reports.values()) {
+    if (!earlier) isolated.add(crash);
+    for (const other of earlier ?? []) left.get(crash)?.add(other);
+  }
+  let count = 0;
+  for (const crash of isolated) if (left.delete(crash)) count++;
+  return count + longestSuccession(left) >= needed;
+}
+
+/**
+ * Length of the longest succession of crashes, each known when a call was sent
+ * that was in flight at the next one.
+ */
+function longestSuccession(
+  earlierOf: ReadonlyMap<string, ReadonlySet<string>>,
+): number {
+  const left = new Map(earlierOf);
+  for (let length = 0;; length++) {
+    const first = [...left].filter(([crash, earlier]) =>
+      ![...earlier].some((other) => other !== crash && left.has(other))
+    );
+    // None is left, or reports contradict each other.
+    if (first.length === 0) return length;
+    for (const [crash] of first) left.delete(crash);
+  }
+}
+
 /**
  * Whether different requests were in flight at the same few crashes, as after a
  * retry at the upstream that the cause reached next.
--- a/packages/policy/src/create_crash_evidence_test.ts
+++ b/packages/policy/src/create_crash_evidence_test.ts
@@ -160,3 +160,115 @@
     assert.deepEqual(quarantinedAfter(shuffled), quarantinedAfter(changes));
   }));
 });
+
+// Guards against a request that is refused as it was in flight at two upstreams
+// that crashed at the same moment, for another reason.
+test("crashes at the same moment count as one against a request", () => {
+  const evidence = createCrashEvidence();
+  evidence.add({ crash: "c1", requests: ["a"], earlier: [] });
+  evidence.add({ crash: "c2", requests: ["a"], earlier: [] });
+  evidence.add({ crash: "c3", requests: ["a"], earlier: [] });
+  assert.deepEqual([...evidence.quarantined()], []);
+  evidence.add({ crash: "c4", requests: ["a"], earlier: ["c1"] });
+  assert.deepEqual([...evidence.quarantined()], ["a"]);
+});
+
+// Guards against a route that is refused as three upstreams crashed at the same
+// moment under prompts with a shared part.
+test("crashes at the same moment count as one against a part", () => {
+  const evidence = createCrashEvidence();
+  const add = (name: string, earlier: string[]) =>
+    evidence.add({
+      crash: `c${name}`,
+      requests: [`r${name}`],
+      parts: ["shared"],
+      earlier,
+    });
+  for (const name of ["1", "2", "3"]) add(name, []);
+  assert.deepEqual([...evidence.quarantined()], []);
+  for (const name of ["4", "5", "6"]) add(name, ["c1", "c2", "c3"]);
+  assert.deepEqual([...evidence.quarantined()], []);
+  add("7", ["c1", "c4"]);
+  assert.deepEqual([...evidence.quarantined()], [partSuspectOf("shared")]);
+});
+
+test("crashes that are cleared or removed end a succession", () => {
+  const evidence = createCrashEvidence();
+  evidence.add({ crash: "c1", requests: ["a"], earlier: [] });
+  evidence.add({ crash: "c2", requests: ["a"], earlier: ["c1"] });
+  const third = { crash: "c3", requests: ["a"], earlier: ["c1"] };
+  evidence.add(third);
+  assert.deepEqual([...evidence.quarantined()], ["a"]);
+  evidence.clear({ suspect: "a", crash: "c1" });
+  assert.deepEqual([...evidence.quarantined()], []);
+  evidence.unclear({ suspect: "a", crash: "c1" });
+  evidence.remove(third);
+  assert.deepEqual([...evidence.quarantined()], ["a"]);
+});
+
+test("one call that was sent after a crash suffices for a succession", () => {
+  const evidence = createCrashEvidence();
+  evidence.add({ crash: "c1", requests: ["a"], earlier: [] });
+  evidence.add({ crash: "c2", requests: ["a"], earlier: ["c0", "c2"] });
+  assert.deepEqual([...evidence.quarantined()], []);
+  evidence.add({ crash: "c2", requests: ["a"], earlier: ["c1"] });
+  assert.deepEqual([...evidence.quarantined()], ["a"]);
+});
+
+test("a part without crashes in succession is no rival of the cause", () => {
+  const evidence = createCrashEvidence();
+  const earlier: string[] = [];
+  for (const name of ["1", "2", "3"]) {
+    const requests = [`s${name}`];
+    evidence.add({
+      crash: `o${name}`,
+      requests,
+      parts: ["other"],
+      earlier: [],
+    });
+  }
+  for (const name of ["1", "2", "3"]) {
+    const crash = `c${name}`;
+    const report = { crash, requests: [`r${name}`], parts: ["bad"] };
+    evidence.add({ ...report, earlier: [...earlier] });
+    earlier.push(crash);
+  }
+  assert.deepEqual([...evidence.quarantined()], [partSuspectOf("bad")]);
+});
+
+test("known crashes of a request: its own first, the latest of each first", () => {
+  const evidence = createCrashEvidence();
+  for (const crash of ["c1", "c2", "c3"]) {
+    evidence.add({ crash, requests: [`r${crash}`], parts: ["shared", "rare"] });
+  }
+  evidence.add({ crash: "c4", requests: ["r4"], parts: ["shared"] });
+  evidence.clear({ suspect: partSuspectOf("rare"), crash: "c3" });
+  const request = { fingerprints: ["rc1"], parts: ["shared", "rare"] };
+  assert.deepEqual(evidence.crashesOf(request, 9), ["c1", "c2", "c4", "c3"]);
+  assert.deepEqual(evidence.crashesOf(request, 2), ["c1", "c2"]);
+});
+
+// Guards against VMs that quarantine different requests by the same facts.
+test("the order and repetition of reports with earlier crashes do not matter", () => {
+  const crashes = fc.constantFrom("c1", "c2", "c3", "c4", "c5");
+  const reports = fc.array(fc.record({
+    crash: crashes,
+    requests: fc.tuple(fc.constantFrom("a", "b", "c")),
+    parts: fc.constantFrom(["shared", "bad"], ["shared"]),
+    earlier: fc.option(fc.uniqueArray(crashes), { nil: undefined }),
+  }));
+  const inputs = reports.chain((some) =>
+    fc.tuple(
+      fc.constant(some),
+      fc.shuffledSubarray([...some, ...some], { minLength: some.length * 2 }),
+    )
+  );
+  const quarantinedAfter = (some: readonly CrashReport[]) => {
+    const evidence = createCrashEvidence();
+    for (const report of some) evidence.add(report);
+    return [...evidence.quarantined()].sort();
+  };
+  fc.assert(fc.property(inputs, ([some, shuffled]) => {
+    assert.deepEqual(quarantinedAfter(shuffled), quarantinedAfter(some));
+  }));
+});
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -42,7 +42,10 @@
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
   reach: Pick<Reach, "onSent" | "onReceived" | "onConnectFailed">;
-  containment: Pick<Containment, "check" | "onAnswer" | "onProgress">;
+  containment: Pick<
+    Containment,
+    "check" | "crashesOf" | "onAnswer" | "onProgress"
+  >;
   callLimits: Pick<CallLimits, "onNamed">;
   brittleServices: Pick<BrittleServices, "onNamed">;
   upstreamLimits: Pick<UpstreamLimits, "isShared">;
@@ -126,6 +129,12 @@
     return startedMs === undefined ? `${vm}/${call}` : `${id}@${startedMs}`;
   }
 
+  /** Crashes of the request that are known or likely by now. */
+  function crashesSoFar(state: RequestState): string[] {
+    const { brokenCalls } = state;
+    return [...new Set([...brokenCalls, ...containment.crashesOf(state)])];
+  }
+
   /** Throws a `TillerError` if the request crashes upstreams, as of now. */
   function checkContainment(state: RequestState, placement: Placement): void {
     try {
@@ -222,7 +231,7 @@
   function recordEnd(
     state: RequestState,
     placement: Placement,
-    { result, status, warmUpMs }: AttemptEnd,
+    { result, status, warmUpMs, earlier }: AttemptEnd & { earlier: string[] },
   ): void {
     const { upstream } = placement;
     const isFailed = result === AttemptResult.Broken ||
@@ -246,10 +255,9 @@
       state.tried.add(upstream.entry.id);
     }
     if (result === AttemptResult.Broken) {
-      crashDetector.onCallBroken(upstream, {
-        request: state,
-        crash: crashOf(placement),
-      });
+      const crash = crashOf(placement);
+      state.brokenCalls.push(crash);
+      crashDetector.onCallBroken(upstream, { request: state, crash, earlier });
     }
     if (result === AttemptResult.Complete && status < 400) {
       containment.onAnswer(state);
@@ -315,6 +323,7 @@
       let bodyBytes = 0;
       /** Time of the first event or of the last report of progress. */
       let progressMs: number | undefined;
+      let earlier: string[] = [];
       const isResume = state.stream.isStarted;
       const running = runAttempt({
         clock,
@@ -351,6 +360,7 @@
         },
         maySend: () => registry.isInUse(upstream),
         onSent() {
+          earlier = crashesSoFar(state);
           if (state.sends === 0) retries.onFirstSend(state.service.name);
           state.sends++;
           state.possibleRuns++;
@@ -374,7 +384,7 @@
         } else {
           pool.discard(entry, connection);
         }
-        recordEnd(state, placement, ended);
+        recordEnd(state, placement, { ...ended, earlier });
         logEnd(state, placement, { ...ended, startedMs, isResume });
         return ended;
       }
--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -15,8 +15,17 @@
 export interface Containment {
   /** Throws a `TillerError` if the request is taken for a cause of crashes. */
   check(request: ContainedRequest): void;
-  /** A call of the request was in flight when an upstream crashed. */
-  onCrash(crash: string, request: ContainedRequest): void;
+  /**
+   * A call of the request was in flight when an upstream crashed. `earlier` has
+   * the crashes that were known when the call was sent.
+   */
+  onCrash(
+    crash: string,
+    request: ContainedRequest,
+    earlier?: readonly string[],
+  ): void;
+  /** Known crashes of the request or of parts of its prompt, not all of many. */
+  crashesOf(request: ContainedRequest): string[];
   /** An upstream answered the request completely and without an error. */
   onAnswer(request: ContainedRequest): void;
   /**
@@ -58,6 +67,13 @@
 const MAX_ANSWERED_PARTS = 5000;
 /** Parts reported of a prompt; of more, those that prompts share most are left out. */
 const MAX_REPORTED_PARTS = 32;
+/** Earlier crashes reported with a crash. */
+const MAX_EARLIER_CRASHES = 16;
+/**
+ * First character of the value of a report that lists the earlier crashes, and
+ * their separator; neither identifiers nor parts have line breaks.
+ */
+const EARLIER_MARK = "\n";
 
 /** Creates the containment without any crash. */
 export function createContainment(options: ContainmentOptions): Containment {
@@ -71,14 +87,23 @@
     return evidence.reportsOf(suspect).map(({ crash }) => crash);
   }
 
-  function factOf({ crash, requests, parts = [] }: CrashReport): string[] {
-    return [FactKind.Crash, crash, requests.join(), ...parts];
+  function factOf(report: CrashReport): string[] {
+    const { crash, requests, parts = [], earlier } = report;
+    const marked = earlier ? [EARLIER_MARK + earlier.join(EARLIER_MARK)] : [];
+    return [FactKind.Crash, crash, requests.join(), ...marked, ...parts];
   }
 
   function reportOf(
-    [crash = "", requests = "", ...parts]: string[],
+    [crash = "", requests = "", ...rest]: string[],
   ): CrashReport {
-    return { crash, requests: requests.split(","), parts };
+    // Reports of earlier versions have no such value.
+    const marked = rest[0]?.startsWith(EARLIER_MARK) ? rest[0] : undefined;
+    return {
+      crash,
+      requests: requests.split(","),
+      parts: marked === undefined ? rest : rest.slice(1),
+      earlier: marked?.split(EARLIER_MARK).filter((name) => name !== ""),
+    };
   }
 
   /** Parts without a recent complete answer on this VM. */
@@ -145,11 +170,13 @@
           : "upstreams crashed under requests with a part of this prompt",
       );
     },
-    onCrash(crash, { fingerprints, parts }) {
+    crashesOf: (request) => evidence.crashesOf(request, MAX_EARLIER_CRASHES),
+    onCrash(crash, { fingerprints, parts }, earlier) {
       const report = {
         crash,
         requests: fingerprints,
         parts: suspectParts(parts),
+        earlier: earlier?.slice(0, MAX_EARLIER_CRASHES),
       };
       facts.add(factOf(report), SUSPECT_MS);
       update();
--- a/packages/router/src/create_containment_test.ts
+++ b/packages/router/src/create_containment_test.ts
@@ -150,6 +150,66 @@
   first.check(requestWith("r6"));
 });
 
+// Guards against a route whose requests are all refused as upstreams crashed at
+// the same moment: no later request could be answered and clear their part.
+test("crashes at the same moment make no cause at any VM", () => {
+  const { containments } = createTestVms(3);
+  const requestWith = (fingerprint: string, parts = ["shared"]) => ({
+    id: "id",
+    fingerprints: [fingerprint],
+    parts,
+  });
+  const inFlight = containments.map((containment, vm) => {
+    const request = requestWith(`r${vm}`);
+    return { containment, request, earlier: containment.crashesOf(request) };
+  });
+  for (const [vm, { containment, request, earlier }] of inFlight.entries()) {
+    containment.onCrash(`c${vm}`, request, earlier);
+  }
+  for (const containment of containments) {
+    containment.check(requestWith("r9"));
+    assert.equal(containment.crashesOf(requestWith("r9")).length, 3);
+    assert.deepEqual(containment.crashesOf(requestWith("r9", [])), []);
+  }
+});
+
+// Guards against a request that is not contained as its first crashes count as
+// one.
+test("a request that goes on crashing upstreams after crashes at the same moment", () => {
+  const { vms, containments, clock, advance } = createTestVms(3);
+  const [first, second, third] = containments as [
+    Containment,
+    Containment,
+    Containment,
+  ];
+  first.onCrash("c1", requestOf("a"), []);
+  second.onCrash("c2", requestOf("a"), []);
+  assert.equal(isRefused(third, "a"), false);
+  third.onCrash("c3", requestOf("a"), third.crashesOf(requestOf("a")));
+  for (const containment of containments) {
+    assert.equal(isRefused(containment, "a"), true);
+  }
+  advance(599_000);
+  const started = createVm(clock, () => {});
+  started.facts.merge(vms[0]!.facts.list(), "peer");
+  assert.equal(isRefused(started.containment, "a"), true);
+  assert.equal(isRefused(first, "a"), true);
+});
+
+test("a report of an earlier version, without earlier crashes, counts by itself", () => {
+  const { vms, containments } = createTestVms(1);
+  const [first] = containments as [Containment];
+  const lifetimeMs = 60_000;
+  const reports = [["crash", "c1", "a,b", "part"], ["crash", "c2", "a,b"]];
+  vms[0]!.facts.merge(
+    reports.map((values) => ({ values, remainingMs: lifetimeMs })),
+    "peer",
+  );
+  first.onCrash("c3", requestOf("d"), []);
+  assert.equal(isRefused(first, "a"), true);
+  assert.equal(isRefused(first, "d"), false);
+});
+
 test("a stream that goes on clears no request", () => {
   const { containments } = createTestVms(1);
   const [first] = containments as [Containment];
--- a/packages/router/src/create_crash_detector.ts
+++ b/packages/router/src/create_crash_detector.ts
@@ -11,6 +11,8 @@
   request: ContainedRequest;
   /** Identifier of the crash, the same on all VMs. */
   crash: string;
+  /** Crashes of the request that were known when the call was sent. */
+  earlier: readonly string[];
 }
 
 /** Distinguishes crashes of upstreams from other broken calls. */
@@ -88,14 +90,15 @@
   }
 
   function report(upstream: Upstream): void {
-    for (const { request, crash } of recent(upstream)) {
+    for (const { request, crash, earlier } of recent(upstream)) {
       log.warn(LogEvent.RequestCrashedUpstream, {
         id: request.id,
         fingerprints: request.fingerprints,
         crash,
+        earlier,
         upstream: upstream.entry.id,
       });
-      containment.onCrash(crash, request);
+      containment.onCrash(crash, request, earlier);
     }
     suspects.delete(upstream);
   }
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -194,6 +194,7 @@
       relayedTo: new Set(),
       sends: relay?.sends ?? 0,
       possibleRuns: 0,
+      brokenCalls: [],
       stream: {
         isStream: route.kind === RouteKind.Stream,
         lastEventId: metadata.lastEventId,
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -10,7 +10,10 @@
 
 /** Kinds of fact that all VMs share; the first value of each fact. */
 export enum FactKind {
-  /** Followed by a crash, the fingerprints of a request in flight and parts. */
+  /**
+   * Followed by a crash, the fingerprints of a request in flight, the crashes
+   * known when it was sent, and parts.
+   */
   Crash = "crash",
   /** Followed by a suspect and a crash that it did not cause. */
   Cleared = "cleared",
--- a/packages/router/src/request_state.ts
+++ b/packages/router/src/request_state.ts
@@ -34,6 +34,8 @@
   sends: number;
   /** Number of sends after which the request may have been executed. */
   possibleRuns: number;
+  /** Identifiers of the crashes that broken calls of the request may be. */
+  brokenCalls: string[];
   stream: StreamState;
   /** Upstream that keeps a backup copy of the call, and the copy's name. */
   backup: { upstream: Upstream; name: string } | undefined;
