--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -45,7 +45,10 @@
   origins: Pick<StreamOrigins, "publish">;
   crashDetector: CrashDetector;
   reach: Pick<Reach, "onSent" | "onReceived" | "onConnectFailed">;
-  containment: Pick<Containment, "check" | "onAnswer" | "onProgress">;
+  containment: Pick<
+    Containment,
+    "check" | "crashesOf" | "onAnswer" | "onProgress"
+  >;
   callLimits: Pick<CallLimits, "onNamed">;
   brittleServices: Pick<BrittleServices, "onNamed">;
   upstreamLimits: Pick<UpstreamLimits, "isShared">;
@@ -136,6 +139,12 @@
     return startedMs === undefined ? `${vm}/${call}` : `${id}@${startedMs}`;
   }
 
+  /** Crashes of the request that are known or likely by now. */
+  function crashesSoFar(state: RequestState): string[] {
+    const { brokenCalls } = state;
+    return [...new Set([...brokenCalls, ...containment.crashesOf(state)])];
+  }
+
   /** Throws a `TillerError` if the request crashes upstreams, as of now. */
   function checkContainment(state: RequestState, placement: Placement): void {
     try {
@@ -238,7 +247,7 @@
   function recordEnd(
     state: RequestState,
     placement: Placement,
-    { result, status, warmUpMs }: AttemptEnd,
+    { result, status, warmUpMs, earlier }: AttemptEnd & { earlier: string[] },
   ): void {
     const { upstream } = placement;
     const isFailed = result === AttemptResult.Broken ||
@@ -262,10 +271,9 @@
       state.tried.add(upstream.entry.id);
     }
     if (result === AttemptResult.Broken) {
-      crashDetector.onCallBroken(upstream, {
-        request: state,
-        crash: crashOf(placement),
-      });
+      const crash = crashOf(placement);
+      state.brokenCalls.push(crash);
+      crashDetector.onCallBroken(upstream, { request: state, crash, earlier });
     }
     if (result === AttemptResult.Complete && status < 400) {
       containment.onAnswer(state);
@@ -338,6 +346,7 @@
       let bodyBytes = 0;
       /** Time of the first event or of the last report of progress. */
       let progressMs: number | undefined;
+      let earlier: string[] = [];
       const isResume = state.stream.isStarted;
       const running = runAttempt({
         clock,
@@ -375,6 +384,7 @@
         },
         maySend: () => registry.isInUse(upstream) && send.isAllowed(),
         onSent() {
+          earlier = crashesSoFar(state);
           reportRepeatedSend(state, {
             to: entry.id,
             copy: backupFrom?.name,
@@ -407,7 +417,7 @@
         } else {
           pool.discard(entry, connection);
         }
-        recordEnd(state, placement, ended);
+        recordEnd(state, placement, { ...ended, earlier });
         logEnd(state, placement, { ...ended, startedMs, isResume });
         return ended;
       }
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -198,6 +198,7 @@
         route,
         earlierSends: relay?.sends ?? 0,
       }),
+      brokenCalls: [],
       stream: {
         isStream: route.kind === RouteKind.Stream,
         lastEventId: metadata.lastEventId,
--- a/packages/router/src/request_state.ts
+++ b/packages/router/src/request_state.ts
@@ -32,6 +32,8 @@
   relayedTo: Set<string>;
   /** All sends of the request; decides which further ones are allowed. */
   sendHistory: SendHistory;
+  /** Identifiers of the crashes that broken calls of the request may be. */
+  brokenCalls: string[];
   stream: StreamState;
   /** Backup copy of the newest run; undefined while it is in use or gone. */
   backup: BackupCopy | undefined;
