router: a resume of unknown origin waits for a read of the platform

What callers saw: during a release, streams that had begun at upstreams of the new software version broke, were resumed at a VM that was out of step for a second (cut off from its peers and the store, or standing still), and went on at an upstream of the old version.

Cause: a resume whose origin no peer names goes on if all upstreams have had one version for as long as the stream can be old. The lower end of that time was observed, the upper end was not: the VM counted as current until staleMs after its last confirmation, and a response that had waited in a socket counted as confirmed when it was read. A negative was concluded from knowledge that ends before the moment that it is about.

Change: before such a resume goes on, the VM reads the changes of the store up to now. The response is linearizable and the read begins after the resume has arrived, so that it has every version at which the stream can have begun, whatever clocks or pauses did. No read is made if the origin is known, or if the VM already knows several versions.

An empty header that names no request no longer counts as a known origin.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -167,8 +167,13 @@
   seeds(): readonly string[];
   /** Returns the state that the next heartbeat reports. */
   heartbeatState(): Omit<Heartbeat, "dataCentre" | "members">;
+  /** Creates the socket for datagrams, by default one of `node:dgram`. */
+  createSocket?: CreateDatagramSocket | undefined;
 }
 
+/** Creates an unbound UDP socket for IPv4. */
+export type CreateDatagramSocket = () => Socket;
+
 const packr = new Packr({ useRecords: false });
 
 /** Creates the network without opening its socket; call `start` for that. */
@@ -443,7 +448,7 @@
   return {
     async start(peerListener) {
       listener = peerListener;
-      socket = createSocket("udp4");
+      socket = options.createSocket?.() ?? createSocket("udp4");
       socket.on("message", (bytes, { address }) => receive(bytes, address));
       socket.on("error", () => {});
       await new Promise<void>((resolve, reject) => {
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -13,6 +13,7 @@
 import type { BrittleServices } from "./create_brittle_services.ts";
 import type { CallLimits } from "./create_call_limits.ts";
 import { createCallRunner } from "./create_call_runner.ts";
+import type { Confirm } from "./create_confirmation.ts";
 import type { ConfigurationGate } from "./create_configuration_gate.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
@@ -65,6 +66,8 @@
   configuration(): ConfigurationIndex | undefined;
   /** Whether the configuration was confirmed within the staleness limit. */
   isCurrent(): boolean;
+  /** Confirms the configuration and the upstreams as of the call. */
+  confirm: Confirm;
 }
 
 /** Serves callers' requests, with retries and resumes at upstreams. */
@@ -102,7 +105,7 @@
     options;
   const { origins, containment, reach, relays, callLimits, facts } = options;
   const { brittleServices, upstreamLimits, retryBounds, vm } = options;
-  const { configuration, gate, isCurrent } = options;
+  const { configuration, gate, isCurrent, confirm } = options;
   const crashDetector = createCrashDetector({
     clock,
     log,
@@ -221,29 +224,37 @@
 
   /**
    * Sets the software version at which a caller resumes a stream. Throws a
-   * `TillerError` if no VM knows which version began it.
+   * `TillerError` if that can't be known for certain.
    */
   async function resolveOrigin(state: RequestState): Promise<void> {
     const { request, stream } = state;
     const { lastEventId, resumedId } = request.metadata;
     if (!stream.isStream || lastEventId === undefined) return;
     if (stream.softwareVersion !== undefined) return;
-    stream.softwareVersion = resumedId && await origins.find(resumedId);
-    stream.softwareVersion ??= onlyVersionDuring(state);
+    if (resumedId) stream.softwareVersion = await origins.find(resumedId);
     if (stream.softwareVersion !== undefined) return;
+    const onlyVersion = findOnlyVersion(state);
+    // The stream may have begun at upstreams that this VM has not heard of.
+    const isConfirmed = onlyVersion !== undefined && await confirm();
+    if (isConfirmed && findOnlyVersion(state) === onlyVersion) {
+      stream.softwareVersion = onlyVersion;
+      return;
+    }
     throw new TillerError(
       ErrorKind.NotReady,
-      "no VM knows which software version began the stream",
+      onlyVersion === undefined
+        ? "no VM knows which software version began the stream"
+        : "the platform does not confirm which software version began the stream",
       { retryAfterMs: UNKNOWN_ORIGIN_RETRY_AFTER_MS },
     );
   }
 
   /**
    * The version that all upstreams have had for as long as the caller's stream
-   * can be old; undefined if this VM does not know that.
+   * can be old, as far as this VM has heard; undefined if it is not the only one
+   * or the VM has not observed them for so long.
    */
-  function onlyVersionDuring({ route, service }: RequestState) {
-    if (!isCurrent()) return undefined;
+  function findOnlyVersion({ route, service }: RequestState) {
     const windowMs = STREAM_AGE_FACTOR * route.timeoutMs + STREAM_AGE_MARGIN_MS;
     return registry.versions.onlyVersionOf(service.name, windowMs);
   }
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -1,6 +1,7 @@
 import {
   CONFIGURATION_PATH,
   createConfigurationHandler,
+  type CreateDatagramSocket,
   createFactsHandler,
   createPeerNetwork,
   createPublishedHandler,
@@ -27,6 +28,7 @@
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createReach } from "./create_reach.ts";
 import { createLoadEventHandler } from "./create_load_event_handler.ts";
+import { createConfirmation } from "./create_confirmation.ts";
 import { createConfigurationGate } from "./create_configuration_gate.ts";
 import { createHealthProbe } from "./create_health_probe.ts";
 import { createPublishedState } from "./create_published_state.ts";
@@ -88,6 +90,7 @@
   decode: DecodeItem;
   source: PublishedSource;
   connect?: Connect | undefined;
+  createPeerSocket?: CreateDatagramSocket | undefined;
 }
 
 /** A router on one VM. */
@@ -142,6 +145,7 @@
     port: settings.peers.port,
     dataCentre,
     seeds: () => settings.seeds,
+    createSocket: options.createPeerSocket,
     heartbeatState: () => ({
       era: state.items.era(),
       revision: state.items.head(),
@@ -274,6 +278,7 @@
     vm,
     gate,
     configuration: state.index,
+    confirm: createConfirmation(source.readNow),
     isCurrent: () => state.confirmedAgeMs() <= settings.staleMs,
   });
   const callerServer = createCallerServer({
--- a/packages/router/src/create_router_test.ts
+++ b/packages/router/src/create_router_test.ts
@@ -37,7 +37,7 @@
       },
     },
     decode: () => undefined,
-    source: { start() {}, stop() {} },
+    source: { start() {}, readNow: () => Promise.resolve(false), stop() {} },
   });
 }
 
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -227,6 +227,12 @@
 /** Port: watches the platform's published items. */
 export interface PublishedSource {
   start(sink: PublishedSink): void;
+  /**
+   * Reads the changes up to now, besides the regular reads, and passes them to
+   * the sink of `start`. Resolves with whether it has got all of them: false
+   * before the first complete read, and if the platform does not respond soon.
+   */
+  readNow(): Promise<boolean>;
   stop(): void;
 }
 
--- a/packages/standins/src/start_process_fleet.ts
+++ b/packages/standins/src/start_process_fleet.ts
@@ -19,6 +19,8 @@
 export interface ProcessFleet {
   /** Address for callers. */
   addressOf(router: number): { host: string; port: number };
+  /** Address at which a router receives its peers' datagrams. */
+  peerAddressOf(router: number): { host: string; port: number };
   isReady(router: number): Promise<boolean>;
   /** Whether a router has ended and does not listen again yet. */
   isStarting(router: number): boolean;
@@ -30,6 +32,8 @@
   killCount(router: number): number;
   /** Kills a router unless it is starting, and starts it again. */
   kill(router: number): Promise<void>;
+  /** Suspends the process of a router by SIGSTOP, or continues it. */
+  setSuspended(router: number, isSuspended: boolean): void;
   /**
    * Stops a router by SIGTERM, kills it if it still runs after the grace
    * period, and starts it again on its ports. Does nothing unless it is up.
@@ -218,6 +222,9 @@
       host: hostOf(number),
       port: routers[number]!.ports.callers,
     }),
+    peerAddressOf: (number) => ({ host: hostOf(number), port: peerPort }),
+    setSuspended: (number, isSuspended) =>
+      void routers[number]!.child?.kill(isSuspended ? "SIGSTOP" : "SIGCONT"),
     isReady: async (number) => (await readiness(number)) === 200,
     startCount: (number) => routers[number]!.starts,
     killCount: (number) => routers[number]!.kills,
