router: a resume of unknown origin considers all services of its route

What callers saw: streams of a route that is split between services, or that a configuration moved to another one, went on at another software version when their callers resumed them without naming the request, without any disturbance.

Cause: "all upstreams have had one version" looked only at the service that the resume itself was sent to, which is chosen by weight and by the newest configuration. The stream may have begun at another service of the route, or through another route that matched its requests before.

Change: a history of routes records the services that each one has had and since when its requests match no other route. A resume of unknown origin goes on only if the upstreams of all these services have had one version, and if its route is that of the newest configuration after the read of the platform.

--- a/packages/router/src/classify_request.ts
+++ b/packages/router/src/classify_request.ts
@@ -28,6 +28,16 @@
 /** Retry-after while the configuration is missing or stale, in ms. */
 const NOT_READY_RETRY_AFTER_MS = 400;
 
+/** Returns the route that a request matches, undefined if there is none. */
+export function findRouteOf(
+  { host, pathAndQuery }: Pick<CallerRequest, "host" | "pathAndQuery">,
+  index: ConfigurationIndex,
+): Route | undefined {
+  const query = pathAndQuery.indexOf("?");
+  const path = query < 0 ? pathAndQuery : pathAndQuery.slice(0, query);
+  return index.findRoute(host, path);
+}
+
 /**
  * Looks up a request's route and account, and picks one of the route's
  * services by weight. Throws a `TillerError` if no configuration has been
@@ -47,10 +57,8 @@
       },
     );
   }
-  const { metadata, host, pathAndQuery } = request;
-  const query = pathAndQuery.indexOf("?");
-  const path = query < 0 ? pathAndQuery : pathAndQuery.slice(0, query);
-  const route = index.findRoute(host, path);
+  const { metadata } = request;
+  const route = findRouteOf(request, index);
   if (!route) {
     throw createNotFoundError(
       ErrorKind.UnknownRoute,
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -8,7 +8,7 @@
 } from "@rosemarytiller/shared";
 import type { Buffer } from "node:buffer";
 import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
-import { classifyRequest } from "./classify_request.ts";
+import { classifyRequest, findRouteOf } from "./classify_request.ts";
 import { createAttemptStarter } from "./create_attempt_starter.ts";
 import type { BrittleServices } from "./create_brittle_services.ts";
 import type { CallLimits } from "./create_call_limits.ts";
@@ -22,6 +22,7 @@
 import type { Reach } from "./create_reach.ts";
 import type { Registry } from "./create_registry.ts";
 import type { Relays } from "./create_relays.ts";
+import type { RouteHistory } from "./create_route_history.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import { createRetries } from "./create_retries.ts";
 import type { Scheduler } from "./create_scheduler.ts";
@@ -68,6 +69,7 @@
   isCurrent(): boolean;
   /** Confirms the configuration and the upstreams as of the call. */
   confirm: Confirm;
+  routeHistory: Pick<RouteHistory, "servicesOf">;
 }
 
 /** Serves callers' requests, with retries and resumes at upstreams. */
@@ -105,7 +107,7 @@
     options;
   const { origins, containment, reach, relays, callLimits, facts } = options;
   const { brittleServices, upstreamLimits, retryBounds, vm } = options;
-  const { configuration, gate, isCurrent, confirm } = options;
+  const { configuration, gate, isCurrent, confirm, routeHistory } = options;
   const crashDetector = createCrashDetector({
     clock,
     log,
@@ -250,13 +252,17 @@
   }
 
   /**
-   * The version that all upstreams have had for as long as the caller's stream
-   * can be old, as far as this VM has heard; undefined if it is not the only one
-   * or the VM has not observed them for so long.
+   * The version that all upstreams of the route have had for as long as the
+   * caller's stream can be old, as far as this VM has heard; undefined if it is
+   * not the only one, if the VM has not observed them for so long, or if there
+   * is a newer configuration, whose routes may differ.
    */
-  function findOnlyVersion({ route, service }: RequestState) {
+  function findOnlyVersion({ request, route }: RequestState) {
+    const index = configuration();
+    if (!index || findRouteOf(request, index) !== route) return undefined;
     const windowMs = STREAM_AGE_FACTOR * route.timeoutMs + STREAM_AGE_MARGIN_MS;
-    return registry.versions.onlyVersionOf(service.name, windowMs);
+    const services = routeHistory.servicesOf(route, windowMs);
+    return services && registry.versions.onlyVersionOf(services, windowMs);
   }
 
   /** Runs attempts until the request has its final response. */
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -24,6 +24,7 @@
   createConnectionPool,
 } from "./create_connection_pool.ts";
 import { createContainment } from "./create_containment.ts";
+import { createRouteHistory } from "./create_route_history.ts";
 import { createRouterFacts } from "./create_router_facts.ts";
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createReach } from "./create_reach.ts";
@@ -134,6 +135,7 @@
   let { settings } = options;
   const { vm, dataCentre } = settings;
   const registry = createRegistry({ clock, log });
+  const routeHistory = createRouteHistory(clock);
   const pool = createConnectionPool({ clock, connect: options.connect });
   let isStopping = false;
   let timers: CancelTimer[] = [];
@@ -170,7 +172,8 @@
     port: settings.peers.port,
     entriesBackMs: () => settings.entriesBackMs,
     drainMs: settings.drainMs,
-    onConfiguration({ limits }) {
+    onConfiguration({ limits, routes }) {
+      routeHistory.onRoutes(routes);
       callerServer.setLimits(limits);
       gate.open();
     },
@@ -279,6 +282,7 @@
     gate,
     configuration: state.index,
     confirm: createConfirmation(source.readNow),
+    routeHistory,
     isCurrent: () => state.confirmedAgeMs() <= settings.staleMs,
   });
   const callerServer = createCallerServer({
--- a/packages/router/src/create_version_history.ts
+++ b/packages/router/src/create_version_history.ts
@@ -18,11 +18,14 @@
    */
   onGap(): void;
   /**
-   * The version that all upstreams of a service have had for the last
+   * The version that all upstreams of some services have had for the last
    * `windowMs`; undefined if there were several, or if this VM has not observed
-   * the service for so long.
+   * the services for so long.
    */
-  onlyVersionOf(service: string, windowMs: number): string | undefined;
+  onlyVersionOf(
+    services: readonly string[],
+    windowMs: number,
+  ): string | undefined;
 }
 
 interface VersionUse {
@@ -75,14 +78,16 @@
       if (!leave(id, clock.now() + keepMs)) onGap();
     },
     onGap,
-    onlyVersionOf(service, windowMs) {
+    onlyVersionOf(names, windowMs) {
       const sinceMs = clock.now() - windowMs;
       if (observedSinceMs > sinceMs) return undefined;
       let only: string | undefined;
-      for (const [version, use] of services.get(service) ?? []) {
-        if (use.present.size === 0 && use.lastUsedMs < sinceMs) continue;
-        if (only !== undefined) return undefined;
-        only = version;
+      for (const name of names) {
+        for (const [version, use] of services.get(name) ?? []) {
+          if (use.present.size === 0 && use.lastUsedMs < sinceMs) continue;
+          if (only !== undefined && version !== only) return undefined;
+          only = version;
+        }
       }
       return only;
     },
--- a/packages/router/src/create_version_history_test.ts
+++ b/packages/router/src/create_version_history_test.ts
@@ -13,7 +13,7 @@
   return {
     clock,
     history,
-    only: () => history.onlyVersionOf("engines", WINDOW_MS),
+    only: () => history.onlyVersionOf(["engines"], WINDOW_MS),
   };
 }
 
@@ -67,6 +67,18 @@
   assert.equal(only(), undefined);
 });
 
+test("several services count as one if all have the same version", () => {
+  const { clock, history } = createTestHistory();
+  history.onEntry("a", OLD);
+  history.onEntry("b", { service: "same", softwareVersion: "v1" });
+  history.onEntry("c", { service: "other", softwareVersion: "v2" });
+  clock.advance(2 * WINDOW_MS);
+  const only = (...services: string[]) =>
+    history.onlyVersionOf(services, WINDOW_MS);
+  assert.equal(only("engines", "same"), "v1");
+  assert.equal(only("engines", "other"), undefined);
+});
+
 test("versions of other services do not count", () => {
   const { clock, history, only } = createTestHistory();
   history.onEntry("a", OLD);
