shared: the request with limits on pauses moves out of platform/

Change: sending a GET request with limits on its start, its pauses, its time and its memory is no translation.

--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -3,5 +3,6 @@
 export * from "./clock.ts";
 export * from "./log.ts";
 export * from "./ids.ts";
+export * from "./get_response.ts";
 export * from "./read_limited.ts";
 export * from "./create_subject.ts";
