--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -8,11 +8,12 @@
 } from "@rosemarytiller/shared";
 import type { Buffer } from "node:buffer";
 import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
-import { classifyRequest } from "./classify_request.ts";
+import { classifyRequest, findRouteOf } from "./classify_request.ts";
 import { createAttemptStarter } from "./create_attempt_starter.ts";
 import type { BrittleServices } from "./create_brittle_services.ts";
 import type { CallLimits } from "./create_call_limits.ts";
 import { createCallRunner, type EndedCall } from "./create_call_runner.ts";
+import type { Confirm } from "./create_confirmation.ts";
 import type { ConfigurationGate } from "./create_configuration_gate.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { ConnectionPool } from "./create_connection_pool.ts";
@@ -21,6 +22,7 @@
 import type { Reach } from "./create_reach.ts";
 import type { Registry } from "./create_registry.ts";
 import type { Relays } from "./create_relays.ts";
+import type { RouteHistory } from "./create_route_history.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
 import { createRetries } from "./create_retries.ts";
 import { createSendHistory } from "./create_send_history.ts";
@@ -67,6 +69,9 @@
   configuration(): ConfigurationIndex | undefined;
   /** Whether the configuration was confirmed within the staleness limit. */
   isCurrent(): boolean;
+  /** Confirms the configuration and the upstreams as of the call. */
+  confirm: Confirm;
+  routeHistory: Pick<RouteHistory, "servicesOf">;
 }
 
 /** Serves callers' requests, with retries and resumes at upstreams. */
@@ -104,7 +109,7 @@
     options;
   const { origins, containment, reach, relays, callLimits, facts } = options;
   const { brittleServices, upstreamLimits, retryBounds, vm } = options;
-  const { configuration, gate, isCurrent } = options;
+  const { configuration, gate, isCurrent, confirm, routeHistory } = options;
   const crashDetector = createCrashDetector({
     clock,
     log,
@@ -226,31 +231,43 @@
 
   /**
    * Sets the software version at which a caller resumes a stream. Throws a
-   * `TillerError` if no VM knows which version began it.
+   * `TillerError` if that can't be known for certain.
    */
   async function resolveOrigin(state: RequestState): Promise<void> {
     const { request, stream } = state;
     const { lastEventId, resumedId } = request.metadata;
     if (!stream.isStream || lastEventId === undefined) return;
     if (stream.softwareVersion !== undefined) return;
-    stream.softwareVersion = resumedId && await origins.find(resumedId);
-    stream.softwareVersion ??= onlyVersionDuring(state);
+    if (resumedId) stream.softwareVersion = await origins.find(resumedId);
     if (stream.softwareVersion !== undefined) return;
+    const onlyVersion = findOnlyVersion(state);
+    // The stream may have begun at upstreams that this VM has not heard of.
+    const isConfirmed = onlyVersion !== undefined && await confirm();
+    if (isConfirmed && findOnlyVersion(state) === onlyVersion) {
+      stream.softwareVersion = onlyVersion;
+      return;
+    }
     throw new TillerError(
       ErrorKind.NotReady,
-      "no VM knows which software version began the stream",
+      onlyVersion === undefined
+        ? "no VM knows which software version began the stream"
+        : "the platform does not confirm which software version began the stream",
       { retryAfterMs: UNKNOWN_ORIGIN_RETRY_AFTER_MS },
     );
   }
 
   /**
-   * The version that all upstreams have had for as long as the caller's stream
-   * can be old; undefined if this VM does not know that.
+   * The version that all upstreams of the route have had for as long as the
+   * caller's stream can be old, as far as this VM has heard; undefined if it is
+   * not the only one, if the VM has not observed them for so long, or if there
+   * is a newer configuration, whose routes may differ.
    */
-  function onlyVersionDuring({ route, service }: RequestState) {
-    if (!isCurrent()) return undefined;
+  function findOnlyVersion({ request, route }: RequestState) {
+    const index = configuration();
+    if (!index || findRouteOf(request, index) !== route) return undefined;
     const windowMs = STREAM_AGE_FACTOR * route.timeoutMs + STREAM_AGE_MARGIN_MS;
-    return registry.versions.onlyVersionOf(service.name, windowMs);
+    const services = routeHistory.servicesOf(route, windowMs);
+    return services && registry.versions.onlyVersionOf(services, windowMs);
   }
 
   /** Runs calls until the request has its final response. */
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -1,6 +1,7 @@
 import {
   CONFIGURATION_PATH,
   createConfigurationHandler,
+  type CreateDatagramSocket,
   createFactsHandler,
   createPeerNetwork,
   createPublishedHandler,
@@ -23,10 +24,12 @@
   createConnectionPool,
 } from "./create_connection_pool.ts";
 import { createContainment } from "./create_containment.ts";
+import { createRouteHistory } from "./create_route_history.ts";
 import { createRouterFacts } from "./create_router_facts.ts";
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createReach } from "./create_reach.ts";
 import { createLoadEventHandler } from "./create_load_event_handler.ts";
+import { createConfirmation } from "./create_confirmation.ts";
 import { createConfigurationGate } from "./create_configuration_gate.ts";
 import { createHealthProbe } from "./create_health_probe.ts";
 import { createPublishedState } from "./create_published_state.ts";
@@ -88,6 +91,7 @@
   decode: DecodeItem;
   source: PublishedSource;
   connect?: Connect | undefined;
+  createPeerSocket?: CreateDatagramSocket | undefined;
 }
 
 /** A router on one VM. */
@@ -131,6 +135,7 @@
   let { settings } = options;
   const { vm, dataCentre } = settings;
   const registry = createRegistry({ clock, log });
+  const routeHistory = createRouteHistory(clock);
   const pool = createConnectionPool({ clock, connect: options.connect });
   let isStopping = false;
   let timers: CancelTimer[] = [];
@@ -142,6 +147,7 @@
     port: settings.peers.port,
     dataCentre,
     seeds: () => settings.seeds,
+    createSocket: options.createPeerSocket,
     heartbeatState: () => ({
       era: state.items.era(),
       revision: state.items.head(),
@@ -166,7 +172,8 @@
     port: settings.peers.port,
     entriesBackMs: () => settings.entriesBackMs,
     drainMs: settings.drainMs,
-    onConfiguration({ limits }) {
+    onConfiguration({ limits, routes }) {
+      routeHistory.onRoutes(routes);
       callerServer.setLimits(limits);
       gate.open();
     },
@@ -275,6 +282,8 @@
     vm,
     gate,
     configuration: state.index,
+    confirm: createConfirmation(source.readNow),
+    routeHistory,
     isCurrent: () => state.confirmedAgeMs() <= settings.staleMs,
   });
   const callerServer = createCallerServer({
