standins: the soak's checks and random choices move out of platform/

Moved without a change: check_soak_call.ts with its tests, check_retry_bound.ts, create_soak_random.ts, soak_responses.ts; the types of attempts and executions are now in soak_attempt.ts.

--- a/platform/src/check_retry_bound.ts
+++ b/packages/standins/src/check_retry_bound.ts
@@ -1,4 +1,4 @@
-import type { Execution } from "./create_soak_upstreams.ts";
+import type { Execution } from "./soak_attempt.ts";
 
 /** A request of a caller for a service. */
 export interface ServiceRequest {
--- a/platform/src/check_soak_call.ts
+++ b/packages/standins/src/check_soak_call.ts
@@ -1,6 +1,9 @@
-import { MIN_TIMEOUT_MS } from "./create_soak_configuration.ts";
-import { type Execution, ExecutionEnd } from "./create_soak_upstreams.ts";
-import type { AttemptPlan } from "./create_soak_callers.ts";
+import {
+  type AttemptPlan,
+  type Execution,
+  ExecutionEnd,
+  MIN_TIMEOUT_MS,
+} from "./soak_attempt.ts";
 import {
   FAILED_BODY,
   plainBody,
--- a/platform/src/check_soak_call_test.ts
+++ b/packages/standins/src/check_soak_call_test.ts
@@ -7,7 +7,7 @@
   checkSoakRuns,
   Violation,
 } from "./check_soak_call.ts";
-import { type Execution, ExecutionEnd } from "./create_soak_upstreams.ts";
+import { type Execution, ExecutionEnd } from "./soak_attempt.ts";
 import {
   FAILED_BODY,
   formatEvent,
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,6 +1,9 @@
 export * from "./check_containment.ts";
 export * from "./check_departures.ts";
 export * from "./check_named_limits.ts";
+export * from "./check_retry_bound.ts";
+export * from "./check_soak_call.ts";
+export * from "./create_soak_random.ts";
 export * from "./create_stand_in_engine.ts";
 export * from "./create_stand_in_platform.ts";
 export * from "./create_stand_in_service.ts";
@@ -9,3 +12,5 @@
 export * from "./lease_port.ts";
 export * from "./start_process_fleet.ts";
 export * from "./start_process_link.ts";
+export * from "./soak_attempt.ts";
+export * from "./soak_responses.ts";
