router: a relay is one send, so that all VMs keep to the route's attempts

A request could run more often than its route allows: three runs of a stream with two attempts. Cause: the VM that took a relayed request sent it again by itself, while the VM that had passed it on counted one send and passed it on once more. Change: the other VM may send a relayed request once; what follows is decided by the VM that has the caller. Evidence: a test with four VMs and upstreams that break streams off: 3 runs before, 2 after.

--- a/packages/router/src/create_relays.ts
+++ b/packages/router/src/create_relays.ts
@@ -104,7 +104,7 @@
 
   /** The caller's headers, with what the other VM needs to know. */
   function headersOf(state: RequestState) {
-    const { request, stream, expiresMs, sendHistory } = state;
+    const { request, route, stream, expiresMs, sendHistory } = state;
     return [
       ...endToEndHeaders(
         request.rawHeaders,
@@ -113,7 +113,8 @@
       ...writeRelayHeaders({
         from: vm,
         deadlineMs: expiresMs - clock.now(),
-        sends: sendHistory.count(),
+        // The other VM may send it once, as this VM counts one send.
+        sends: Math.max(sendHistory.count(), route.maxAttempts - 1),
         lastEventId: stream.lastEventId,
         softwareVersion: stream.softwareVersion,
       }),
