router: count a connection that can't be opened as an unsent attempt

Callers got status 500 for calls to an upstream whose port is out of range, and the place of each such call at that upstream stayed taken. The probe of a service that is lost became an unhandled rejection.

Cause: net.connect throws for an address that no socket can have, and so does the constructor of the HTTP client. Neither was expected where a connection is acquired: the placement was not released, and the error went up as an internal one.

A connection whose opening throws now fails later, as any other does, so that its call is unsent. Whatever a start throws, it releases the placement. The health probe can end before its timer is set.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -70,9 +70,9 @@
 /** Starts attempts at upstreams and records their outcomes. */
 export interface AttemptStarter {
   /**
-   * Starts an attempt at the placement's upstream. Releases the placement and
-   * throws a `TillerError` if the request is quarantined or no connection is
-   * left.
+   * Starts an attempt at the placement's upstream. Throws a `TillerError` if the
+   * request is quarantined or no connection is left; the placement is released
+   * whenever it throws.
    */
   start(
     state: RequestState,
@@ -126,16 +126,6 @@
     return startedMs === undefined ? `${vm}/${call}` : `${id}@${startedMs}`;
   }
 
-  /** Throws a `TillerError` if the request crashes upstreams, as of now. */
-  function checkContainment(state: RequestState, placement: Placement): void {
-    try {
-      containment.check(state);
-    } catch (error) {
-      placement.release(CallEnd.Other);
-      throw error;
-    }
-  }
-
   /** Acquires a connection; throws a `TillerError` if none is left. */
   function acquireConnection(state: RequestState, placement: Placement) {
     // This VM's share of 90 % of the connections that the upstream accepts, at
@@ -146,7 +136,6 @@
     );
     const connection = pool.acquire(placement.upstream.entry, maxOpen);
     if (connection) return connection;
-    placement.release(CallEnd.Other);
     throw new TillerError(
       ErrorKind.Overloaded,
       "this VM has no free connection to upstreams",
@@ -291,11 +280,11 @@
     }
   }
 
-  return {
+  const starter: AttemptStarter = {
     start(state, placement, { backupFrom, hooks }) {
       const { upstream } = placement;
       const { entry } = upstream;
-      checkContainment(state, placement);
+      containment.check(state);
       const connection = acquireConnection(state, placement);
       const backup = backupFrom ? undefined : chooseBackup(state, placement);
       const headers = [
@@ -382,4 +371,15 @@
       return { ...running, ended: finish(), placement };
     },
   };
+
+  return {
+    start(state, placement, startOptions) {
+      try {
+        return starter.start(state, placement, startOptions);
+      } catch (error) {
+        placement.release(CallEnd.Other);
+        throw error;
+      }
+    },
+  };
 }
--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@rosemarytiller/shared";
-import { connect as connectSocket, type Socket } from "node:net";
+import { connect as connectSocket, Socket } from "node:net";
 import type { Client as UndiciClient } from "undici";
 // Importing all of undici takes three times as long as its client alone.
 import Client from "undici/lib/dispatcher/client.js";
@@ -28,6 +28,7 @@
 export interface ConnectionPool {
   /**
    * Returns an idle connection or opens one; undefined if `maxOpen` are open.
+   * Connecting to an address that is none fails like any other.
    */
   acquire(address: UpstreamAddress, maxOpen: number): Connection | undefined;
   /**
@@ -63,6 +64,14 @@
 /** Fraction of the idle limit after which a connection is not reused. */
 const MAX_IDLE_SHARE = 0.7;
 
+/** Origin of a client whose address is none: its connections fail. */
+const NO_ORIGIN = "http://0.0.0.0:0";
+
+function originOf(name: string): string {
+  const origin = `http://${name}`;
+  return URL.canParse(origin) ? origin : NO_ORIGIN;
+}
+
 /** Creates an empty pool; connections are opened on demand. */
 export function createConnectionPool(
   options: { clock: Clock; connect?: Connect | undefined },
@@ -74,12 +83,21 @@
 
   const nameOf = ({ host, port }: UpstreamAddress) => `${host}:${port}`;
 
+  /** Connecting throws for an address that no socket takes: fails it later. */
+  function connectOrFail(address: UpstreamAddress): Socket {
+    try {
+      return connect({ ...address, noDelay: true });
+    } catch (error) {
+      return new Socket().destroy(error as Error);
+    }
+  }
+
   /** Opens a socket; `onResult` gets an error unless it was established. */
   function openSocket(
     address: UpstreamAddress,
     onResult: (error: Error | null, socket: Socket) => void,
   ): Socket {
-    const socket: Socket = connect({ ...address, noDelay: true });
+    const socket = connectOrFail(address);
     let isConnected = false;
     const cancelTimeout = clock.after(CONNECT_TIMEOUT_MS, () => {
       socket.destroy(new Error("the connection was not established in time"));
@@ -125,7 +143,7 @@
       idleLimitMs: DEFAULT_IDLE_LIMIT_MS,
     };
     let connects = 0;
-    connection.client = new Client(`http://${name}`, {
+    connection.client = new Client(originOf(name), {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/router/src/create_connection_pool_test.ts
+++ b/packages/router/src/create_connection_pool_test.ts
@@ -43,3 +43,33 @@
   }
   assert.equal(await pool.probe(address), false);
 });
+
+// Guards against calls that fail as internal errors and keep their connection
+// counted, as connecting to their upstream throws.
+for (const port of [0, 80.5, 65_536, 70_000, -1, Infinity, NaN]) {
+  test(`a call to port ${port} is unsent and leaves no connection`, async () => {
+    const pool = createConnectionPool({ clock: createSystemClock() });
+    const address = { host: "127.0.0.1", port };
+    assert.equal(await pool.probe(address), false);
+    const connection = pool.acquire(address, 1)!;
+    assert.equal(pool.openCount(), 1);
+    const end = await new Promise<{ wasSent: boolean }>((resolve) => {
+      sendAttempt({
+        connection,
+        method: "GET",
+        path: "/",
+        headers: [],
+        body: undefined,
+      }, {
+        onSent() {},
+        onHead: () => true,
+        onData() {},
+        onEnd: resolve,
+      });
+    });
+    assert.equal(end.wasSent, false);
+    pool.discard(address, connection);
+    assert.equal(pool.openCount(), 0);
+    pool.close();
+  });
+}
--- a/packages/router/src/create_health_probe.ts
+++ b/packages/router/src/create_health_probe.ts
@@ -27,6 +27,7 @@
         resolve(false);
         return;
       }
+      let cancel = () => {};
       const running = sendAttempt(
         { connection, method: "GET", path, headers: [], body: undefined },
         {
@@ -46,6 +47,6 @@
           },
         },
       );
-      const cancel = clock.after(RESPONSE_TIMEOUT_MS, () => running.abort());
+      cancel = clock.after(RESPONSE_TIMEOUT_MS, () => running.abort());
     });
 }
