peers: read messages of other VMs as typed data

A datagram whose content has another type than expected threw in the listener of the socket: a list that is none, a number too large to be a double, a field that is missing. Bodies pulled from a peer were used without a look at their types.

Cause: what the decoder of MessagePack returned was cast to the messages' types.

packages/shared has readers of types and ranges, and the tables of a message's fields hold them. A message is read before its sender counts as a member. Fields that were added in later versions count as missing if they are odd; an odd load event leaves out itself only; a pulled body that is odd rejects the pull, so that the next heartbeat's sender is asked. The log has one line a second at most.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -1,4 +1,11 @@
-import type { Clock } from "@rosemarytiller/shared";
+import {
+  type Clock,
+  readAny,
+  readNumber,
+  readText,
+  soundElementsOf,
+  tupleOf,
+} from "@rosemarytiller/shared";
 import { Packr } from "msgpackr";
 import { randomInt } from "node:crypto";
 import { createSocket, type Socket } from "node:dgram";
@@ -14,6 +21,7 @@
   type PeerMessage,
   PeerMessageKind,
   type PushedItems,
+  readPush,
   type StreamStartedEvent,
 } from "./peer_messages.ts";
 
@@ -46,6 +54,8 @@
 const BATCH_DELAY_MS_PER_MEMBER = 0.5;
 /** Size of a datagram's items, in bytes; no fragmentation at usual MTUs. */
 const MAX_DATAGRAM_BYTES = 1300;
+/** Time between two reports of refused messages, in milliseconds. */
+const REFUSAL_INTERVAL_MS = 1000;
 /** Maximum number of hosts listed in a heartbeat. */
 const MAX_LISTED_MEMBERS = 24;
 
@@ -85,6 +95,8 @@
   onMembership(
     change: { host: string; present: boolean; members: number },
   ): void;
+  /** A host sent what is no message; called once a second at most. */
+  onRefused?(host: string, reason: string): void;
 }
 
 /** VMs that exchange load events with this one. */
@@ -169,7 +181,15 @@
   heartbeatState(): Omit<Heartbeat, "dataCentre" | "members">;
 }
 
+/** Applies a decoded message of a member. */
+type ApplyMessage = (member: Member) => void;
+
 const packr = new Packr({ useRecords: false });
+const readMessage = tupleOf<[number, number, unknown]>(
+  readNumber,
+  readNumber,
+  readAny,
+);
 
 /** Creates the network without opening its socket; call `start` for that. */
 export function createPeerNetwork(options: PeerNetworkOptions): PeerNetwork {
@@ -187,6 +207,7 @@
   let cancelHeartbeat: (() => void) | undefined;
   let listener: PeerListener | undefined;
   let socket: Socket | undefined;
+  let refusedMs = -Infinity;
   /** Round-robin position among the members of other data centres. */
   let remoteTurn = 0;
 
@@ -395,51 +416,88 @@
     return member;
   }
 
+  /** Decodes a datagram; returns what applies it, given its sender. */
+  function decode(bytes: Uint8Array): (from: string) => void {
+    const [kind, memberIncarnation, content] = readMessage(packr.unpack(bytes));
+    const apply = decoders.get(kind)?.(content);
+    return (from) => {
+      // A kind of a later version shows at least that its sender is there.
+      const member = touchMember(from, memberIncarnation);
+      apply?.(member);
+    };
+  }
+
   function receive(bytes: Uint8Array, from: string): void {
     if (from === host) return;
-    let message: PeerMessage;
+    let apply: (from: string) => void;
     try {
-      message = packr.unpack(bytes) as PeerMessage;
-    } catch {
-      return;
-    }
-    if (!Array.isArray(message)) return;
-    const [kind, memberIncarnation, content] = message;
-    const member = touchMember(from, memberIncarnation);
-    if (kind === PeerMessageKind.Load) {
-      const events = [];
-      for (const list of content as unknown[][]) {
-        const event = decodeLoadEvent(list);
-        if (event) events.push(event);
-      }
-      listener?.onLoadEvents(member, events);
-      return;
-    }
-    if (kind === PeerMessageKind.Items) {
-      listener?.onItems(member, content as unknown as PushedItems);
-      return;
-    }
-    if (kind === PeerMessageKind.StreamQuery) {
-      const reply = listener?.onStreamQuery(String(content));
-      if (!reply) return;
-      const events = [encodeLoadEvent(reply)];
-      send([PeerMessageKind.Load, incarnation, events], [from]);
+      apply = decode(bytes);
+    } catch (error) {
+      refuse(from, (error as Error).message);
       return;
     }
-    if (kind !== PeerMessageKind.Heartbeat) return;
+    apply(from);
+  }
+
+  function refuse(from: string, reason: string): void {
+    const nowMs = clock.now();
+    if (nowMs - refusedMs < REFUSAL_INTERVAL_MS) return;
+    refusedMs = nowMs;
+    listener?.onRefused?.(from, reason);
+  }
+
+  function receiveHeartbeat(member: Member, heartbeat: Heartbeat): void {
     member.heartbeatMs = clock.now();
-    member.heartbeat = decodeHeartbeat(content);
-    if (member.dataCentre !== member.heartbeat.dataCentre) {
-      member.dataCentre = member.heartbeat.dataCentre;
+    member.heartbeat = heartbeat;
+    if (member.dataCentre !== heartbeat.dataCentre) {
+      member.dataCentre = heartbeat.dataCentre;
       currentLoadFleet = undefined;
     }
-    for (const name of member.heartbeat.members) {
+    for (const name of heartbeat.members) {
       if (name === host || members.has(name) || candidates.has(name)) continue;
       candidates.set(name, clock.now());
     }
     listener?.onHeartbeat(member);
   }
 
+  /** Decodes the events of a batch that are sound and of a known kind. */
+  function decodeLoadEvents(content: unknown): ApplyMessage {
+    const refusals: string[] = [];
+    const read = soundElementsOf(
+      decodeLoadEvent,
+      (reason) => refusals.push(reason),
+    );
+    const events = read(content).filter((event) => event !== undefined);
+    return (member) => {
+      for (const reason of refusals) refuse(member.host, reason);
+      listener?.onLoadEvents(member, events);
+    };
+  }
+
+  function replyTo(member: Member, id: string): void {
+    const reply = listener?.onStreamQuery(id);
+    if (!reply) return;
+    const events = [encodeLoadEvent(reply)];
+    send([PeerMessageKind.Load, incarnation, events], [member.host]);
+  }
+
+  /** Decoders of a message's content; each returns what applies it. */
+  const decoders = new Map<number, (content: unknown) => ApplyMessage>([
+    [PeerMessageKind.Heartbeat, (content) => {
+      const heartbeat = decodeHeartbeat(content);
+      return (member) => receiveHeartbeat(member, heartbeat);
+    }],
+    [PeerMessageKind.Load, decodeLoadEvents],
+    [PeerMessageKind.Items, (content) => {
+      const push = readPush(content);
+      return (member) => listener?.onItems(member, push);
+    }],
+    [PeerMessageKind.StreamQuery, (content) => {
+      const id = readText(content);
+      return (member) => replyTo(member, id);
+    }],
+  ]);
+
   return {
     async start(peerListener) {
       listener = peerListener;
--- a/packages/peers/src/exchange_facts.ts
+++ b/packages/peers/src/exchange_facts.ts
@@ -1,6 +1,7 @@
 import { Packr } from "msgpackr";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { SharedFact, SharedFacts } from "./create_shared_facts.ts";
+import { readFacts } from "./peer_messages.ts";
 import { pullFromPeer } from "./pull_from_peer.ts";
 
 /** Path at which a VM serves its facts to its peers. */
@@ -22,5 +23,5 @@
 export function pullFacts(
   peer: { host: string; port: number },
 ): Promise<SharedFact[]> {
-  return pullFromPeer(peer, FACTS_PATH);
+  return pullFromPeer(peer, { path: FACTS_PATH, read: readFacts });
 }
--- a/packages/peers/src/exchange_published.ts
+++ b/packages/peers/src/exchange_published.ts
@@ -9,6 +9,7 @@
   type PublishedItems,
   type PublishedPosition,
 } from "./create_published_items.ts";
+import { readChanges, readPublishedItem } from "./peer_messages.ts";
 import { GZIP, pullFromPeer } from "./pull_from_peer.ts";
 
 /** Path at which a VM serves published items to its peers. */
@@ -68,7 +69,8 @@
   after: number,
   era = 0,
 ): Promise<PublishedChanges> {
-  return pullFromPeer(peer, `${PUBLISHED_PATH}?after=${after}&era=${era}`);
+  const path = `${PUBLISHED_PATH}?after=${after}&era=${era}`;
+  return pullFromPeer(peer, { path, read: readChanges });
 }
 
 /**
@@ -97,5 +99,8 @@
 export function pullConfiguration(
   peer: { host: string; port: number },
 ): Promise<PublishedItem> {
-  return pullFromPeer(peer, CONFIGURATION_PATH);
+  return pullFromPeer(peer, {
+    path: CONFIGURATION_PATH,
+    read: readPublishedItem,
+  });
 }
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -1,4 +1,21 @@
-import type { PublishedChanges } from "./create_published_items.ts";
+import {
+  type FieldReader,
+  listOf,
+  objectOf,
+  orElse,
+  readBoolean,
+  readBytes,
+  readCount,
+  readList,
+  readNumber,
+  readText,
+  tupleOf,
+  withDefault,
+} from "@rosemarytiller/shared";
+import type {
+  PublishedChanges,
+  PublishedItem,
+} from "./create_published_items.ts";
 import type { SharedFact } from "./create_shared_facts.ts";
 
 /** Kinds of datagram between the VMs. */
@@ -203,75 +220,151 @@
 }
 
 /** A datagram as encoded: kind, incarnation of the sender, content. */
-export type PeerMessage =
-  | [PeerMessageKind.Heartbeat, number, unknown[]]
-  | [PeerMessageKind.Load, number, unknown[][]]
-  | [PeerMessageKind.Items, number, PushedItems]
-  | [PeerMessageKind.StreamQuery, number, string];
+export type PeerMessage = [
+  kind: PeerMessageKind,
+  incarnation: number,
+  content: unknown,
+];
+
+const readParts = listOf(tupleOf<[string, number]>(readText, readNumber));
+const readStatements = listOf(
+  tupleOf<Statement>(readText, readNumber, readNumber),
+);
+const readDemand = listOf(
+  tupleOf<ServiceDemand>(readText, readNumber, readNumber),
+);
+const readCalls = listOf(
+  tupleOf<[string, number[]]>(readText, listOf(readNumber)),
+);
 
-/** Encoded order of a load event's fields after its kind. */
-const LOAD_EVENT_FIELDS: Record<LoadEventKind, readonly string[]> = {
-  [LoadEventKind.Started]: [
-    "call",
-    "upstream",
-    "urgency",
-    "newTokens",
-    "memoryTokens",
-    "maxPauseMs",
-    "parts",
+/** Readers of a load event's fields after its kind, in their encoded order. */
+const LOAD_EVENT_FIELDS = new Map<
+  unknown,
+  Record<string, FieldReader<unknown>>
+>(
+  [
+    [LoadEventKind.Started, {
+      call: readNumber,
+      upstream: readText,
+      urgency: readNumber,
+      newTokens: readNumber,
+      memoryTokens: readNumber,
+      maxPauseMs: readNumber,
+      parts: readParts,
+    }],
+    [LoadEventKind.FirstEvent, { call: readNumber, upstream: readText }],
+    [LoadEventKind.Ended, {
+      call: readNumber,
+      upstream: readText,
+      end: readNumber,
+    }],
+    [LoadEventKind.Fact, { values: listOf(readText), remainingMs: readNumber }],
+    [LoadEventKind.Stalled, { upstream: readText }],
+    [LoadEventKind.StreamStarted, {
+      id: readText,
+      softwareVersion: readText,
+      keepMs: readNumber,
+    }],
+    [LoadEventKind.PartsCached, { upstream: readText, parts: readParts }],
   ],
-  [LoadEventKind.FirstEvent]: ["call", "upstream"],
-  [LoadEventKind.Ended]: ["call", "upstream", "end"],
-  [LoadEventKind.Fact]: ["values", "remainingMs"],
-  [LoadEventKind.Stalled]: ["upstream"],
-  [LoadEventKind.StreamStarted]: ["id", "softwareVersion", "keepMs"],
-  [LoadEventKind.PartsCached]: ["upstream", "parts"],
-};
+);
 
-/** Encoded order of a heartbeat's fields. */
-const HEARTBEAT_FIELDS: readonly (keyof Heartbeat)[] = [
-  "dataCentre",
-  "revision",
-  "confirmedAgeMs",
-  "members",
-  "calls",
-  "era",
-  "configurationVersion",
-  "factsDigest",
-  "callLimits",
-  "lostServices",
-  "brittleServices",
-  "steadyReadAgeMs",
-  "keepRemovedMs",
-  "demand",
-];
+/** Reads a field that VMs of older versions do not send. */
+function added<T>(read: FieldReader<T>): FieldReader<T | undefined> {
+  return orElse<T | undefined>(read, undefined);
+}
+
+/** Readers of a heartbeat's fields, in their encoded order. */
+const HEARTBEAT_FIELDS: { [Name in keyof Heartbeat]-?: FieldReader<unknown> } =
+  {
+    dataCentre: readText,
+    revision: readCount,
+    confirmedAgeMs: readNumber,
+    members: listOf(readText),
+    calls: readCalls,
+    era: added(readCount),
+    configurationVersion: added(readCount),
+    factsDigest: added(readCount),
+    callLimits: added(readStatements),
+    lostServices: added(listOf(readText)),
+    brittleServices: added(readStatements),
+    steadyReadAgeMs: added(readNumber),
+    keepRemovedMs: added(readNumber),
+    demand: added(readDemand),
+  };
+const HEARTBEAT_NAMES = Object.keys(HEARTBEAT_FIELDS) as (keyof Heartbeat)[];
 
 /** Encodes as a list, as field names would take up most of a datagram. */
 export function encodeLoadEvent(event: LoadEvent): unknown[] {
   const fields = event as unknown as Record<string, unknown>;
   const list: unknown[] = [event.kind];
-  for (const name of LOAD_EVENT_FIELDS[event.kind]) list.push(fields[name]);
+  const readers = LOAD_EVENT_FIELDS.get(event.kind)!;
+  for (const name of Object.keys(readers)) list.push(fields[name]);
   return list;
 }
 
-/** Decodes a load event; returns `undefined` for an unknown kind. */
-export function decodeLoadEvent(list: unknown[]): LoadEvent | undefined {
-  const kind = list[0] as LoadEventKind;
-  const names = LOAD_EVENT_FIELDS[kind];
-  if (!names) return undefined;
+/**
+ * Decodes a load event; returns `undefined` for an unknown kind. Throws a
+ * `FieldError` if a field is missing or of another type.
+ */
+export function decodeLoadEvent(value: unknown): LoadEvent | undefined {
+  const list = readList(value);
+  const kind = list[0];
+  const readers = LOAD_EVENT_FIELDS.get(kind);
+  if (!readers) return undefined;
   const event: Record<string, unknown> = { kind };
-  for (const [at, name] of names.entries()) event[name] = list[at + 1];
+  for (const [at, [name, read]] of Object.entries(readers).entries()) {
+    event[name] = read(list[at + 1]);
+  }
   return event as unknown as LoadEvent;
 }
 
 /** Encodes a heartbeat without field names. */
 export function encodeHeartbeat(heartbeat: Heartbeat): unknown[] {
-  return HEARTBEAT_FIELDS.map((name) => heartbeat[name]);
+  return HEARTBEAT_NAMES.map((name) => heartbeat[name]);
 }
 
-/** Decodes a heartbeat; missing fields are `undefined`. */
-export function decodeHeartbeat(list: unknown[]): Heartbeat {
+/**
+ * Decodes a heartbeat; fields of later versions that are missing, or of another
+ * type, are `undefined`. Throws a `FieldError` if another field is.
+ */
+export function decodeHeartbeat(value: unknown): Heartbeat {
+  const list = readList(value);
   const fields: Record<string, unknown> = {};
-  for (const [at, name] of HEARTBEAT_FIELDS.entries()) fields[name] = list[at];
+  for (const [at, name] of HEARTBEAT_NAMES.entries()) {
+    fields[name] = HEARTBEAT_FIELDS[name](list[at]);
+  }
   return fields as unknown as Heartbeat;
 }
+
+/** A published item or its removal, as another VM encoded it. */
+export const readPublishedItem: FieldReader<PublishedItem> = objectOf({
+  key: readText,
+  revision: readCount,
+  value: withDefault(readBytes, undefined),
+});
+
+const CHANGES_FIELDS = {
+  era: withDefault(readCount, 0),
+  head: readCount,
+  isWhole: readBoolean,
+  items: listOf(readPublishedItem),
+};
+
+/** Changes of published items, as another VM encoded them. */
+export const readChanges: FieldReader<PublishedChanges> = objectOf(
+  CHANGES_FIELDS,
+);
+
+/** Changes that another VM pushed. */
+export const readPush: FieldReader<PushedItems> = objectOf({
+  ...CHANGES_FIELDS,
+  after: readCount,
+  steadyReadAgeMs: withDefault(readNumber, Infinity),
+  keepRemovedMs: withDefault(readNumber, 0),
+});
+
+/** Facts, as another VM encoded them. */
+export const readFacts: FieldReader<SharedFact[]> = listOf(
+  objectOf({ values: listOf(readText), remainingMs: readNumber }),
+);
--- a/packages/peers/src/pull_from_peer.ts
+++ b/packages/peers/src/pull_from_peer.ts
@@ -1,4 +1,4 @@
-import { readLimited } from "@rosemarytiller/shared";
+import { type FieldReader, readLimited } from "@rosemarytiller/shared";
 import { Packr } from "msgpackr";
 import { request } from "node:http";
 import { gunzipSync } from "node:zlib";
@@ -14,13 +14,20 @@
 
 const packr = new Packr({ useRecords: false });
 
+/** What to request from a peer. */
+export interface PullRequest<T> {
+  path: string;
+  /** Reads the body; throws if it is another. */
+  read: FieldReader<T>;
+}
+
 /**
  * Requests a MessagePack body, which may be compressed. Rejects if the peer is
  * unreachable, exceeds the timeout or sends an invalid body.
  */
 export function pullFromPeer<T>(
   peer: { host: string; port: number },
-  path: string,
+  { path, read }: PullRequest<T>,
 ): Promise<T> {
   return new Promise((resolve, reject) => {
     const outgoing = request({
@@ -40,7 +47,7 @@
         const packed = isCompressed
           ? gunzipSync(bytes, { maxOutputLength: MAX_PULL_BYTES })
           : bytes;
-        resolve(packr.unpack(packed));
+        resolve(read(packr.unpack(packed)));
       }).catch(reject);
     });
     const timer = setTimeout(
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -343,6 +343,10 @@
         },
         onMembership: (change) =>
           log.info(LogEvent.MemberChanged, { ...change }),
+        onRefused(peer, reason) {
+          const what = "message from a peer";
+          log.warn(LogEvent.Failure, { what, peer, reason });
+        },
       });
       await Promise.all([
         listen(settings.peers, {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./ids.ts";
 export * from "./read_limited.ts";
 export * from "./create_subject.ts";
+export * from "./field_readers.ts";
