platform: read each field of an entry with its type and range

Another writer's odd entry among those of the upstreams was used as one, or left the one before it in use.

By reading: each odd entry made a VM forget the versions that it had observed. No process ended, and values that are no JSON or are nested deeply did no harm.

Cause: the reader checked that the fields which it needs are there, and cast the rest. A refused entry reached the core as a removed one.

A refused entry is told from a removed one, ends the use of the upstream before it at once, leaves the observed versions known, and is logged with the field. An item that can't be applied leaves the others alone.

--- a/packages/router/src/create_published_state.ts
+++ b/packages/router/src/create_published_state.ts
@@ -119,34 +119,10 @@
     // What came and left since the former state is not listed.
     if (changes.isWhole) registry.versions.onGap();
     for (const item of changed) {
-      let decoded;
       try {
-        decoded = decode(item);
+        applyItem(item, { from, isRestored });
       } catch (error) {
-        log.warn(LogEvent.ItemRefused, {
-          key: item.key,
-          revision: item.revision,
-          reason: (error as Error).message,
-        });
-        continue;
-      }
-      if (!decoded) continue;
-      if (decoded.kind === DecodedItemKind.Configuration) {
-        if (decoded.value) {
-          acceptConfiguration(decoded.value, item, from);
-        }
-      } else if (decoded.kind === DecodedItemKind.Upstream) {
-        if (!decoded.value) {
-          registry.remove(decoded.id, { keepMs: grace.keepMs(), from });
-        } else if (isRestored) setRestoredUpstream(decoded.value);
-        else registry.set(decoded.id, decoded.value, from);
-      } else {
-        const { dataCentre, isOut } = decoded;
-        registry.setDataCentre(
-          dataCentre,
-          isOut,
-          isRestored ? RESTORED_OUT_MS : 0,
-        );
+        refuse(item, (error as Error).message);
       }
     }
     if (comparePositions(published.position(), before) > 0) {
@@ -154,6 +130,33 @@
     }
   }
 
+  /** Applies a changed item; throws for one that is malformed. */
+  function applyItem(
+    item: PublishedItem,
+    { from, isRestored }: { from: string; isRestored: boolean },
+  ): void {
+    const decoded = decode(item);
+    if (!decoded) return;
+    if (decoded.kind === DecodedItemKind.Configuration) {
+      if (decoded.value) acceptConfiguration(decoded.value, item, from);
+    } else if (decoded.kind === DecodedItemKind.DataCentreOut) {
+      const { dataCentre, isOut } = decoded;
+      const keepMs = isRestored ? RESTORED_OUT_MS : 0;
+      registry.setDataCentre(dataCentre, isOut, keepMs);
+    } else if (decoded.refusal !== undefined) {
+      refuse(item, decoded.refusal);
+      // It has not expired: what it named before is not kept.
+      registry.refuse(decoded.id, from);
+    } else if (!decoded.value) {
+      registry.remove(decoded.id, { keepMs: grace.keepMs(), from });
+    } else if (isRestored) setRestoredUpstream(decoded.value);
+    else registry.set(decoded.id, decoded.value, from);
+  }
+
+  function refuse({ key, revision }: PublishedItem, reason: string): void {
+    log.warn(LogEvent.ItemRefused, { key, revision, reason });
+  }
+
   /** The platform, or a peer that read it, was found in a newer era. */
   function onRestored(before: PublishedPosition, from: string): void {
     // Entries that the restored copy lacks count like those that expired while
@@ -234,6 +237,8 @@
       network.hasStoreReaders() && index !== undefined &&
       !network.isStoreReader() &&
       clock.now() - confirmedMs < drainMs - OWN_READ_MS,
+    onItemRefused: (reason: string) =>
+      log.warn(LogEvent.ItemRefused, { reason }),
     onReadError(reason: string) {
       grace.onReadFailed();
       if (isPlatformLost) return;
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -72,6 +72,8 @@
    * healthy upstreams can expire while the platform is unreachable.
    */
   remove(id: string, options: { keepMs: number; from?: string }): void;
+  /** The entry of `id` names no upstream: one that it named is removed. */
+  refuse(id: string, from?: string): void;
   /** Removes the upstreams that are kept although their entries were removed. */
   dropRemoved(): void;
   find(id: string): Upstream | undefined;
@@ -360,6 +362,16 @@
         from,
       });
     },
+    refuse(id, from) {
+      versions.onRefused(id);
+      if (!upstreams.delete(id)) return;
+      log.info(LogEvent.UpstreamChanged, {
+        upstream: id,
+        removed: true,
+        keepMs: 0,
+        from,
+      });
+    },
     dropRemoved() {
       for (const [id, { removeAtMs }] of upstreams) {
         if (removeAtMs !== undefined) upstreams.delete(id);
--- a/packages/router/src/create_version_history.ts
+++ b/packages/router/src/create_version_history.ts
@@ -7,6 +7,8 @@
     id: string,
     upstream: { service: string; softwareVersion: string },
   ): void;
+  /** The entry of `id` names no upstream, so that its removal hides none. */
+  onRefused(id: string): void;
   /**
    * The entry of an upstream was removed; the upstream may still be used for
    * `keepMs`. An entry that was never received may have had any version.
@@ -71,6 +73,10 @@
       use.present.add(id);
       useOf.set(id, use);
     },
+    onRefused(id) {
+      leave(id, clock.now());
+      useOf.set(id, { present: new Set(), lastUsedMs: 0 });
+    },
     onRemoved(id, keepMs) {
       if (!leave(id, clock.now() + keepMs)) onGap();
     },
--- a/packages/router/src/create_version_history_test.ts
+++ b/packages/router/src/create_version_history_test.ts
@@ -74,3 +74,31 @@
   clock.advance(2 * WINDOW_MS);
   assert.equal(only(), "v1");
 });
+
+// Guards against an entry of another writer that makes every VM forget which
+// versions it has observed, each time that it is written or removed.
+test("a refused entry leaves the observed versions known", () => {
+  const { clock, history, only } = createTestHistory();
+  history.onEntry("a", OLD);
+  clock.advance(WINDOW_MS);
+  history.onRefused("odd");
+  assert.equal(only(), "v1");
+  history.onRefused("odd");
+  history.onRemoved("odd", 0);
+  assert.equal(only(), "v1");
+  history.onRemoved("odd", 0);
+  assert.equal(only(), undefined);
+});
+
+test("an upstream whose entry is refused counts for the window after it", () => {
+  const { clock, history, only } = createTestHistory();
+  history.onEntry("a", OLD);
+  history.onEntry("b", NEW);
+  history.onRefused("b");
+  clock.advance(WINDOW_MS);
+  assert.equal(only(), undefined);
+  clock.advance(1);
+  assert.equal(only(), "v1");
+  history.onEntry("b", NEW);
+  assert.equal(only(), undefined);
+});
--- a/packages/router/src/ports.ts
+++ b/packages/router/src/ports.ts
@@ -128,12 +128,15 @@
     kind: DecodedItemKind.Upstream;
     id: string;
     value: UpstreamEntry | undefined;
+    /** Why the entry names no upstream; undefined if it was removed. */
+    refusal?: string;
   }
   | { kind: DecodedItemKind.DataCentreOut; dataCentre: string; isOut: boolean };
 
 /**
  * Port: decodes a published item. Returns undefined for an item that the router
- * does not use; throws for one that is malformed.
+ * does not use; throws for one that is malformed. The core relies on the types
+ * and ranges of what it returns.
  */
 export type DecodeItem = (item: PublishedItem) => DecodedItem | undefined;
 
@@ -243,6 +246,8 @@
   onResponse(changes: PublishedChanges): void;
   /** Reading from the platform failed. */
   onReadError(reason: string): void;
+  /** The platform sent an item that can't be told from others. */
+  onItemRefused(reason: string): void;
   /** Whether reading can pause, because peers pass the changes on. */
   canPause(): boolean;
 }
