--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -83,9 +83,9 @@
 /** Starts attempts at upstreams and records their outcomes. */
 export interface AttemptStarter {
   /**
-   * Starts an attempt at the placement's upstream. Releases the placement and
-   * throws a `TillerError` if the request is quarantined or no connection is
-   * left.
+   * Starts an attempt at the placement's upstream. Throws a `TillerError` if the
+   * request is quarantined or no connection is left; the placement is released
+   * whenever it throws.
    */
   start(
     state: RequestState,
@@ -145,16 +145,6 @@
     return [...new Set([...brokenCalls, ...containment.crashesOf(state)])];
   }
 
-  /** Throws a `TillerError` if the request crashes upstreams, as of now. */
-  function checkContainment(state: RequestState, placement: Placement): void {
-    try {
-      containment.check(state);
-    } catch (error) {
-      placement.release(CallEnd.Other);
-      throw error;
-    }
-  }
-
   /** Acquires a connection; throws a `TillerError` if none is left. */
   function acquireConnection(
     state: RequestState,
@@ -171,7 +161,6 @@
       isNew,
     });
     if (connection) return connection;
-    placement.release(CallEnd.Other);
     throw new TillerError(
       ErrorKind.Overloaded,
       "this VM has no free connection to upstreams",
@@ -314,20 +303,17 @@
     }
   }
 
-  return {
+  const starter: AttemptStarter = {
     start(state, placement, options) {
       const { backupFrom, needsNewConnection = false, hooks } = options;
       const { upstream } = placement;
       const { entry } = upstream;
-      checkContainment(state, placement);
+      containment.check(state);
       const connection = acquireConnection(
         state,
         placement,
         needsNewConnection,
       );
-      const send = state.sendHistory.begin(
-        backupFrom ? SendKind.Continue : SendKind.Run,
-      );
       const backup = backupFrom ? undefined : chooseBackup(state, placement);
       const headers = [
         ...state.request.metadata.forwardedHeaders,
@@ -348,6 +334,9 @@
       let progressMs: number | undefined;
       let earlier: string[] = [];
       const isResume = state.stream.isStarted;
+      const send = state.sendHistory.begin(
+        backupFrom ? SendKind.Continue : SendKind.Run,
+      );
       const running = runAttempt({
         clock,
         protocol,
@@ -425,4 +414,15 @@
       return { ...running, ended: finish(), placement };
     },
   };
+
+  return {
+    start(state, placement, startOptions) {
+      try {
+        return starter.start(state, placement, startOptions);
+      } catch (error) {
+        placement.release(CallEnd.Other);
+        throw error;
+      }
+    },
+  };
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./get_response.ts";
 export * from "./read_limited.ts";
 export * from "./create_subject.ts";
+export * from "./field_readers.ts";
