router: a planned stop answers the requests that it can't wait for

What callers saw: at the end of the grace of a planned stop, requests that the VM had taken were cut off with no response: those that no upstream had got yet, and writes, reads and relayed requests that were still running. Cause: at the end of the grace the VM closed all connections, whatever the state of their requests. Change: at the end of the grace, requests that no upstream got are refused as not run, the others' outcome is reported as unknown, and only streams that have begun are cut off. A relayed request that may have run is cut off, so that the VM that relayed it decides.

--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -34,6 +34,7 @@
   createDeadlineError,
   createNotExecutedError,
   createPauseError,
+  createStoppingError,
   withRunState,
 } from "./request_errors.ts";
 import { isRetryable, type RequestState } from "./request_state.ts";
@@ -78,11 +79,13 @@
   openCount(): number;
   /** Refuses all further requests, as they could not end before the stop. */
   startRefusing(): void;
+  /**
+   * Ends the requests in progress: refuses those that no upstream got, reports
+   * the others' outcome as unknown and cuts off the streams that have started.
+   */
+  endAll(): void;
 }
 
-/** Retry-after while this VM stops, in ms; the retry goes to another VM. */
-const STOPPING_RETRY_AFTER_MS = 50;
-
 /** Retry-after for a resume of an unknown stream, in ms. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 400;
 
@@ -145,22 +148,15 @@
     upstreamLimits,
     configuration,
   });
-  let openCount = 0;
+  /** Ends each of the requests whose response is not written completely. */
+  const open = new Set<() => void>();
   let isRefusing = false;
 
   function createState(
     request: CallerRequest,
     response: CallerResponse,
   ): RequestState {
-    if (isRefusing) {
-      throw new TillerError(
-        ErrorKind.Stopping,
-        "this VM is stopping; send the request again",
-        {
-          retryAfterMs: STOPPING_RETRY_AFTER_MS,
-        },
-      );
-    }
+    if (isRefusing) throw createStoppingError();
     const { route, account, service, rank } = classifyRequest(request, {
       index: configuration(),
       isCurrent,
@@ -352,11 +348,26 @@
     else response.sendError(error);
   }
 
+  /** Ends a request as this VM stops. */
+  function endUnfinished(
+    state: RequestState | undefined,
+    exchange: { request: CallerRequest; response: CallerResponse; id: string },
+  ): void {
+    const { request, response } = exchange;
+    if (response.isClosed()) return;
+    const mayHaveRun = state !== undefined && state.possibleRuns > 0;
+    // The VM that relayed it may have it served by yet another one.
+    if (mayHaveRun && request.relay) response.destroy();
+    else fail(state, createStoppingError(mayHaveRun), exchange);
+    state?.abort();
+  }
+
   return {
     async serve(request, response) {
       const id = request.metadata.id ?? "";
       let state: RequestState | undefined;
-      openCount++;
+      const end = () => endUnfinished(state, { request, response, id });
+      open.add(end);
       let cancelDeadline = () => {};
       try {
         await gate.wait(request.metadata);
@@ -380,12 +391,15 @@
       } finally {
         cancelDeadline();
         // A stop waits until the caller has got the response.
-        response.onClosed(() => openCount--);
+        response.onClosed(() => open.delete(end));
       }
     },
-    openCount: () => openCount,
+    openCount: () => open.size,
     startRefusing() {
       isRefusing = true;
     },
+    endAll() {
+      for (const end of [...open]) end();
+    },
   };
 }
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -124,6 +124,8 @@
 const REACH_UPDATE_MS = 100;
 /** Poll interval for the end of requests during a stop, in ms. */
 const STOP_POLL_MS = 50;
+/** Longest time to write the last responses of a stop, in ms. */
+const STOP_WRITE_MS = 100;
 
 /** Creates a router, which listens on its addresses after `start`. */
 export function createRouter(options: RouterOptions): Router {
@@ -303,6 +305,35 @@
     state.onHeartbeat(member);
   }
 
+  /** Resolves when no request is open, or at the time `endMs`. */
+  function waitUntilIdle(endMs: () => number): Promise<void> {
+    return new Promise((resolve) => {
+      const cancel = repeat(clock, STOP_POLL_MS, () => {
+        const isIdle = requestServer.openCount() === 0;
+        if (!isIdle && clock.now() < endMs()) return;
+        cancel();
+        resolve();
+      });
+    });
+  }
+
+  /** Serves requests for the time for leaving, then waits for their end. */
+  async function endRequests(): Promise<void> {
+    const startedMs = clock.now();
+    log.info(LogEvent.Stopping, { open: requestServer.openCount() });
+    callerServer.startDraining();
+    await new Promise<void>((resolve) => {
+      clock.after(settings.leaveMs, resolve);
+    });
+    callerServer.stopListening();
+    requestServer.startRefusing();
+    await waitUntilIdle(() => startedMs + settings.stopGraceMs);
+    requestServer.endAll();
+    const writtenMs = clock.now() + STOP_WRITE_MS;
+    await waitUntilIdle(() => writtenMs);
+    log.info(LogEvent.Stopped, { open: requestServer.openCount() });
+  }
+
   function isReady(): boolean {
     return !isStopping && state.index() !== undefined && factsSync.isJoined();
   }
@@ -396,23 +427,7 @@
     async stop() {
       if (isStopping) return;
       isStopping = true;
-      const startedMs = clock.now();
-      log.info(LogEvent.Stopping, { open: requestServer.openCount() });
-      callerServer.startDraining();
-      await new Promise<void>((resolve) => {
-        clock.after(settings.leaveMs, () => {
-          callerServer.stopListening();
-          requestServer.startRefusing();
-          const cancel = repeat(clock, STOP_POLL_MS, () => {
-            const waitedMs = clock.now() - startedMs;
-            const isIdle = requestServer.openCount() === 0;
-            if (!isIdle && waitedMs < settings.stopGraceMs) return;
-            cancel();
-            resolve();
-          });
-        });
-      });
-      log.info(LogEvent.Stopped, { open: requestServer.openCount() });
+      await endRequests();
       this.close();
     },
     close() {
--- a/packages/router/src/request_errors.ts
+++ b/packages/router/src/request_errors.ts
@@ -34,6 +34,27 @@
   );
 }
 
+/** Retry-after while this VM stops, in ms; the retry goes to another VM. */
+const STOPPING_RETRY_AFTER_MS = 50;
+
+/**
+ * Error for a request that ends as this VM stops: `OutcomeUnknown` if an
+ * upstream may have executed it, else `Stopping`.
+ */
+export function createStoppingError(mayHaveRun = false): TillerError {
+  if (mayHaveRun) {
+    return new TillerError(
+      ErrorKind.OutcomeUnknown,
+      "this VM stopped before the response was complete",
+    );
+  }
+  return new TillerError(
+    ErrorKind.Stopping,
+    "this VM is stopping; send the request again",
+    { retryAfterMs: STOPPING_RETRY_AFTER_MS },
+  );
+}
+
 /**
  * Error for a request that an upstream declared not executed; the retry-after
  * has jitter.
--- a/packages/standins/src/start_process_fleet.ts
+++ b/packages/standins/src/start_process_fleet.ts
@@ -35,6 +35,8 @@
    * period, and starts it again on its ports. Does nothing unless it is up.
    */
   restart(router: number): Promise<void>;
+  /** Sends a signal to a router that is up or stopping, without waiting. */
+  signal(router: number, signal: NodeJS.Signals): void;
   /** Changes the settings file; sends SIGHUP if `signals`. */
   reload(router: number, options: ReloadOptions): void;
   /** Processes that ended by themselves, with their exit codes. */
@@ -86,7 +88,7 @@
   Starting,
 }
 
-/** Time between SIGTERM and SIGKILL, in seconds. */
+/** Time between SIGTERM and SIGKILL unless the settings differ, in seconds. */
 export const STOP_GRACE_SECONDS = 8;
 /** Longest time until a started process listens, in milliseconds. */
 const START_TIMEOUT_MS = 15_000;
@@ -168,7 +170,7 @@
     router.child?.kill(signal);
     const timer = setTimeout(
       () => router.child?.kill("SIGKILL"),
-      STOP_GRACE_SECONDS * 1000,
+      Number(router.settings.stopGraceSeconds) * 1000,
     );
     await router.exited;
     clearTimeout(timer);
@@ -233,6 +235,7 @@
       if (routers[number]!.state !== RouterState.Up) return;
       await replace(number, "SIGTERM");
     },
+    signal: (number, signal) => void routers[number]!.child?.kill(signal),
     isStarting: (number) => routers[number]!.state === RouterState.Starting,
     startingCount: () =>
       routers.filter(({ state }) => state === RouterState.Starting).length,
