router: a second SIGTERM does not end a planned stop

What callers saw: all requests in progress were cut off in the middle of the grace of a planned stop, writes without a response. Cause: the program exits when `stop` resolves, and a second call of `stop` resolved at once. Evidence: "signals during a planned stop change nothing" (late_requests_test.ts) sends SIGTERM and SIGHUP again 0.5 s, 1.5 s, 3.5 s and 4.5 s after the first SIGTERM. Change: all calls of `stop` wait for the same stop.

--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -101,7 +101,7 @@
   reload(changed: RouterSettings): string[];
   /**
    * Stops gracefully. Resolves when the requests in progress have ended or the
-   * grace period is over.
+   * grace period is over; further calls wait for the same stop.
    */
   stop(): Promise<void>;
   /** Stops immediately; requests in progress are cut off. */
@@ -134,7 +134,8 @@
   const { vm, dataCentre } = settings;
   const registry = createRegistry({ clock, log });
   const pool = createConnectionPool({ clock, connect: options.connect });
-  let isStopping = false;
+  /** Resolves at the end of the planned stop; undefined before its start. */
+  let stopped: Promise<void> | undefined;
   let timers: CancelTimer[] = [];
   let servers: Server[] = [];
 
@@ -335,7 +336,7 @@
   }
 
   function isReady(): boolean {
-    return !isStopping && state.index() !== undefined && factsSync.isJoined();
+    return !stopped && state.index() !== undefined && factsSync.isJoined();
   }
 
   function listen(
@@ -424,11 +425,8 @@
       };
       return restartNames;
     },
-    async stop() {
-      if (isStopping) return;
-      isStopping = true;
-      await endRequests();
-      this.close();
+    stop() {
+      return stopped ??= endRequests().then(() => this.close());
     },
     close() {
       for (const cancel of timers) cancel();
