router: the time for leaving and the end of a stop fit into a short grace

What callers saw: with a grace of 2 s, a stopping VM took requests until it was killed, and cut them off without a response. Cause: `leaveMs`, 2.5 s by default, did not depend on the grace, and the end of requests was checked only after it; the 0.4 s that are reserved for ending the process did not depend on it either. Evidence: "a stop with a short grace ends within it" (late_requests_test.ts). Before: 9 of 76 requests cut off by SIGKILL 2.0 s after SIGTERM, 5 of them without a response, though their upstreams take at most 1 s. Change: new requests are taken for a third of the grace at most, and at most a twelfth is reserved for the end of the process. A grace of 8 s, as deployed, is served as before.

--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -64,7 +64,10 @@
   /** Hosts of VMs from which the others are discovered. */
   seeds: string[];
   retries: RetryBounds;
-  /** Time for which a stopping VM still accepts new requests, in ms. */
+  /**
+   * Time for which a stopping VM still accepts new requests, in ms; at most a
+   * third of `stopGraceMs`.
+   */
   leaveMs: number;
   /** Longest wait for requests, from the start of a planned stop, in ms. */
   stopGraceMs: number;
@@ -122,6 +125,8 @@
 const SWEEP_MS = 500;
 /** Interval at which silent or lost services are checked, in ms. */
 const REACH_UPDATE_MS = 100;
+/** Largest part of a stop in which it accepts new requests. */
+const MAX_LEAVE_SHARE = 1 / 3;
 /** Poll interval for the end of requests during a stop, in ms. */
 const STOP_POLL_MS = 50;
 /** Longest time to write the last responses of a stop, in ms. */
@@ -323,8 +328,9 @@
     const startedMs = clock.now();
     log.info(LogEvent.Stopping, { open: requestServer.openCount() });
     callerServer.startDraining();
+    const { leaveMs, stopGraceMs } = settings;
     await new Promise<void>((resolve) => {
-      clock.after(settings.leaveMs, resolve);
+      clock.after(Math.min(leaveMs, stopGraceMs * MAX_LEAVE_SHARE), resolve);
     });
     callerServer.stopListening();
     requestServer.startRefusing();
--- a/packages/router/src/to_router_settings.ts
+++ b/packages/router/src/to_router_settings.ts
@@ -1,8 +1,10 @@
 import type { RouterFileSettings } from "@rosemarytiller/settings";
 import type { RouterSettings } from "./create_router.ts";
 
-/** Part of the stop grace period reserved for ending the process, in ms. */
+/** Time of the grace period that is reserved for ending the process, in ms. */
 const STOP_MARGIN_MS = 400;
+/** Largest part of a short grace period that is reserved for that. */
+const MAX_STOP_MARGIN_SHARE = 1 / 12;
 
 /** Converts the settings of a file to the router's fields and units. */
 export function toRouterSettings(file: RouterFileSettings): RouterSettings {
@@ -15,6 +17,7 @@
     platform: _platform,
     ...settings
   } = file;
+  const graceMs = stopGraceSeconds * 1000;
   return {
     ...settings,
     seeds: seeds.map(({ host }) => host),
@@ -23,6 +26,7 @@
       slack: retrySlack,
       windowMs: retryWindowSeconds * 1000,
     },
-    stopGraceMs: Math.max(0, stopGraceSeconds * 1000 - STOP_MARGIN_MS),
+    stopGraceMs: graceMs -
+      Math.min(STOP_MARGIN_MS, graceMs * MAX_STOP_MARGIN_SHARE),
   };
 }
--- a/packages/settings/src/router_settings_schema.ts
+++ b/packages/settings/src/router_settings_schema.ts
@@ -94,7 +94,7 @@
   }),
   leaveMs: millisecondsField(
     2500,
-    "Time for which a stopping VM still accepts new requests.",
+    "Time for new requests in a stop; at most a third of the grace.",
   ),
   stopGraceSeconds: numberField(30, {
     minimum: 0,
