router: requests are relayed to a stopping VM only if no other is left

What callers saw: at a VM that has lost its links to upstreams, writes with an unknown outcome, streams cut off and reads run three times, when the VM that served them for it was stopped. Cause: VMs did not know that another one was stopping, and the stopping VM took relayed requests for its time for leaving like callers', some of which could not end before it did. It kept the connections open for further requests, so that one that crossed its end was reported as possibly run. Change: heartbeats say whether a planned stop has begun, and one is sent at its beginning. Such a VM is asked last. Its responses to other VMs close their connections, as those to callers do.

--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -187,6 +187,8 @@
   keepRemovedMs?: number;
   /** Demand by service; undefined from VMs of older versions. */
   demand?: ServiceDemand[];
+  /** Whether a planned stop has begun; undefined from VMs of older versions. */
+  isStopping?: boolean;
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
@@ -244,6 +246,7 @@
   "steadyReadAgeMs",
   "keepRemovedMs",
   "demand",
+  "isStopping",
 ];
 
 /** Encodes as a list, as field names would take up most of a datagram. */
--- a/packages/router/src/create_relay_handler.ts
+++ b/packages/router/src/create_relay_handler.ts
@@ -22,6 +22,8 @@
   protocol: WireProtocol;
   /** Limits for callers' requests. */
   limits(): CallerLimits;
+  /** Whether responses ask the other VM to close its connection. */
+  isDraining(): boolean;
   /** Serves a request like a caller's, but does not pass it on. */
   serve(request: CallerRequest, response: CallerResponse): void;
 }
@@ -30,7 +32,7 @@
 export function createRelayHandler(
   options: RelayHandlerOptions,
 ): CallerHandler {
-  const { clock, log, protocol, limits, serve } = options;
+  const { clock, log, protocol, limits, isDraining, serve } = options;
 
   function serveRelayed(request: CallerRequest, response: CallerResponse) {
     const relay = readRelayHeaders(request.rawHeaders);
@@ -59,7 +61,7 @@
     clock,
     protocol,
     limits: () => ({ ...limits(), maxHeaderBytes: HARD_MAX_HEADER_BYTES }),
-    isDraining: () => false,
+    isDraining,
     errorHeaders: writeRelayError,
     serve: serveRelayed,
   });
--- a/packages/router/src/create_relays.ts
+++ b/packages/router/src/create_relays.ts
@@ -52,6 +52,8 @@
 
 /** Connections to one VM. */
 const MAX_CONNECTIONS = 200;
+/** Cost of a VM that is stopping, in connections; above that of any other. */
+const STOPPING_COST = 4 * MAX_CONNECTIONS;
 /** Time for which a VM gets no relays after a failed connection, in ms. */
 const FAILED_MS = 1000;
 /** Largest body of all relayed responses in progress, in bytes. */
@@ -76,7 +78,10 @@
     return (failedUntilMs.get(host) ?? 0) <= clock.now();
   }
 
-  /** The least used VM, in another data centre only if this one has none. */
+  /**
+   * The least used VM, in another data centre only if this one has none; one
+   * that is stopping only if no other is left.
+   */
   function choose(state: RequestState): Member | undefined {
     let best: Member | undefined;
     let bestCost = Infinity;
@@ -84,7 +89,8 @@
       if (!canServe(member, state)) continue;
       const isRemote = member.dataCentre !== dataCentre;
       const open = openByHost.get(member.host) ?? 0;
-      const cost = (isRemote ? MAX_CONNECTIONS : 0) + open + Math.random();
+      const cost = (member.heartbeat.isStopping ? STOPPING_COST : 0) +
+        (isRemote ? MAX_CONNECTIONS : 0) + open + Math.random();
       if (cost >= bestCost) continue;
       bestCost = cost;
       best = member;
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -162,6 +162,7 @@
       lostServices: reach.lostServices(),
       ...state.platformReads(),
       demand: overflow.demand(),
+      isStopping: stopped !== undefined,
     }),
   });
   const gate = createConfigurationGate(clock);
@@ -294,6 +295,7 @@
     log,
     protocol,
     limits: () => callerServer.limits(),
+    isDraining: () => stopped !== undefined,
     serve: (request, response) => void requestServer.serve(request, response),
   });
 
@@ -432,7 +434,11 @@
       return restartNames;
     },
     stop() {
-      return stopped ??= endRequests().then(() => this.close());
+      if (stopped) return stopped;
+      stopped = endRequests().then(() => this.close());
+      // The other VMs relay no more requests to this one.
+      network.sendHeartbeatNow();
+      return stopped;
     },
     close() {
       for (const cancel of timers) cancel();
