router: a stopping VM passes on only what can end before it does

What callers saw: requests that a stopping VM passed on, from its queue or in its time for leaving, though there was less time left than they take: writes with an unknown outcome, streams cut off. Cause: whether a request was still served depended on when it arrived, and neither on what was left of the grace when it was passed on nor on how long requests of its route take. Change: create_planned_stop.ts decides what a stopping VM serves. A request that no upstream got is refused as not run if its deadline is after the end of the stop and more than one in twenty of the latest 100 calls of its route took longer than what is left. It is asked before and after the queue, and before relays.

--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -11,6 +11,7 @@
   StartedAttempt,
 } from "./create_attempt_starter.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
+import type { PlannedStop } from "./create_planned_stop.ts";
 import type { Reach } from "./create_reach.ts";
 import type { Registry } from "./create_registry.ts";
 import type { Relays } from "./create_relays.ts";
@@ -19,7 +20,10 @@
 import type { UpstreamLimits } from "./create_upstream_limits.ts";
 import { AttemptResult, LogEvent, RetryDenial } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
-import { createUnreachableError } from "./request_errors.ts";
+import {
+  createStoppingError,
+  createUnreachableError,
+} from "./request_errors.ts";
 import type { RequestState } from "./request_state.ts";
 import type { AttemptEnd } from "./run_attempt.ts";
 import { runHedgedCall } from "./run_hedged_call.ts";
@@ -60,6 +64,7 @@
   reach: Reach;
   relays: Relays;
   upstreamLimits: Pick<UpstreamLimits, "canAdmit">;
+  plannedStop: Pick<PlannedStop, "canEnd" | "onCallEnded">;
   /** Current configuration; undefined until one has been received. */
   configuration(): ConfigurationIndex | undefined;
 }
@@ -79,6 +84,27 @@
 export function createCallRunner(options: CallRunnerOptions): CallRunner {
   const { clock, log, registry, scheduler, network, attempts } = options;
   const { retries, reach, relays, upstreamLimits, configuration } = options;
+  const { plannedStop } = options;
+
+  /** Whether no upstream got the request and it would outlast the stop. */
+  function isTooLate(state: RequestState): boolean {
+    const { possibleRuns, stream, route, expiresMs } = state;
+    if (possibleRuns > 0 || stream.isStarted) return false;
+    return !plannedStop.canEnd(route.name, expiresMs);
+  }
+
+  /** Waits for the end of a call, whose duration counts for its route. */
+  async function measure(
+    { route }: RequestState,
+    call: Promise<AttemptEnd>,
+  ): Promise<AttemptEnd> {
+    const startedMs = clock.now();
+    const ended = await call;
+    if (ended.result === AttemptResult.Complete) {
+      plannedStop.onCallEnded(route.name, clock.now() - startedMs);
+    }
+    return ended;
+  }
 
   function place(
     state: RequestState,
@@ -199,10 +225,11 @@
     if (state.request.relay) return undefined;
     let refusal: TillerError | undefined;
     for (;;) {
+      if (isTooLate(state)) throw createStoppingError();
       const attempt = relays.start(state, { claimResponse: () => true });
       if (!attempt && refusal) throw refusal;
       if (!attempt) return undefined;
-      const ended = await attempt.ended;
+      const ended = await measure(state, attempt.ended);
       if (ended.result === AttemptResult.Unsent) continue;
       if (ended.result !== AttemptResult.NotRun) return ended;
       refusal = attempt.refusal();
@@ -212,7 +239,12 @@
 
   /** Places the request at an upstream and runs the call there. */
   async function runPlaced(state: RequestState): Promise<AttemptEnd> {
+    if (isTooLate(state)) throw createStoppingError();
     const placement = await place(state);
+    if (isTooLate(state)) {
+      placement.release(CallEnd.Other);
+      throw createStoppingError();
+    }
     log.info(LogEvent.Placed, {
       id: state.id,
       upstream: placement.upstream.entry.id,
@@ -229,7 +261,7 @@
       predictedMs: Math.round(placement.predictedMs),
       revision: configuration()?.configuration.version,
     });
-    return await runCall(state, placement);
+    return await measure(state, runCall(state, placement));
   }
 
   /** See `CallRunner.runNext`. */
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -22,6 +22,7 @@
 import type { Registry } from "./create_registry.ts";
 import type { Relays } from "./create_relays.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
+import type { PlannedStop } from "./create_planned_stop.ts";
 import { createRetries } from "./create_retries.ts";
 import type { Scheduler } from "./create_scheduler.ts";
 import type { StreamOrigins } from "./create_stream_origins.ts";
@@ -57,6 +58,7 @@
   brittleServices: BrittleServices;
   upstreamLimits: UpstreamLimits;
   facts: Pick<SharedFacts, "add">;
+  plannedStop: PlannedStop;
   retryBounds: RetryBounds;
   /** Name of this VM. */
   vm: string;
@@ -77,8 +79,6 @@
   serve(request: CallerRequest, response: CallerResponse): Promise<void>;
   /** Number of requests whose response has not been written completely. */
   openCount(): number;
-  /** Refuses all further requests, as they could not end before the stop. */
-  startRefusing(): void;
   /**
    * Ends the requests in progress: refuses those that no upstream got, reports
    * the others' outcome as unknown and cuts off the streams that have started.
@@ -105,7 +105,7 @@
     options;
   const { origins, containment, reach, relays, callLimits, facts } = options;
   const { brittleServices, upstreamLimits, retryBounds, vm } = options;
-  const { configuration, gate, isCurrent } = options;
+  const { configuration, gate, isCurrent, plannedStop } = options;
   const crashDetector = createCrashDetector({
     clock,
     log,
@@ -146,17 +146,17 @@
     reach,
     relays,
     upstreamLimits,
+    plannedStop,
     configuration,
   });
   /** Ends each of the requests whose response is not written completely. */
   const open = new Set<() => void>();
-  let isRefusing = false;
 
   function createState(
     request: CallerRequest,
     response: CallerResponse,
   ): RequestState {
-    if (isRefusing) throw createStoppingError();
+    if (!plannedStop.acceptsRequests()) throw createStoppingError();
     const { route, account, service, rank } = classifyRequest(request, {
       index: configuration(),
       isCurrent,
@@ -395,9 +395,6 @@
       }
     },
     openCount: () => open.size,
-    startRefusing() {
-      isRefusing = true;
-    },
     endAll() {
       for (const end of [...open]) end();
     },
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -29,6 +29,7 @@
 import { createLoadEventHandler } from "./create_load_event_handler.ts";
 import { createConfigurationGate } from "./create_configuration_gate.ts";
 import { createHealthProbe } from "./create_health_probe.ts";
+import { createPlannedStop } from "./create_planned_stop.ts";
 import { createPublishedState } from "./create_published_state.ts";
 import { createOverflow } from "./create_overflow.ts";
 import { createRegistry } from "./create_registry.ts";
@@ -125,9 +126,7 @@
 const SWEEP_MS = 500;
 /** Interval at which silent or lost services are checked, in ms. */
 const REACH_UPDATE_MS = 100;
-/** Largest part of a stop in which it accepts new requests. */
-const MAX_LEAVE_SHARE = 1 / 3;
-/** Poll interval for the end of requests during a stop, in ms. */
+/** Poll interval during a planned stop, in ms. */
 const STOP_POLL_MS = 50;
 /** Longest time to write the last responses of a stop, in ms. */
 const STOP_WRITE_MS = 100;
@@ -139,6 +138,7 @@
   const { vm, dataCentre } = settings;
   const registry = createRegistry({ clock, log });
   const pool = createConnectionPool({ clock, connect: options.connect });
+  const plannedStop = createPlannedStop(clock);
   /** Resolves at the end of the planned stop; undefined before its start. */
   let stopped: Promise<void> | undefined;
   let timers: CancelTimer[] = [];
@@ -162,7 +162,7 @@
       lostServices: reach.lostServices(),
       ...state.platformReads(),
       demand: overflow.demand(),
-      isStopping: stopped !== undefined,
+      isStopping: plannedStop.hasBegun(),
     }),
   });
   const gate = createConfigurationGate(clock);
@@ -279,6 +279,7 @@
     brittleServices,
     upstreamLimits,
     facts,
+    plannedStop,
     retryBounds: settings.retries,
     vm,
     gate,
@@ -295,7 +296,7 @@
     log,
     protocol,
     limits: () => callerServer.limits(),
-    isDraining: () => stopped !== undefined,
+    isDraining: plannedStop.hasBegun,
     serve: (request, response) => void requestServer.serve(request, response),
   });
 
@@ -313,12 +314,12 @@
     state.onHeartbeat(member);
   }
 
-  /** Resolves when no request is open, or at the time `endMs`. */
-  function waitUntilIdle(endMs: () => number): Promise<void> {
+  const isIdle = () => requestServer.openCount() === 0;
+
+  function waitUntil(condition: () => boolean): Promise<void> {
     return new Promise((resolve) => {
       const cancel = repeat(clock, STOP_POLL_MS, () => {
-        const isIdle = requestServer.openCount() === 0;
-        if (!isIdle && clock.now() < endMs()) return;
+        if (!condition()) return;
         cancel();
         resolve();
       });
@@ -327,24 +328,22 @@
 
   /** Serves requests for the time for leaving, then waits for their end. */
   async function endRequests(): Promise<void> {
-    const startedMs = clock.now();
+    const { leaveMs, stopGraceMs } = settings;
+    plannedStop.begin({ leaveMs, graceMs: stopGraceMs });
     log.info(LogEvent.Stopping, { open: requestServer.openCount() });
     callerServer.startDraining();
-    const { leaveMs, stopGraceMs } = settings;
-    await new Promise<void>((resolve) => {
-      clock.after(Math.min(leaveMs, stopGraceMs * MAX_LEAVE_SHARE), resolve);
-    });
+    await waitUntil(() => !plannedStop.acceptsRequests());
     callerServer.stopListening();
-    requestServer.startRefusing();
-    await waitUntilIdle(() => startedMs + settings.stopGraceMs);
+    await waitUntil(() => isIdle() || plannedStop.isOver());
     requestServer.endAll();
     const writtenMs = clock.now() + STOP_WRITE_MS;
-    await waitUntilIdle(() => writtenMs);
+    await waitUntil(() => isIdle() || clock.now() >= writtenMs);
     log.info(LogEvent.Stopped, { open: requestServer.openCount() });
   }
 
   function isReady(): boolean {
-    return !stopped && state.index() !== undefined && factsSync.isJoined();
+    return !plannedStop.hasBegun() && state.index() !== undefined &&
+      factsSync.isJoined();
   }
 
   function listen(
