router: a VM that ends refuses what other VMs have just sent

What callers saw: at a VM that has lost its links, now and then a stream with an unknown outcome though no upstream got it, when the only other VM ended a planned stop. Cause: the stopping VM closed its port for other VMs together with the connections that it had just accepted there. The VM that had sent a request on one of these can't know whether it was read. Change: the port is closed first, and what was accepted is refused as not run while the last responses are written.

--- a/packages/router/src/create_caller_server.ts
+++ b/packages/router/src/create_caller_server.ts
@@ -79,13 +79,16 @@
     startDraining() {
       isDraining = true;
     },
-    stopListening() {
-      // The HTTP server's own `close` also closes connections whose response
-      // has ended but is not yet written.
-      NetServer.prototype.close.call(server);
-    },
+    stopListening: () => stopListening(server),
     close() {
       server.closeAllConnections();
     },
   };
 }
+
+/** Accepts no more connections; open ones stay. */
+export function stopListening(server: Server): void {
+  // The HTTP server's own `close` also closes connections whose response has
+  // ended but is not yet written.
+  NetServer.prototype.close.call(server);
+}
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -17,6 +17,7 @@
 import {
   createCallerServer,
   HARD_MAX_HEADER_BYTES,
+  stopListening,
 } from "./create_caller_server.ts";
 import {
   type Connect,
@@ -335,6 +336,8 @@
     await waitUntil(() => !plannedStop.acceptsRequests());
     callerServer.stopListening();
     await waitUntil(() => isIdle() || plannedStop.isOver());
+    // What other VMs have just sent is refused rather than reset.
+    for (const server of servers) stopListening(server);
     requestServer.endAll();
     const writtenMs = clock.now() + STOP_WRITE_MS;
     await waitUntil(() => isIdle() || clock.now() >= writtenMs);
