--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -204,6 +204,8 @@
   keepRemovedMs?: number;
   /** Demand by service; undefined from VMs of older versions. */
   demand?: ServiceDemand[];
+  /** Whether a planned stop has begun; undefined from VMs of older versions. */
+  isStopping?: boolean;
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
@@ -291,6 +293,7 @@
     steadyReadAgeMs: added(readNumber),
     keepRemovedMs: added(readNumber),
     demand: added(readDemand),
+    isStopping: added(readBoolean),
   };
 const HEARTBEAT_NAMES = Object.keys(HEARTBEAT_FIELDS) as (keyof Heartbeat)[];
 
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -24,6 +24,7 @@
 import type { Relays } from "./create_relays.ts";
 import type { RouteHistory } from "./create_route_history.ts";
 import type { RouterMetrics } from "./create_router_metrics.ts";
+import type { PlannedStop } from "./create_planned_stop.ts";
 import { createRetries } from "./create_retries.ts";
 import { createSendHistory } from "./create_send_history.ts";
 import type { Scheduler } from "./create_scheduler.ts";
@@ -37,6 +38,7 @@
   createDeadlineError,
   createNotExecutedError,
   createPauseError,
+  createStoppingError,
   withRunState,
 } from "./request_errors.ts";
 import type { RequestState } from "./request_state.ts";
@@ -60,6 +62,7 @@
   brittleServices: BrittleServices;
   upstreamLimits: UpstreamLimits;
   facts: Pick<SharedFacts, "add">;
+  plannedStop: PlannedStop;
   retryBounds: RetryBounds;
   /** Name of this VM. */
   vm: string;
@@ -83,13 +86,13 @@
   serve(request: CallerRequest, response: CallerResponse): Promise<void>;
   /** Number of requests whose response has not been written completely. */
   openCount(): number;
-  /** Refuses all further requests, as they could not end before the stop. */
-  startRefusing(): void;
+  /**
+   * Ends the requests in progress: refuses those that no upstream got, reports
+   * the others' outcome as unknown and cuts off the streams that have started.
+   */
+  endAll(): void;
 }
 
-/** Retry-after while this VM stops, in ms; the retry goes to another VM. */
-const STOPPING_RETRY_AFTER_MS = 50;
-
 /** Retry-after for a resume of an unknown stream, in ms. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_MS = 400;
 
@@ -109,7 +112,8 @@
     options;
   const { origins, containment, reach, relays, callLimits, facts } = options;
   const { brittleServices, upstreamLimits, retryBounds, vm } = options;
-  const { configuration, gate, isCurrent, confirm, routeHistory } = options;
+  const { configuration, gate, isCurrent, confirm } = options;
+  const { routeHistory, plannedStop } = options;
   const crashDetector = createCrashDetector({
     clock,
     log,
@@ -150,24 +154,17 @@
     reach,
     relays,
     upstreamLimits,
+    plannedStop,
     configuration,
   });
-  let openCount = 0;
-  let isRefusing = false;
+  /** Ends each of the requests whose response is not written completely. */
+  const open = new Set<() => void>();
 
   function createState(
     request: CallerRequest,
     response: CallerResponse,
   ): RequestState {
-    if (isRefusing) {
-      throw new TillerError(
-        ErrorKind.Stopping,
-        "this VM is stopping; send the request again",
-        {
-          retryAfterMs: STOPPING_RETRY_AFTER_MS,
-        },
-      );
-    }
+    if (!plannedStop.acceptsRequests()) throw createStoppingError();
     const { route, account, service, rank } = classifyRequest(request, {
       index: configuration(),
       isCurrent,
@@ -380,11 +377,27 @@
     else response.sendError(error);
   }
 
+  /** Ends a request as this VM stops. */
+  function endUnfinished(
+    state: RequestState | undefined,
+    exchange: { request: CallerRequest; response: CallerResponse; id: string },
+  ): void {
+    const { request, response } = exchange;
+    if (response.isClosed()) return;
+    const mayHaveRun = state !== undefined &&
+      state.sendHistory.possibleRuns() > 0;
+    // The VM that relayed it may have it served by yet another one.
+    if (mayHaveRun && request.relay) response.destroy();
+    else fail(state, createStoppingError(mayHaveRun), exchange);
+    state?.abort();
+  }
+
   return {
     async serve(request, response) {
       const id = request.metadata.id ?? "";
       let state: RequestState | undefined;
-      openCount++;
+      const end = () => endUnfinished(state, { request, response, id });
+      open.add(end);
       let cancelDeadline = () => {};
       try {
         await gate.wait(request.metadata);
@@ -409,12 +422,12 @@
       } finally {
         cancelDeadline();
         // A stop waits until the caller has got the response.
-        response.onClosed(() => openCount--);
+        response.onClosed(() => open.delete(end));
       }
     },
-    openCount: () => openCount,
-    startRefusing() {
-      isRefusing = true;
+    openCount: () => open.size,
+    endAll() {
+      for (const end of [...open]) end();
     },
   };
 }
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -18,6 +18,7 @@
 import {
   createCallerServer,
   HARD_MAX_HEADER_BYTES,
+  stopListening,
 } from "./create_caller_server.ts";
 import {
   type Connect,
@@ -32,6 +33,7 @@
 import { createConfirmation } from "./create_confirmation.ts";
 import { createConfigurationGate } from "./create_configuration_gate.ts";
 import { createHealthProbe } from "./create_health_probe.ts";
+import { createPlannedStop } from "./create_planned_stop.ts";
 import { createPublishedState } from "./create_published_state.ts";
 import { createOverflow } from "./create_overflow.ts";
 import { createRegistry } from "./create_registry.ts";
@@ -67,7 +69,10 @@
   /** Hosts of VMs from which the others are discovered. */
   seeds: string[];
   retries: RetryBounds;
-  /** Time for which a stopping VM still accepts new requests, in ms. */
+  /**
+   * Time for which a stopping VM still accepts new requests, in ms; at most a
+   * third of `stopGraceMs`.
+   */
   leaveMs: number;
   /** Longest wait for requests, from the start of a planned stop, in ms. */
   stopGraceMs: number;
@@ -105,7 +110,7 @@
   reload(changed: RouterSettings): string[];
   /**
    * Stops gracefully. Resolves when the requests in progress have ended or the
-   * grace period is over.
+   * grace period is over; further calls wait for the same stop.
    */
   stop(): Promise<void>;
   /** Stops immediately; requests in progress are cut off. */
@@ -126,8 +131,10 @@
 const SWEEP_MS = 500;
 /** Interval at which silent or lost services are checked, in ms. */
 const REACH_UPDATE_MS = 100;
-/** Poll interval for the end of requests during a stop, in ms. */
+/** Poll interval during a planned stop, in ms. */
 const STOP_POLL_MS = 50;
+/** Longest time to write the last responses of a stop, in ms. */
+const STOP_WRITE_MS = 100;
 
 /** Creates a router, which listens on its addresses after `start`. */
 export function createRouter(options: RouterOptions): Router {
@@ -137,7 +144,9 @@
   const registry = createRegistry({ clock, log });
   const routeHistory = createRouteHistory(clock);
   const pool = createConnectionPool({ clock, connect: options.connect });
-  let isStopping = false;
+  const plannedStop = createPlannedStop(clock);
+  /** Resolves at the end of the planned stop; undefined before its start. */
+  let stopped: Promise<void> | undefined;
   let timers: CancelTimer[] = [];
   let servers: Server[] = [];
 
@@ -160,6 +169,7 @@
       lostServices: reach.lostServices(),
       ...state.platformReads(),
       demand: overflow.demand(),
+      isStopping: plannedStop.hasBegun(),
     }),
   });
   const gate = createConfigurationGate(clock);
@@ -278,6 +288,7 @@
     brittleServices,
     upstreamLimits,
     facts,
+    plannedStop,
     retryBounds: settings.retries,
     vm,
     gate,
@@ -296,6 +307,7 @@
     log,
     protocol,
     limits: () => callerServer.limits(),
+    isDraining: plannedStop.hasBegun,
     serve: (request, response) => void requestServer.serve(request, response),
   });
 
@@ -313,8 +325,38 @@
     state.onHeartbeat(member);
   }
 
+  const isIdle = () => requestServer.openCount() === 0;
+
+  function waitUntil(condition: () => boolean): Promise<void> {
+    return new Promise((resolve) => {
+      const cancel = repeat(clock, STOP_POLL_MS, () => {
+        if (!condition()) return;
+        cancel();
+        resolve();
+      });
+    });
+  }
+
+  /** Serves requests for the time for leaving, then waits for their end. */
+  async function endRequests(): Promise<void> {
+    const { leaveMs, stopGraceMs } = settings;
+    plannedStop.begin({ leaveMs, graceMs: stopGraceMs });
+    log.info(LogEvent.Stopping, { open: requestServer.openCount() });
+    callerServer.startDraining();
+    await waitUntil(() => !plannedStop.acceptsRequests());
+    callerServer.stopListening();
+    await waitUntil(() => isIdle() || plannedStop.isOver());
+    // What other VMs have just sent is refused rather than reset.
+    for (const server of servers) stopListening(server);
+    requestServer.endAll();
+    const writtenMs = clock.now() + STOP_WRITE_MS;
+    await waitUntil(() => isIdle() || clock.now() >= writtenMs);
+    log.info(LogEvent.Stopped, { open: requestServer.openCount() });
+  }
+
   function isReady(): boolean {
-    return !isStopping && state.index() !== undefined && factsSync.isJoined();
+    return !plannedStop.hasBegun() && state.index() !== undefined &&
+      factsSync.isJoined();
   }
 
   function listen(
@@ -407,27 +449,12 @@
       };
       return restartNames;
     },
-    async stop() {
-      if (isStopping) return;
-      isStopping = true;
-      const startedMs = clock.now();
-      log.info(LogEvent.Stopping, { open: requestServer.openCount() });
-      callerServer.startDraining();
-      await new Promise<void>((resolve) => {
-        clock.after(settings.leaveMs, () => {
-          callerServer.stopListening();
-          requestServer.startRefusing();
-          const cancel = repeat(clock, STOP_POLL_MS, () => {
-            const waitedMs = clock.now() - startedMs;
-            const isIdle = requestServer.openCount() === 0;
-            if (!isIdle && waitedMs < settings.stopGraceMs) return;
-            cancel();
-            resolve();
-          });
-        });
-      });
-      log.info(LogEvent.Stopped, { open: requestServer.openCount() });
-      this.close();
+    stop() {
+      if (stopped) return stopped;
+      stopped = endRequests().then(() => this.close());
+      // The other VMs relay no more requests to this one.
+      network.sendHeartbeatNow();
+      return stopped;
     },
     close() {
       for (const cancel of timers) cancel();
