router: reset the connections of calls that are given up

Only after a cut: the requests had been written during it and given up.

Cause: a call without a complete response closed its connection in the ordinary way. The kernel then keeps sending what the upstream has not acknowledged, with doubling pauses, until it arrives seconds after the path is back.

Change: a connection whose request was written and has no complete response is reset wherever it is destroyed, by the call, the pool or the HTTP client, which destroys the socket itself. Idle connections and those that end with a complete response are closed as before, and so are those that are being shut down: Node.js loses the handle of one that is then reset, and does not end. The test links hold up what is sent while they are silent, and lose it if its sender resets the connection.

--- a/packages/router/src/create_connection_pool.ts
+++ b/packages/router/src/create_connection_pool.ts
@@ -14,6 +14,11 @@
   /** Whether the upstream reset the connection. */
   wasReset: boolean;
   isClosed: boolean;
+  /**
+   * Whether a request was written whose complete response is missing; set by
+   * the call that uses it. The connection is then reset when it is closed.
+   */
+  isUnanswered: boolean;
   /** Whether it has carried a call before: late bytes of that may follow. */
   hasCarriedCall: boolean;
   /** Monotonic time at which it was opened, in milliseconds. */
@@ -107,6 +112,26 @@
     socket.on("error", () => connection.wasReset = true);
   }
 
+  /**
+   * Resets the socket wherever it is destroyed while its request is unanswered:
+   * after an ordinary close, the kernel keeps sending what the upstream has not
+   * acknowledged.
+   */
+  function resetUnanswered(connection: Connection, socket: Socket): void {
+    const destroy = socket.destroy.bind(socket);
+    let cause: Error | undefined;
+    let isResetting = false;
+    socket.destroy = (error) => {
+      if (isResetting) return destroy(cause);
+      const { isUnanswered } = connection;
+      if (!isUnanswered || !canReset(socket, error)) return destroy(error);
+      isResetting = true;
+      cause = error;
+      // Calls `destroy` again.
+      return socket.resetAndDestroy();
+    };
+  }
+
   /** Opens a connection, or takes one over that `established` has opened. */
   function openConnection(
     address: UpstreamAddress,
@@ -119,6 +144,7 @@
       onReceived: undefined,
       wasReset: false,
       isClosed: false,
+      isUnanswered: false,
       hasCarriedCall: false,
       openedMs: clock.now(),
       idleSinceMs: clock.now(),
@@ -138,6 +164,7 @@
           return;
         }
         const useSocket = (socket: Socket) => {
+          resetUnanswered(connection, socket);
           callback(null, socket);
           connection.bytesReceived = () => socket.bytesRead;
           // May run before the HTTP client has read the same bytes.
@@ -254,3 +281,12 @@
     },
   };
 }
+
+/**
+ * Whether a connection can be reset. Node.js loses the handle of one that is
+ * being shut down; after an error of the system there is nothing to reset.
+ */
+function canReset(socket: Socket, error: NodeJS.ErrnoException | undefined) {
+  return !socket.destroyed && !socket.writableEnded &&
+    error?.syscall === undefined;
+}
--- a/packages/router/src/send_attempt.ts
+++ b/packages/router/src/send_attempt.ts
@@ -36,7 +36,10 @@
 
 /** Controls a call in progress. */
 export interface RunningAttempt {
-  /** Ends the call and closes its connection. */
+  /**
+   * Ends the call and closes its connection; resets it if the request was
+   * written, which is then not delivered any more.
+   */
   abort(): void;
   /** Stops reading the response until `resume`. */
   pause(): void;
@@ -81,6 +84,7 @@
   function end(isComplete: boolean, reason: string): void {
     if (isEnded) return;
     isEnded = true;
+    if (isComplete) connection.isUnanswered = false;
     connection.onReceived = undefined;
     listener.onEnd({ isComplete, wasSent, reason });
   }
@@ -102,6 +106,7 @@
         return;
       }
       wasSent = true;
+      connection.isUnanswered = true;
       sentAtBytes = connection.bytesReceived();
       connection.onReceived = checkFraming;
       listener.onSent();
--- a/packages/standins/src/create_test_links.ts
+++ b/packages/standins/src/create_test_links.ts
@@ -1,3 +1,4 @@
+import type { Buffer } from "node:buffer";
 import {
   type AddressInfo,
   connect as connectSocket,
@@ -11,7 +12,11 @@
 export enum LinkFailure {
   /** Open connections are reset, new ones are refused. */
   Reset = "reset",
-  /** Nothing arrives any more, in either direction. */
+  /**
+   * Nothing arrives any more, in either direction. What is sent meanwhile
+   * arrives when the links are restored, unless its sender has reset the
+   * connection.
+   */
   Silent = "silent",
   /** New connections are accepted, and nothing arrives on any of them. */
   AcceptSilent = "accept-silent",
@@ -36,6 +41,13 @@
   close(): void;
 }
 
+/** A connection from a VM to an upstream, in two sockets. */
+interface LinkedPair {
+  sockets: [client: Socket, upstream: Socket];
+  /** Pass on what was held up. */
+  flushes: (() => void)[];
+}
+
 /** A port of the loopback address at which nothing listens. */
 const CLOSED_PORT = 1;
 
@@ -51,7 +63,7 @@
 /** Creates links, with a relaying socket for each upstream that is called. */
 export function createTestLinks(): TestLinks {
   const servers = new Map<string, Promise<Server>>();
-  const pairs = new Set<[Socket, Socket]>();
+  const pairs = new Set<LinkedPair>();
   let failure: LinkFailure | undefined;
   let connectDelayMs = 0;
 
@@ -60,29 +72,52 @@
       failure === LinkFailure.AcceptSilent;
   }
 
-  function join([client, upstream]: [Socket, Socket]): void {
-    client.pipe(upstream);
-    upstream.pipe(client);
-  }
-
-  function separate([client, upstream]: [Socket, Socket]): void {
-    client.unpipe(upstream).pause();
-    upstream.unpipe(client).pause();
+  /**
+   * Passes bytes and the end of a connection on, and holds them up while the
+   * links are silent. Returns a function to call when they no longer are.
+   */
+  function passOn(from: Socket, to: Socket): () => void {
+    const held: Buffer[] = [];
+    let isReset = false;
+    function flush(): void {
+      if (isSilent()) return;
+      if (isReset) return reset(to);
+      for (const chunk of held.splice(0)) {
+        if (to.write(chunk)) continue;
+        from.pause();
+        to.once("drain", () => from.resume());
+      }
+      if (from.readableEnded && !to.writableEnded) to.end();
+      if (from.closed) to.destroySoon();
+    }
+    from.on("data", (chunk) => {
+      held.push(chunk);
+      flush();
+    });
+    from.on("error", () => isReset = true);
+    from.on("end", () => {
+      // A reset right after data is reported as an end, but the socket then has
+      // no remote address.
+      if (from.remoteAddress === undefined) isReset = true;
+      flush();
+    });
+    from.on("close", flush);
+    return flush;
   }
 
   function accept(client: Socket, address: LinkAddress): void {
     const upstream = connectSocket({ ...address, noDelay: true });
-    const pair: [Socket, Socket] = [client.setNoDelay(), upstream];
+    client.setNoDelay();
+    const pair: LinkedPair = {
+      sockets: [client, upstream],
+      flushes: [passOn(client, upstream), passOn(upstream, client)],
+    };
     pairs.add(pair);
-    for (const [socket, other] of [pair, [upstream, client] as const]) {
-      socket.on("error", () => reset(other));
+    for (const socket of pair.sockets) {
       socket.on("close", () => {
-        pairs.delete(pair);
-        other.destroySoon();
+        if (client.closed && upstream.closed) pairs.delete(pair);
       });
     }
-    join(pair);
-    if (isSilent()) separate(pair);
   }
 
   function serverOf(address: LinkAddress): Promise<Server> {
@@ -114,19 +149,16 @@
     },
     setConnectDelay: (delayMs) => void (connectDelayMs = delayMs),
     setFailure(next) {
-      if (isSilent()) {
-        for (const pair of pairs) join(pair);
-      }
       failure = next;
-      for (const pair of [...pairs]) {
-        if (isSilent()) separate(pair);
+      for (const { sockets, flushes } of [...pairs]) {
+        for (const flush of flushes) flush();
         if (next !== LinkFailure.Reset) continue;
-        for (const socket of pair) reset(socket);
+        for (const socket of sockets) reset(socket);
       }
     },
     close() {
-      for (const pair of pairs) {
-        for (const socket of pair) socket.destroy();
+      for (const { sockets } of pairs) {
+        for (const socket of sockets) socket.destroy();
       }
       for (const server of servers.values()) {
         void server.then((one) => one.close());
