router: do not send a request after its deadline

A request could run after its caller had got an answer, or had left. Cause: only the deadline's timer ended a request; in a process that had stood still, the request was placed and written before that timer ran. Change: the deadline is checked again when the request is written, here and for relays, and before another call is made. Evidence: a test whose VM stands still for 400 ms once a request with a deadline of 300 ms has been placed: it reached the upstream and got 504; now it is not sent and gets 429. given_up_requests_test.ts 5 of 5, all router tests pass.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -371,7 +371,11 @@
           progressMs = nowMs;
           containment.onProgress(state);
         },
-        maySend: () => registry.isInUse(upstream) && send.isAllowed(),
+        maySend() {
+          // The deadline's timer may be late in a process that stood still.
+          const isInTime = clock.now() < state.expiresMs;
+          return isInTime && registry.isInUse(upstream) && send.isAllowed();
+        },
         onSent() {
           earlier = crashesSoFar(state);
           reportRepeatedSend(state, {
--- a/packages/router/src/create_relays.ts
+++ b/packages/router/src/create_relays.ts
@@ -200,7 +200,7 @@
       },
       onStreamStarted() {},
       onEvent() {},
-      maySend: send.isAllowed,
+      maySend: () => clock.now() < state.expiresMs && send.isAllowed(),
       onSent() {
         const report = { log, metrics };
         reportRepeatedSend(state, { to: host, copy: undefined, report });
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -281,10 +281,15 @@
         (isRelayed || state.stream.isStarted || ended.status < 500);
       if (isAnswer) return deliver(state, ended);
       if (ended.result === AttemptResult.Unsent) connectFailures++;
-      call = await runFurtherCall(state, connectFailures);
+      const isExpired = clock.now() >= state.expiresMs;
+      call = isExpired
+        ? undefined
+        : await runFurtherCall(state, connectFailures);
       if (call) continue;
       if (isComplete) return deliver(state, ended);
-      throw createFinalError(state, ended);
+      throw isExpired
+        ? createDeadlineError(state)
+        : createFinalError(state, ended);
     }
   }
 
