standins: links hold bytes up apart from their failures

The links of given_up_requests_test.ts were held up by a change of the silent failure, with which the accept-silent test of lost_links_test.ts failed more often. Held-up links are a mode of their own; the failures are as they were.

--- a/packages/standins/src/create_test_links.ts
+++ b/packages/standins/src/create_test_links.ts
@@ -12,11 +12,7 @@
 export enum LinkFailure {
   /** Open connections are reset, new ones are refused. */
   Reset = "reset",
-  /**
-   * Nothing arrives any more, in either direction. What is sent meanwhile
-   * arrives when the links are restored, unless its sender has reset the
-   * connection.
-   */
+  /** Nothing arrives any more, in either direction. */
   Silent = "silent",
   /** New connections are accepted, and nothing arrives on any of them. */
   AcceptSilent = "accept-silent",
@@ -36,18 +32,16 @@
   connect(address: LinkAddress): Socket;
   /** Fails the links, or restores them. */
   setFailure(failure: LinkFailure | undefined): void;
+  /**
+   * Holds up what is sent over open connections, or passes it on, unless its
+   * sender has reset the connection. New connections hang meanwhile.
+   */
+  setHeldUp(isHeldUp: boolean): void;
   /** Delays new connections by this time, in milliseconds. */
   setConnectDelay(delayMs: number): void;
   close(): void;
 }
 
-/** A connection from a VM to an upstream, in two sockets. */
-interface LinkedPair {
-  sockets: [client: Socket, upstream: Socket];
-  /** Pass on what was held up. */
-  flushes: (() => void)[];
-}
-
 /** A port of the loopback address at which nothing listens. */
 const CLOSED_PORT = 1;
 
@@ -60,11 +54,37 @@
   else socket.resetAndDestroy();
 }
 
+/**
+ * Holds up what `from` sends to `to`; returns a function that passes it on, if
+ * the connection has not been reset.
+ */
+function holdUp(from: Socket, to: Socket): () => void {
+  const held: Buffer[] = [];
+  let isReset = false;
+  const onData = (chunk: Buffer) => void held.push(chunk);
+  from.unpipe(to).on("data", onData).resume();
+  from.on("error", () => isReset = true);
+  from.on("end", () => {
+    // A reset right after data is reported as an end, but the socket then has
+    // no remote address.
+    if (from.remoteAddress === undefined) isReset = true;
+  });
+  return () => {
+    if (isReset) return reset(to);
+    for (const chunk of held) to.write(chunk);
+    from.off("data", onData);
+    if (from.readableEnded) to.destroySoon();
+    else from.pipe(to);
+  };
+}
+
 /** Creates links, with a relaying socket for each upstream that is called. */
 export function createTestLinks(): TestLinks {
   const servers = new Map<string, Promise<Server>>();
-  const pairs = new Set<LinkedPair>();
+  const pairs = new Set<[Socket, Socket]>();
+  const restores: (() => void)[] = [];
   let failure: LinkFailure | undefined;
+  let isHeldUp = false;
   let connectDelayMs = 0;
   let isClosed = false;
 
@@ -73,52 +93,31 @@
       failure === LinkFailure.AcceptSilent;
   }
 
-  /**
-   * Passes bytes and the end of a connection on, and holds them up while the
-   * links are silent. Returns a function to call when they no longer are.
-   */
-  function passOn(from: Socket, to: Socket): () => void {
-    const held: Buffer[] = [];
-    let isReset = false;
-    function flush(): void {
-      if (isSilent()) return;
-      if (isReset) return reset(to);
-      for (const chunk of held.splice(0)) {
-        if (to.write(chunk)) continue;
-        from.pause();
-        to.once("drain", () => from.resume());
-      }
-      if (from.readableEnded && !to.writableEnded) to.end();
-      if (from.closed) to.destroySoon();
-    }
-    from.on("data", (chunk) => {
-      held.push(chunk);
-      flush();
-    });
-    from.on("error", () => isReset = true);
-    from.on("end", () => {
-      // A reset right after data is reported as an end, but the socket then has
-      // no remote address.
-      if (from.remoteAddress === undefined) isReset = true;
-      flush();
-    });
-    from.on("close", flush);
-    return flush;
+  function join([client, upstream]: [Socket, Socket]): void {
+    client.pipe(upstream);
+    upstream.pipe(client);
+  }
+
+  function separate([client, upstream]: [Socket, Socket]): void {
+    client.unpipe(upstream).pause();
+    upstream.unpipe(client).pause();
   }
 
   function accept(client: Socket, address: LinkAddress): void {
     const upstream = connectSocket({ ...address, noDelay: true });
-    client.setNoDelay();
-    const pair: LinkedPair = {
-      sockets: [client, upstream],
-      flushes: [passOn(client, upstream), passOn(upstream, client)],
-    };
+    const pair: [Socket, Socket] = [client.setNoDelay(), upstream];
     pairs.add(pair);
-    for (const socket of pair.sockets) {
+    for (const [socket, other] of [pair, [upstream, client] as const]) {
+      socket.on("error", () => {
+        if (!isHeldUp) reset(other);
+      });
       socket.on("close", () => {
-        if (client.closed && upstream.closed) pairs.delete(pair);
+        pairs.delete(pair);
+        if (!isHeldUp) other.destroySoon();
       });
     }
+    join(pair);
+    if (isSilent()) separate(pair);
   }
 
   function serverOf(address: LinkAddress): Promise<Server> {
@@ -137,7 +136,8 @@
     connect(address) {
       const socket = new Socket();
       socket.setNoDelay();
-      if (isClosed || failure === LinkFailure.Silent) return socket;
+      if (isClosed || isHeldUp) return socket;
+      if (failure === LinkFailure.Silent) return socket;
       if (failure && !isSilent()) {
         return socket.connect(CLOSED_PORT, "127.0.0.1");
       }
@@ -150,18 +150,29 @@
       return socket;
     },
     setConnectDelay: (delayMs) => void (connectDelayMs = delayMs),
+    setHeldUp(next) {
+      isHeldUp = next;
+      for (const restore of restores.splice(0)) restore();
+      if (!isHeldUp) return;
+      for (const [client, upstream] of pairs) {
+        restores.push(holdUp(client, upstream), holdUp(upstream, client));
+      }
+    },
     setFailure(next) {
+      if (isSilent()) {
+        for (const pair of pairs) join(pair);
+      }
       failure = next;
-      for (const { sockets, flushes } of [...pairs]) {
-        for (const flush of flushes) flush();
+      for (const pair of [...pairs]) {
+        if (isSilent()) separate(pair);
         if (next !== LinkFailure.Reset) continue;
-        for (const socket of sockets) reset(socket);
+        for (const socket of pair) reset(socket);
       }
     },
     close() {
       isClosed = true;
-      for (const { sockets } of pairs) {
-        for (const socket of sockets) socket.destroy();
+      for (const pair of pairs) {
+        for (const socket of pair) socket.destroy();
       }
       for (const server of servers.values()) {
         void server.then((one) => one.close());
