--- a/packages/peers/src/odd_messages_test.ts
+++ b/packages/peers/src/odd_messages_test.ts
@@ -126,8 +126,8 @@
 }
 
 // Guards against a datagram that ends the VM, or after which it no longer
-// hears its peers.
-test("datagrams that are no messages are ignored, and others are heard", async (t) => {
+// receives from its peers.
+test("datagrams that are no messages are ignored, and others are applied", async (t) => {
   const peer = await bind(PEER);
   const { port } = peer.address();
   const heard: LoadEvent[] = [];
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -238,7 +238,7 @@
     if (resumedId) stream.softwareVersion = await origins.find(resumedId);
     if (stream.softwareVersion !== undefined) return;
     const onlyVersion = findOnlyVersion(state);
-    // The stream may have begun at upstreams that this VM has not heard of.
+    // The stream may have begun at upstreams that this VM does not know yet.
     const isConfirmed = onlyVersion !== undefined && await confirm();
     if (isConfirmed && findOnlyVersion(state) === onlyVersion) {
       stream.softwareVersion = onlyVersion;
@@ -255,7 +255,7 @@
 
   /**
    * The version that all upstreams of the route have had for as long as the
-   * caller's stream can be old, as far as this VM has heard; undefined if it is
+   * caller's stream can be old, as far as this VM knows; undefined if it is
    * not the only one, if the VM has not observed them for so long, or if there
    * is a newer configuration, whose routes may differ.
    */
--- a/packages/router/src/create_send_history.ts
+++ b/packages/router/src/create_send_history.ts
@@ -7,7 +7,7 @@
   isAllowed(): boolean;
   /** The request is about to be written; it may be executed from now on. */
   onSent(): void;
-  /** The send has ended, or was given up before it was written. */
+  /** The send has ended, whether or not it was written. */
   onEnd(result: AttemptResult): void;
 }
 
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -85,7 +85,7 @@
   Failure = "failure",
 }
 
-/** What a send asks of its receiver. */
+/** What the receiver of a send does with it. */
 export enum SendKind {
   /** An upstream executes the request; a started stream from an event on. */
   Run = "run",
