router: a request that has ended begins no further send

A request that is queued for an upstream and ends there, as its deadline passes, its caller leaves or the VM stops, is told "not run". If this VM has meanwhile lost its links to the service, the error with which the scheduler gives up the queued request was taken for a refusal, and the request was passed on to another VM.

Callers saw nothing of it: with the HTTP client in use, a request on an idle connection is written only in a later turn of the event loop, and is aborted before that. That was the only thing that kept a refused request from running, besides log lines `relayed` for requests that were over and a closed connection to the other VM for each.

Change: the history of sends denies any send of a request that has ended, when its receiver is chosen and when it would be written. The call runner asks no other VM for such a request, and nothing follows its last call.

--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -276,6 +276,8 @@
     try {
       return { ended: await runPlaced(state), isRelayed: false };
     } catch (error) {
+      // It was ended while it was queued.
+      if (state.signal.aborted) throw error;
       const { kind } = toTillerError(error);
       const { name } = state.service;
       // Upstreams may look overloaded as those that this VM still reaches are.
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -199,6 +199,7 @@
       sendHistory: createSendHistory({
         route,
         earlierSends: relay?.sends ?? 0,
+        signal: controller.signal,
       }),
       brokenCalls: [],
       stream: {
@@ -275,7 +276,7 @@
     let call: EndedCall | undefined = await calls.runNext(state, 0);
     for (;;) {
       const { ended, isRelayed } = call;
-      if (ended.result === AttemptResult.Aborted) return;
+      if (state.signal.aborted) return;
       const isComplete = ended.result === AttemptResult.Complete;
       const isAnswer = isComplete &&
         (isRelayed || state.stream.isStarted || ended.status < 500);
--- a/packages/router/src/create_send_history.ts
+++ b/packages/router/src/create_send_history.ts
@@ -14,7 +14,8 @@
 /**
  * All sends of one request, by this VM. Whether a request may be sent, as a
  * first call, a retry, a standby, a resume or through another VM, is decided
- * here and by nothing else: from all that was sent, not from the last result.
+ * here and by nothing else: from all that was sent, not from the last result,
+ * and never after the request has ended.
  */
 export interface SendHistory {
   /** Number of sends, also those of a VM that passed the request on. */
@@ -39,6 +40,8 @@
   route: Pick<Route, "kind" | "isResumable" | "maxAttempts">;
   /** Sends of the VM that passed the request on; 0 for a caller's request. */
   earlierSends: number;
+  /** Aborted when the request has ended: its caller has left or been answered. */
+  signal: AbortSignal;
 }
 
 /** Progress of a send. */
@@ -63,7 +66,7 @@
 
 /** Creates the history of a request that this VM has not sent yet. */
 export function createSendHistory(options: SendHistoryOptions): SendHistory {
-  const { route, earlierSends } = options;
+  const { route, earlierSends, signal } = options;
   const sends = new Set<{ kind: SendKind; state: SendState }>();
   /** Sends that are covered, also those that were made. */
   let covered = earlierSends + 1;
@@ -83,6 +86,7 @@
   }
 
   function denialOf(kind: SendKind): RetryDenial | undefined {
+    if (signal.aborted) return RetryDenial.Ended;
     // The continuation of a run is not a further one.
     if (kind === SendKind.Continue) return undefined;
     if (possibleRuns() > 0 && !isRetryable(route)) {
--- a/packages/router/src/create_send_history_test.ts
+++ b/packages/router/src/create_send_history_test.ts
@@ -20,8 +20,12 @@
 const SEED = Number(process.env.SEED ?? 43);
 const NEW_RUNS = [SendKind.Run, SendKind.Relay];
 
-function createHistory(name: keyof typeof ROUTES, earlierSends = 0) {
-  return createSendHistory({ route: ROUTES[name], earlierSends });
+function createHistory(
+  name: keyof typeof ROUTES,
+  earlierSends = 0,
+  { signal } = new AbortController(),
+) {
+  return createSendHistory({ route: ROUTES[name], earlierSends, signal });
 }
 
 /** Makes a send that ends with `result`. */
@@ -99,6 +103,22 @@
   assert.equal(history.isCovered(), false);
 });
 
+// Guards against a request that is written after its caller was told that it
+// was not run, or has left.
+test("a request that has ended is not sent any more", () => {
+  for (const name of ["once", "stream", "resumable", "read"] as const) {
+    const controller = new AbortController();
+    const history = createHistory(name, 0, controller);
+    const waiting = history.begin(SendKind.Run);
+    assert.equal(waiting.isAllowed(), true);
+    controller.abort();
+    assert.equal(waiting.isAllowed(), false);
+    for (const kind of Object.values(SendKind)) {
+      assert.equal(history.denialOf(kind), RetryDenial.Ended);
+    }
+  }
+});
+
 /** A step of a random history: a send of a kind begins, or goes on. */
 type Step = { kind: SendKind } | { result: AttemptResult; which: number };
 
@@ -119,7 +139,8 @@
   for (const route of Object.values(ROUTES)) {
     fc.assert(
       fc.property(steps, (list: Step[]) => {
-        const history = createSendHistory({ route, earlierSends: 0 });
+        const { signal } = new AbortController();
+        const history = createSendHistory({ route, earlierSends: 0, signal });
         const open: { kind: SendKind; isSent: boolean; send: RequestSend }[] =
           [];
         /** New runs that were written and not declared as not executed. */
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -97,6 +97,8 @@
 
 /** Why a failed call is not sent again; the `cause` field of a log line. */
 export enum RetryDenial {
+  /** The caller has left, or has got the final response. */
+  Ended = "ended",
   /** An earlier send may have been executed, and the route allows one run. */
   MayHaveRun = "may-have-run",
   /** The route's attempts are used up. */
--- a/packages/router/src/watch_stall_test.ts
+++ b/packages/router/src/watch_stall_test.ts
@@ -39,7 +39,8 @@
     maxPauseMs: 200,
     targetMs: 400,
   };
-  const sendHistory = createSendHistory({ route, earlierSends: 1 });
+  const { signal } = new AbortController();
+  const sendHistory = createSendHistory({ route, earlierSends: 1, signal });
   watchStall({
     state: {
       sendHistory,
