router: keep a stream's copy while no connection to its upstream is free

Callers of a stream that may run once got a stream that was cut off although a copy of its run existed.

Cause: the copy was taken out of the request before a connection was acquired. If this VM had no free connection to the upstream, or the request was quarantined at that moment, the attempt was not started and the copy was gone, so that the next silence of the first upstream led to nothing. Only an attempt that was started and not sent gave its copy back.

Change: an attempt that is not started gives its copy back, too, in the same place as one that is not sent. The retry that was taken covers the next send, as before.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -85,7 +85,7 @@
   /**
    * Starts an attempt at the placement's upstream. Throws a `TillerError` if the
    * request is quarantined or no connection is left; the placement is released
-   * whenever it throws.
+   * and the backup copy kept whenever it throws.
    */
   start(
     state: RequestState,
@@ -192,6 +192,11 @@
     return backup;
   }
 
+  /** Keeps a copy that was not used, as the request was not sent. */
+  function keepCopy(state: RequestState, copy: BackupCopy | undefined): void {
+    state.backup ??= copy;
+  }
+
   /** Publishes which version began a stream that its caller can resume. */
   function publishOrigin(state: RequestState, softwareVersion: string): void {
     const isResume = state.request.metadata.lastEventId !== undefined;
@@ -395,7 +400,7 @@
       async function finish(): Promise<AttemptEnd> {
         const ended = await running.ended;
         send.onEnd(ended.result);
-        if (backupFrom && isUnsent(ended)) state.backup ??= backupFrom;
+        if (isUnsent(ended)) keepCopy(state, backupFrom);
         bodiesBytes -= bodyBytes;
         state.signal.removeEventListener("abort", onAbort);
         if (ended.isReusable) {
@@ -421,6 +426,7 @@
         return starter.start(state, placement, startOptions);
       } catch (error) {
         placement.release(CallEnd.Other);
+        keepCopy(state, startOptions.backupFrom);
         throw error;
       }
     },
