router: refuse requests that the HTTP client does not write

One request with two Host headers, a tab or a form feed in its path, or a space in a header's name took all upstreams of its service out of use at the VM that got it, and its caller got a retryable 503.

Cause: Node.js's server accepts such requests, and the HTTP client refuses to write them. That is an attempt that ended unsent, and was taken for an upstream to which no connection can be established. The next upstream was tried, until all of them counted as down and the service as out of reach; a request may then go on to other VMs.

Change: a request whose head HTTP/1.1 does not allow in these ways is refused as invalid (400) before it is routed.

--- a/packages/router/src/create_caller_handler.ts
+++ b/packages/router/src/create_caller_handler.ts
@@ -31,6 +31,10 @@
 
 /** Bytes buffered for a slow caller before its upstream is paused. */
 const MAX_BUFFERED_BYTES = 262_144;
+/** Request targets; bytes of other encodings are passed on as they are. */
+const TARGET_PATTERN = /^[\x21-\xff]+$/;
+/** Names of headers. */
+const TOKEN_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 
 /** Creates the handler, which reads requests within the limits. */
 export function createCallerHandler(
@@ -52,6 +56,11 @@
       );
       return;
     }
+    const fault = findFaultOf(incoming);
+    if (fault !== undefined) {
+      sendRefusal(callerResponse, ErrorKind.InvalidRequest, fault);
+      return;
+    }
     const body = await readBody(incoming);
     if (body === undefined) {
       sendRefusal(
@@ -108,6 +117,21 @@
   };
 }
 
+/**
+ * What HTTP/1.1 does not allow in a request's head although Node.js's server
+ * accepts it; undefined for a proper one. The HTTP client writes no other.
+ */
+function findFaultOf({ url, rawHeaders }: IncomingMessage): string | undefined {
+  if (!TARGET_PATTERN.test(url ?? "")) return "the path has an invalid byte";
+  let hosts = 0;
+  for (let at = 0; at < rawHeaders.length; at += 2) {
+    const name = rawHeaders[at]!;
+    if (!TOKEN_PATTERN.test(name)) return "a header's name is invalid";
+    if (name.toLowerCase() === "host") hosts++;
+  }
+  return hosts > 1 ? "the request has more than one Host header" : undefined;
+}
+
 function headerBytes({ rawHeaders, url }: IncomingMessage): number {
   let bytes = url?.length ?? 0;
   for (const part of rawHeaders) bytes += part.length + 2;
