router: a run has a backup copy only once it was sent

A stream that may run once was cut off as its upstream paused, although the upstream went on.

Cause: the copy was noted when an attempt chose where it would be kept. If no connection to that attempt's upstream could be established, and the next one found no upstream for a copy of its own, the copy of the first remained. It could be at the very upstream that runs the stream. In the next pause the stream was sent there to go on from a copy that does not exist. An upstream whose process stands still accepts the connection and refuses nothing, so that the stream was handed over after 300 ms, its run ended, and the copy refused when the upstream went on.

Change: the copy belongs to the run from the moment that its request is written, and replaces that of an earlier attempt, also if it has none.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -170,11 +170,11 @@
     );
   }
 
-  /** Chooses the upstream for a backup copy and notes it in the state. */
+  /** Chooses where a run's backup copy is kept; undefined if it gets none. */
   function chooseBackup(
     state: RequestState,
     { upstream }: Placement,
-  ): Upstream | undefined {
+  ): BackupCopy | undefined {
     if (isRetryable(state.route)) return undefined;
     const backup = chooseBackupUpstream(upstream, {
       engine: state.service.engine,
@@ -183,13 +183,10 @@
         .filter((other) => !upstreamLimits.isShared(other)),
       nowMs: clock.now(),
     });
-    if (backup) {
-      state.backup = {
-        upstream: backup,
-        name: `${addressOf(backup)}/${state.id}`,
-      };
-    }
-    return backup;
+    return backup && {
+      upstream: backup,
+      name: `${addressOf(backup)}/${state.id}`,
+    };
   }
 
   /** Keeps a copy that was not used, as the request was not sent. */
@@ -328,7 +325,7 @@
           account: state.account?.name,
           urgency: state.urgency,
           lastEventId: state.stream.lastEventId,
-          backupTo: backup && addressOf(backup),
+          backupTo: backup && addressOf(backup.upstream),
           backupFrom: backupFrom?.name,
           fetchFrom: placement.fetchFrom && addressOf(placement.fetchFrom),
         }),
@@ -388,6 +385,7 @@
             retries.onFirstSend(state.service.name);
           }
           send.onSent();
+          if (!backupFrom) state.backup = backup;
           hooks.onSent?.();
           state.tried.add(entry.id);
           reach.onSent(upstream);
--- a/packages/router/src/request_state.ts
+++ b/packages/router/src/request_state.ts
@@ -35,7 +35,7 @@
   /** Identifiers of the crashes that broken calls of the request may be. */
   brokenCalls: string[];
   stream: StreamState;
-  /** Backup copy of the newest run; undefined while it is in use or gone. */
+  /** Copy of the newest run that was sent; undefined while in use or gone. */
   backup: BackupCopy | undefined;
 }
 
