--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -85,7 +85,7 @@
   /**
    * Starts an attempt at the placement's upstream. Throws a `TillerError` if the
    * request is quarantined or no connection is left; the placement is released
-   * whenever it throws.
+   * and the backup copy kept whenever it throws.
    */
   start(
     state: RequestState,
@@ -170,11 +170,11 @@
     );
   }
 
-  /** Chooses the upstream for a backup copy and notes it in the state. */
+  /** Chooses where a run's backup copy is kept; undefined if it gets none. */
   function chooseBackup(
     state: RequestState,
     { upstream }: Placement,
-  ): Upstream | undefined {
+  ): BackupCopy | undefined {
     if (isRetryable(state.route)) return undefined;
     const backup = chooseBackupUpstream(upstream, {
       engine: state.service.engine,
@@ -183,13 +183,15 @@
         .filter((other) => !upstreamLimits.isShared(other)),
       nowMs: clock.now(),
     });
-    if (backup) {
-      state.backup = {
-        upstream: backup,
-        name: `${addressOf(backup)}/${state.id}`,
-      };
-    }
-    return backup;
+    return backup && {
+      upstream: backup,
+      name: `${addressOf(backup)}/${state.id}`,
+    };
+  }
+
+  /** Keeps a copy that was not used, as the request was not sent. */
+  function keepCopy(state: RequestState, copy: BackupCopy | undefined): void {
+    state.backup ??= copy;
   }
 
   /** Publishes which version began a stream that its caller can resume. */
@@ -323,7 +325,7 @@
           account: state.account?.name,
           urgency: state.urgency,
           lastEventId: state.stream.lastEventId,
-          backupTo: backup && addressOf(backup),
+          backupTo: backup && addressOf(backup.upstream),
           backupFrom: backupFrom?.name,
           fetchFrom: placement.fetchFrom && addressOf(placement.fetchFrom),
         }),
@@ -387,6 +389,7 @@
             retries.onFirstSend(state.service.name);
           }
           send.onSent();
+          if (!backupFrom) state.backup = backup;
           hooks.onSent?.();
           state.tried.add(entry.id);
           reach.onSent(upstream);
@@ -399,7 +402,7 @@
       async function finish(): Promise<AttemptEnd> {
         const ended = await running.ended;
         send.onEnd(ended.result);
-        if (backupFrom && isUnsent(ended)) state.backup ??= backupFrom;
+        if (isUnsent(ended)) keepCopy(state, backupFrom);
         bodiesBytes -= bodyBytes;
         state.signal.removeEventListener("abort", onAbort);
         if (ended.isReusable) {
@@ -425,6 +428,7 @@
         return starter.start(state, placement, startOptions);
       } catch (error) {
         placement.release(CallEnd.Other);
+        keepCopy(state, startOptions.backupFrom);
         throw error;
       }
     },
