router: calls over lost links take no places from the other VMs

Cause: all VMs count each other's calls as load until they end. Those that were sent over lost links never arrived, and kept their places until their deadline, here 5 s: at 2 s, 40 such calls for the 33 places of three idle upstreams, each of which counted 11 calls (8 slots and 3 queued) whenever the other VM placed a request. Change: a VM ends the load of a call whose upstream has sent it nothing since, over links that are lost. The call goes on.

--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -1,7 +1,9 @@
 import { CallEnd, type PeerNetwork } from "@rosemarytiller/peers";
 import {
+  type CancelTimer,
   type Clock,
   ErrorKind,
+  repeat,
   type TillerError,
   toTillerError,
 } from "@rosemarytiller/shared";
@@ -27,6 +29,7 @@
 import type { BackupCopy, RequestState } from "./request_state.ts";
 import type { AttemptEnd } from "./run_attempt.ts";
 import { runHedgedCall } from "./run_hedged_call.ts";
+import { SILENCE_CHECK_MS } from "./silence_limits.ts";
 import { watchStall } from "./watch_stall.ts";
 
 /** A call that has ended. */
@@ -63,7 +66,7 @@
   retries: Retries;
   reach: Reach;
   relays: Relays;
-  upstreamLimits: Pick<UpstreamLimits, "canAdmit">;
+  upstreamLimits: Pick<UpstreamLimits, "canAdmit" | "isShared">;
   plannedStop: Pick<PlannedStop, "canEnd" | "onCallEnded">;
   /** Current configuration; undefined until one has been received. */
   configuration(): ConfigurationIndex | undefined;
@@ -126,6 +129,39 @@
     }, signal);
   }
 
+  /** Watches an attempt at an upstream until cancelled. */
+  function watchPlaced(
+    state: RequestState,
+    call: { running: StartedAttempt; placement: Placement; onSilent(): void },
+  ): CancelTimer {
+    const watched = { state, ...call };
+    const cancels = [
+      watchStall(watched, { clock, log, registry, network }),
+      watchLostCall(call),
+    ];
+    return () => {
+      for (const cancel of cancels) cancel();
+    };
+  }
+
+  /**
+   * Frees the place of a call that probably did not arrive, as the other VMs
+   * would leave it empty until the deadline. The call itself goes on. Calls of
+   * upstreams that must not get too many are counted until they end: late bytes
+   * arrive if the links return.
+   */
+  function watchLostCall(
+    { running, placement }: { running: StartedAttempt; placement: Placement },
+  ): CancelTimer {
+    const { upstream } = placement;
+    const sentMs = running.lastReceivedMs();
+    return repeat(clock, SILENCE_CHECK_MS, () => {
+      if (upstreamLimits.isShared(upstream)) return;
+      if (!reach.isCallLost(upstream, sentMs)) return;
+      placement.release(CallEnd.Other);
+    });
+  }
+
   /**
    * Runs one call from the placement's upstream on until it ends, with a
    * standby while that upstream is silent.
@@ -140,10 +176,11 @@
       startStandby: (hooks, signal) => startStandby(state, { hooks, signal }),
       watch: (running, onSilent) =>
         running.placement
-          ? watchStall(
-            { state, placement: running.placement, running, onSilent },
-            { clock, log, registry, network },
-          )
+          ? watchPlaced(state, {
+            running,
+            placement: running.placement,
+            onSilent,
+          })
           : () => {},
       // The caller of a started stream gets the events of one upstream only.
       isExclusive: () => state.stream.isStarted,
--- a/packages/router/src/create_reach.ts
+++ b/packages/router/src/create_reach.ts
@@ -26,6 +26,12 @@
    * from it since, while other VMs have.
    */
   isLostUpstream(upstream: Upstream): boolean;
+  /**
+   * Whether a call that was sent to the upstream at `sentMs`, a monotonic time in
+   * ms, probably did not arrive: this VM has received nothing from the upstream
+   * since and has lost its links to it.
+   */
+  isCallLost(upstream: Upstream, sentMs: number): boolean;
   /** Whether this VM has lost its links to the service, or its upstreams are down. */
   mayBeLost(service: string): boolean;
   /** Whether this VM has failed to connect to half of the upstreams or more. */
@@ -127,6 +133,16 @@
     return lost > 0 && (isAllLost || lost * 2 >= list.length);
   }
 
+  function isCallLost(upstream: Upstream, sentMs: number): boolean {
+    if ((reachedMs.get(upstream) ?? -Infinity) >= sentMs) return false;
+    if (isLostUpstream(upstream)) return true;
+    // `isLost` would be too strict: lost calls may take all places, so that the
+    // other VMs receive nothing from now on.
+    const { service } = upstream.entry;
+    return services.get(service)?.isAllLost === true &&
+      isSilentHereOnly(service, sentMs);
+  }
+
   function setAllLost(service: string, isAllLost: boolean): void {
     const reach = reachOf(service);
     if (reach.isAllLost === isAllLost) return;
@@ -229,6 +245,7 @@
     onConnectFailed,
     isLost,
     isLostUpstream,
+    isCallLost,
     mayBeLost: (service) =>
       registry.inService(service).some((upstream) => unreachedMs.has(upstream)),
     mayBeMostlyLost(service) {
--- a/packages/router/src/create_reach_test.ts
+++ b/packages/router/src/create_reach_test.ts
@@ -92,6 +92,37 @@
   assert.ok(!reach.isLost("engines"));
 });
 
+// Guards against calls over lost links that take places from the other VMs, and
+// against calls that count as lost although they run.
+test("a call is lost if nothing arrived since over links that are lost", () => {
+  const { reach, clock, fail, report, upstreamOf } = createTestReach(6);
+  const sentMs = clock.now();
+  fail(3);
+  assert.ok(!reach.isCallLost(upstreamOf(0), sentMs));
+  report(1);
+  assert.ok(reach.isCallLost(upstreamOf(0), sentMs));
+  // None of the service's upstreams is reached, so this one is not either.
+  assert.ok(reach.isCallLost(upstreamOf(5), sentMs));
+  reach.onReceived(upstreamOf(5));
+  assert.ok(!reach.isCallLost(upstreamOf(5), sentMs));
+  // Other upstreams are reached, but not this one.
+  assert.ok(reach.isCallLost(upstreamOf(0), sentMs));
+  assert.ok(!reach.isCallLost(upstreamOf(1), sentMs));
+});
+
+// Guards against streams that run and count as lost.
+test("a call is not lost if its upstream responded before the links failed", () => {
+  const { reach, clock, fail, report, upstreamOf } = createTestReach(3);
+  const sentMs = clock.now();
+  clock.advance(10);
+  reach.onReceived(upstreamOf(0));
+  fail(3);
+  report(3);
+  assert.ok(reach.isLost("engines"));
+  assert.ok(!reach.isCallLost(upstreamOf(0), sentMs));
+  assert.ok(reach.isCallLost(upstreamOf(1), sentMs));
+});
+
 // Guards against taking upstreams that crashed for lost links.
 test("upstreams that respond to no VM are down", () => {
   const { reach, clock, fail, upstreamOf } = createTestReach(4);
