router: notice lost links also if the other VMs use other upstreams

Cause: the VM reached none of the service, three probed upstreams had not answered, and it waited until other VMs reported a response of one of those three. The one VM left used others: of its 91 calls of engines from 0.5 to 5 s, 75 went to one engine and three to those that the other VM had probed. Its requests share a prompt prefix. Change: links to a service are lost if this VM reaches none of it and any of its upstreams has responded to another VM since.

--- a/packages/router/src/create_reach.ts
+++ b/packages/router/src/create_reach.ts
@@ -18,7 +18,8 @@
   onConnectFailed(upstream: Upstream): void;
   /**
    * Whether this VM has lost its links to half of the service's upstreams or
-   * more, while these respond to other VMs.
+   * more, while these respond to other VMs, or reaches none of the service while
+   * any of them does.
    */
   isLost(service: string): boolean;
   /**
@@ -93,6 +94,8 @@
   failed: Set<string>;
   /** Whether none of its upstreams is reached. */
   isAllLost: boolean;
+  /** Time since which `isAllLost` has its value. */
+  changedMs: number;
   /** Start of the first call since one of the service was reached. */
   silentSinceMs: number | undefined;
   /** Time before which no upstream is probed again. */
@@ -113,6 +116,7 @@
       reach = {
         failed: new Set(),
         isAllLost: false,
+        changedMs: -Infinity,
         silentSinceMs: undefined,
         nextProbeMs: -Infinity,
       };
@@ -129,8 +133,11 @@
   function isLost(service: string): boolean {
     const list = registry.inService(service);
     const lost = list.filter(isLostUpstream).length;
-    const isAllLost = services.get(service)?.isAllLost === true;
-    return lost > 0 && (isAllLost || lost * 2 >= list.length);
+    const reach = services.get(service);
+    if (reach?.isAllLost !== true) return lost > 0 && lost * 2 >= list.length;
+    // The upstreams that failed here need not be those that other VMs use.
+    return lost > 0 ||
+      isSilentHereOnly(service, reach.changedMs + REPORT_DELAY_MS);
   }
 
   function isCallLost(upstream: Upstream, sentMs: number): boolean {
@@ -147,6 +154,7 @@
     const reach = reachOf(service);
     if (reach.isAllLost === isAllLost) return;
     reach.isAllLost = isAllLost;
+    reach.changedMs = clock.now();
     const failed = [...reach.failed];
     log.warn(LogEvent.ServiceReach, { service, lost: isAllLost, failed });
     publish();
--- a/packages/router/src/create_reach_test.ts
+++ b/packages/router/src/create_reach_test.ts
@@ -192,6 +192,23 @@
   assert.equal(probed.length, 3);
 });
 
+// Guards against lost links that are not noticed for seconds, as other upstreams
+// are probed than those that the other VMs use.
+test("a service that uses few upstreams is lost as soon as any other", async () => {
+  const { reach, registry, clock, setUp, setAnswering, upstreamOf } =
+    createTestReach(20);
+  setUp();
+  setAnswering(false);
+  reach.onSent(upstreamOf(0));
+  for (let step = 0; step < 7; step++) {
+    clock.advance(200);
+    registry.onPeerReceived(upstreamOf(7));
+    reach.update();
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.ok(reach.isLost("engines"));
+});
+
 // Guards against links that accept connections and say nothing, which counted
 // as reached.
 test("accepted connections without an answer are lost after a second", async () => {
