standins: the overlap check counts from a stream's first event

Trace: a resumable stream was sent to a second upstream before its first event, as its log says (hedged, started false); nothing had begun that could go on elsewhere, and the second attempt ended with the first event. Such requests may run more than once. Change: the check asks whether the upstream had sent an event when the next one got the stream.

--- a/packages/standins/src/soak_attempt.ts
+++ b/packages/standins/src/soak_attempt.ts
@@ -30,6 +30,8 @@
   wasDark: boolean;
   /** Whether the upstream sent an event of a stream. */
   hasEvents: boolean;
+  /** Monotonic time of its first event, in ms; undefined before. */
+  firstEventMs: number | undefined;
   /** Whether the upstream responded with an error of its own. */
   isError: boolean;
 }
