review: owner.js is as the review left it

A connection that the router resets before it is accepted therefore ends the script by an exception again; a run in which that occurs is traced on the product's side first.

--- a/review/owner.js
+++ b/review/owner.js
@@ -26,8 +26,6 @@
  * this process accepted as `socket`; -1 if none did.
  */
 export function ownerOf(socket, pids) {
-  // Reset before it was accepted.
-  if (socket.remotePort === undefined) return -1;
   const local = `:${toHex(socket.remotePort)}`;
   const remote = `:${toHex(socket.localPort)}`;
   let inode;
