policy: a part of two requests, one of them sent again, is a cause after three crashes

What callers saw: requests with a prompt part that crashes every upstream crashed six before the part was refused, on routes that allow two attempts.

Cause: a part needs three crashes with three different requests. A VM sends a request whose upstream crashed again at once, so that three requests crash six upstreams.

Change: two different requests suffice among three crashes in succession. A part of other prompts that was in flight at as many crashes keeps it open until a further crash or an answer, also if only one of the two was in flight with three requests; two parts with three requests each are both refused, as before.

Test: "a part of two requests, one sent again, is quarantined at three crashes" failed before. All other tests of create_crash_evidence_test, create_containment_test, crashing_prompt_parts_test and crashes_at_once_test pass unchanged (the latter two in two runs each).

--- a/packages/policy/src/create_crash_evidence.ts
+++ b/packages/policy/src/create_crash_evidence.ts
@@ -3,11 +3,18 @@
  * several requests were in flight at the same ones.
  */
 export const REQUEST_QUARANTINE_CRASHES = 2;
+/** Number of successive crashes from which a part is quarantined. */
+export const PART_QUARANTINE_CRASHES = 3;
 /**
- * Number of successive crashes, and of different requests, that quarantine a
- * part.
+ * Number of different requests among these: fewer than the crashes, as a VM may
+ * send a request again to a second upstream.
  */
-export const PART_QUARANTINE_CRASHES = 3;
+export const PART_QUARANTINE_REQUESTS = 2;
+/**
+ * Number of different requests from which a part is a cause beside another part
+ * with as many.
+ */
+const SURE_PART_REQUESTS = 3;
 
 /** A call that was in flight when an upstream crashed. */
 export interface CrashReport {
@@ -125,16 +132,24 @@
     if (entry.reports.size === 0) suspects.delete(name);
   }
 
-  /** Whether open crashes suffice to quarantine a suspect. */
-  function isCause(entry: SuspectEntry, crashes: readonly string[]): boolean {
-    if (!hasSuccession(entry, crashes)) return false;
-    if (!entry.isPart) return true;
+  /** First fingerprints of the requests that were in flight at the crashes. */
+  function requestsAt(
+    entry: SuspectEntry,
+    crashes: readonly string[],
+  ): Set<string> {
     const open = new Set(crashes);
     const requests = new Set<string>();
     for (const { crash, requests: names } of entry.reports.values()) {
       if (open.has(crash)) requests.add(names[0]!);
     }
-    return requests.size >= PART_QUARANTINE_CRASHES;
+    return requests;
+  }
+
+  /** Whether open crashes suffice to quarantine a suspect. */
+  function isCause(entry: SuspectEntry, crashes: readonly string[]): boolean {
+    if (!hasSuccession(entry, crashes)) return false;
+    if (!entry.isPart) return true;
+    return requestsAt(entry, crashes).size >= PART_QUARANTINE_REQUESTS;
   }
 
   /** The causes with the most crashes that are not explained yet. */
@@ -156,19 +171,24 @@
   }
 
   /**
-   * Whether a part that is no cause, as too few requests had it, was in flight at as
-   * many crashes in succession: a further one shows which of them it is.
+   * Whether a part of other prompts was in flight at as many crashes in
+   * succession: a further one shows which of them is the cause. Two parts that
+   * were each in flight with many requests are both taken for causes.
    */
   function hasRivalPart(
-    { entry, count }: OpenSuspect,
+    { name: cause, entry, count }: OpenSuspect,
     explained: ReadonlySet<string>,
   ): boolean {
     if (!entry.isPart || count > PART_QUARANTINE_CRASHES) return false;
+    const requests = requestsAt(entry, openCrashes(cause, explained));
+    const isSure = requests.size >= SURE_PART_REQUESTS;
     for (const [name, other] of suspects) {
       if (!other.isPart || other.crashes.size < count) continue;
       const crashes = openCrashes(name, explained);
-      if (crashes.length < count || isCause(other, crashes)) continue;
-      if (hasSuccession(other, crashes)) return true;
+      if (crashes.length < count || !hasSuccession(other, crashes)) continue;
+      const others = requestsAt(other, crashes);
+      if (isSure && others.size >= SURE_PART_REQUESTS) continue;
+      if (![...others].some((request) => requests.has(request))) return true;
     }
     return false;
   }
--- a/packages/policy/src/create_crash_evidence_test.ts
+++ b/packages/policy/src/create_crash_evidence_test.ts
@@ -75,6 +75,17 @@
   }
 });
 
+// Guards against a part that crashes six upstreams before it is refused, as each
+// of its requests is sent to a second one.
+test("a part of two requests, one sent again, is quarantined at three crashes", () => {
+  const evidence = createCrashEvidence();
+  for (const [crash, request] of [["c1", "r1"], ["c2", "r1"], ["c3", "r2"]]) {
+    const parts = ["shared", "bad"];
+    evidence.add({ crash: crash!, requests: [request!], parts });
+  }
+  assert.deepEqual([...evidence.quarantined()], [partSuspectOf("bad")]);
+});
+
 // Guards against a part that is refused although only one request causes
 // crashes.
 test("a request that comes again does not quarantine its parts", () => {
