router: a request with known crashes is sent again once its last one is decided

What callers saw: a prompt part that crashes every upstream crashed four before it was refused, on routes that allow two attempts, although the third crash already shows that it is the cause.

Cause: a call that broke off is sent again at once, and whether it was a crash is known 20 ms later, after a probe.

Change: if crashes with the request or its parts are known, the result of the probe is awaited before the request may be sent again, for 100 ms at most. Other requests are sent again as before.

--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -415,6 +415,10 @@
         }
         recordEnd(state, placement, { ...ended, earlier });
         logEnd(state, placement, { ...ended, startedMs, isResume });
+        // One more crash may show that the request must not be sent again.
+        const isSuspect = ended.result === AttemptResult.Broken &&
+          containment.crashesOf(state).length > 0;
+        if (isSuspect) await crashDetector.waitForDecision(upstream);
         return ended;
       }
 
--- a/packages/router/src/create_crash_detector.ts
+++ b/packages/router/src/create_crash_detector.ts
@@ -24,6 +24,11 @@
   onCallBroken(upstream: Upstream, suspect: SuspectedCrash): void;
   /** Records a failure to connect; recent broken calls count as crashes. */
   onUnreachable(upstream: Upstream): void;
+  /**
+   * Resolves once it is known whether the broken calls of an upstream count as
+   * crashes, or after `MAX_DECISION_MS`.
+   */
+  waitForDecision(upstream: Upstream): Promise<void>;
 }
 
 /** Dependencies of the crash detector. */
@@ -46,6 +51,9 @@
  */
 const PROBE_DELAY_MS = 20;
 
+/** Longest wait for the result of a probe, in milliseconds. */
+const MAX_DECISION_MS = 100;
+
 /**
  * Time within which all connections of lost links break off, in milliseconds;
  * bytes that arrive later show that the links work.
@@ -61,6 +69,8 @@
   const { clock, log, containment, registry, pool, reach, isBrittle } = options;
   const suspects = new Map<Upstream, (SuspectedCrash & { atMs: number })[]>();
   const probed = new Set<Upstream>();
+  /** Called once an upstream's broken calls are decided on. */
+  const waiting = new Map<Upstream, Set<() => void>>();
 
   function recent(upstream: Upstream) {
     const sinceMs = clock.now() - CRASH_WINDOW_MS;
@@ -76,7 +86,7 @@
     const lastMs = recent(upstream).at(-1)?.atMs;
     if (lastMs === undefined) return;
     if (isBrittle(upstream.entry.service)) {
-      suspects.delete(upstream);
+      settle(upstream);
       return;
     }
     if (reach.hasReachedOthers(upstream, lastMs + LINK_LOSS_MS)) {
@@ -85,10 +95,17 @@
     }
     void reach.probeOthers(upstream).then((areReached) => {
       if (areReached) report(upstream);
-      else suspects.delete(upstream);
+      else settle(upstream);
     });
   }
 
+  /** Notes that nothing is suspected of an upstream any more. */
+  function settle(upstream: Upstream): void {
+    suspects.delete(upstream);
+    for (const resolve of waiting.get(upstream) ?? []) resolve();
+    waiting.delete(upstream);
+  }
+
   function report(upstream: Upstream): void {
     for (const { request, crash, earlier } of recent(upstream)) {
       log.warn(LogEvent.RequestCrashedUpstream, {
@@ -100,7 +117,7 @@
       });
       containment.onCrash(crash, request, earlier);
     }
-    suspects.delete(upstream);
+    settle(upstream);
   }
 
   /** Checks whether the upstream is up; one probe at a time for each. */
@@ -118,7 +135,7 @@
         return;
       }
       const later = recent(upstream).filter(({ atMs }) => atMs > startedMs);
-      suspects.delete(upstream);
+      settle(upstream);
       if (later.length === 0) return;
       suspects.set(upstream, later);
       probe(upstream);
@@ -142,5 +159,17 @@
       else probe(upstream);
     },
     onUnreachable: confirm,
+    waitForDecision(upstream) {
+      if (!suspects.has(upstream)) return Promise.resolve();
+      return new Promise((resolve) => {
+        const others = waiting.get(upstream);
+        if (others) others.add(resolve);
+        else waiting.set(upstream, new Set([resolve]));
+        clock.after(MAX_DECISION_MS, () => {
+          waiting.get(upstream)?.delete(resolve);
+          resolve();
+        });
+      });
+    },
   };
 }
--- a/packages/router/src/create_crash_detector_test.ts
+++ b/packages/router/src/create_crash_detector_test.ts
@@ -155,3 +155,21 @@
   await awaitProbe();
   assert.deepEqual(crashes, {});
 });
+
+// Guards against a request that is sent again before the crash of its upstream
+// is known.
+test("a decision on a broken call is awaited, for a bounded time", async () => {
+  const { detector, upstream, clock, breakCall, awaitProbe, crashes } =
+    createTestDetector({ isUp: false });
+  await detector.waitForDecision(upstream);
+  breakCall("a", "c1");
+  const decided = detector.waitForDecision(upstream).then(() => ({
+    ...crashes,
+  }));
+  await awaitProbe();
+  assert.deepEqual(await decided, { c1: ["a"] });
+  breakCall("b", "c2");
+  const timedOut = detector.waitForDecision(upstream);
+  clock.advance(PROBED_MS);
+  await timedOut;
+});
