router: a quarantined request or part is tried, at a known price

What callers saw: on a quiet route, three sound requests met three crashes one after the other, 0.7 to 3 s apart; from then on every request of the route got 422 for ten minutes.

Cause: a belief that nothing can disprove. What is quarantined is refused before it is sent, so that no answer clears it; crashes in succession under the only requests of a route look like those of a true cause.

A request has one trial, a part two, none while VMs are out of touch and none after a restart of all VMs, so that a true cause crashes five or eight upstreams at most. Until the trials are used up, callers get 503 trial-pending with Retry-After in place of 422. The quarantine is asked again just before a request is written.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -163,6 +163,11 @@
   reachableVmCount(): number;
   /** Members that have not expired, reachable or not, plus this VM. */
   knownVmCount(): number;
+  /**
+   * Whether each VM that was known lately sent a message within the last
+   * heartbeats; of other data centres of a large fleet, one VM each.
+   */
+  isWhole(): boolean;
   /** Closes the socket and cancels the heartbeat and the pending batch. */
   close(): void;
 }
@@ -345,6 +350,24 @@
     return count;
   }
 
+  /** See `PeerNetwork.isWhole`. */
+  function isWhole(): boolean {
+    const sinceMs = clock.now() - heartbeatMs() * MAX_MISSED_HEARTBEATS;
+    const isLarge = isLargeFleet();
+    const absentCentres = new Set<string>();
+    const presentCentres = new Set<string>();
+    for (const member of members.values()) {
+      const isRecent = member.lastMessageMs >= sinceMs;
+      const isOne = !isLarge || member.dataCentre === dataCentre;
+      if (isOne && !isRecent) return false;
+      (isRecent ? presentCentres : absentCentres).add(member.dataCentre);
+    }
+    for (const centre of absentCentres) {
+      if (!presentCentres.has(centre)) return false;
+    }
+    return true;
+  }
+
   function loadFleet(): LoadFleet {
     return currentLoadFleet ??= createLoadFleet();
   }
@@ -554,6 +577,7 @@
     },
     reachableVmCount: () => reachableHosts.size + 1,
     knownVmCount: () => members.size + 1,
+    isWhole,
     close() {
       cancelHeartbeat?.();
       cancelFlush?.();
--- a/packages/peers/src/create_peer_network_test.ts
+++ b/packages/peers/src/create_peer_network_test.ts
@@ -99,6 +99,19 @@
   ]);
 });
 
+// Guards against a part of a fleet that takes itself for the whole.
+test("a fleet is not whole from the loss of a VM until it is forgotten", async (t) => {
+  const { networks } = await startNetworks(t, ["north", "south"]);
+  assert.deepEqual(networks.map((network) => network.isWhole()), [true, true]);
+  networks[1]!.close();
+  const started = performance.now();
+  while (networks[0]!.isWhole() && performance.now() < started + 5000) {
+    await new Promise((resolve) => setTimeout(resolve, 50));
+  }
+  assert.equal(networks[0]!.isWhole(), false);
+  assert.equal(networks[0]!.knownVmCount(), 2);
+});
+
 test("in a small fleet, all VMs read the store", async (t) => {
   const { networks: few } = await startNetworks(t, ["north", "north", "south"]);
   assert.equal(few[0]!.hasStoreReaders(), false);
--- a/packages/policy/src/create_crash_evidence.ts
+++ b/packages/policy/src/create_crash_evidence.ts
@@ -82,9 +82,17 @@
   count: number;
 }
 
+/** First characters of the name of a part; fingerprints have no spaces. */
+const PART_PREFIX = "part ";
+
 /** Name of a prompt part as a suspect; a request's is its fingerprint. */
 export function partSuspectOf(part: string): string {
-  return `part ${part}`;
+  return `${PART_PREFIX}${part}`;
+}
+
+/** Whether a suspect's name is that of a part. */
+export function isPartSuspect(suspect: string): boolean {
+  return suspect.startsWith(PART_PREFIX);
 }
 
 /** Creates the evidence without any crash. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./create_room_estimate.ts";
 export * from "./create_shared_allowance.ts";
 export * from "./create_speed_estimate.ts";
+export * from "./create_trial_record.ts";
 export * from "./create_upstream_limit.ts";
 export * from "./overflow_shares.ts";
 export * from "./queued_request.ts";
--- a/packages/router/src/create_attempt_starter.ts
+++ b/packages/router/src/create_attempt_starter.ts
@@ -47,7 +47,7 @@
   reach: Pick<Reach, "onSent" | "onReceived" | "onConnectFailed">;
   containment: Pick<
     Containment,
-    "check" | "crashesOf" | "onAnswer" | "onProgress"
+    "check" | "crashesOf" | "isAllowed" | "onAnswer" | "onProgress"
   >;
   callLimits: Pick<CallLimits, "onNamed">;
   brittleServices: Pick<BrittleServices, "onNamed">;
@@ -310,7 +310,7 @@
       const { backupFrom, needsNewConnection = false, hooks } = options;
       const { upstream } = placement;
       const { entry } = upstream;
-      containment.check(state);
+      if (!state.trial?.maySend()) containment.check(state);
       const connection = acquireConnection(
         state,
         placement,
@@ -376,7 +376,8 @@
         maySend() {
           // The deadline's timer may be late in a process that stood still.
           const isInTime = clock.now() < state.expiresMs;
-          return isInTime && registry.isInUse(upstream) && send.isAllowed();
+          return isInTime && registry.isInUse(upstream) && send.isAllowed() &&
+            (state.trial?.maySend() || containment.isAllowed(state));
         },
         onSent() {
           earlier = crashesSoFar(state);
@@ -389,6 +390,7 @@
             retries.onFirstSend(state.service.name);
           }
           send.onSent();
+          state.trial?.onSent();
           if (!backupFrom) state.backup = backup;
           hooks.onSent?.();
           state.tried.add(entry.id);
@@ -402,6 +404,7 @@
       async function finish(): Promise<AttemptEnd> {
         const ended = await running.ended;
         send.onEnd(ended.result);
+        state.trial?.onSendEnded(ended.result);
         if (isUnsent(ended)) keepCopy(state, backupFrom);
         bodiesBytes -= bodyBytes;
         state.signal.removeEventListener("abort", onAbort);
--- a/packages/router/src/create_containment.ts
+++ b/packages/router/src/create_containment.ts
@@ -1,4 +1,4 @@
-import type { SharedFacts } from "@rosemarytiller/peers";
+import type { PeerNetwork, SharedFacts } from "@rosemarytiller/peers";
 import {
   type CrashReport,
   createCrashEvidence,
@@ -6,15 +6,26 @@
   QUARANTINE_MS,
   SUSPECT_MS,
 } from "@rosemarytiller/policy";
-import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
+import type { Clock, TillerError } from "@rosemarytiller/shared";
+import {
+  createQuarantineTrials,
+  type QuarantineTrial,
+} from "./create_quarantine_trials.ts";
 import type { FactHandler } from "./create_router_facts.ts";
 import { FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 
 /** Keeps requests from upstreams that they would crash. */
 export interface Containment {
+  /**
+   * Resolves with undefined if the request may be sent, and with a trial if it
+   * is quarantined and may be sent once; throws a `TillerError` otherwise.
+   */
+  admit(request: ContainedRequest): Promise<QuarantineTrial | undefined>;
   /** Throws a `TillerError` if the request is taken for a cause of crashes. */
   check(request: ContainedRequest): void;
+  /** Whether `check` throws nothing; logs nothing. */
+  isAllowed(request: ContainedRequest): boolean;
   /**
    * A call of the request was in flight when an upstream crashed. `earlier` has
    * the crashes that were known when the call was sent.
@@ -34,7 +45,7 @@
    */
   onProgress(request: ContainedRequest): void;
   /** Handlers of the facts about crashes. */
-  factHandlers: Record<FactKind.Crash | FactKind.Cleared, FactHandler>;
+  factHandlers: Record<Exclude<FactKind, FactKind.Leaving>, FactHandler>;
   /** Logs what changed, and keeps the reports about new causes for longer. */
   update(): void;
 }
@@ -53,6 +64,9 @@
   clock: Clock;
   log: EventLog;
   facts: Pick<SharedFacts, "add" | "prolong">;
+  network: Pick<PeerNetwork, "isWhole" | "knownVmCount">;
+  /** Whether all VMs start for the first time, without earlier crashes. */
+  isFirstStart: boolean;
 }
 
 /** Longer than the reports of crashes, also if these are prolonged. */
@@ -79,6 +93,7 @@
 export function createContainment(options: ContainmentOptions): Containment {
   const { clock, log, facts } = options;
   const evidence = createCrashEvidence();
+  const trials = createQuarantineTrials(options);
   /** Times of the last complete answers on this VM, by prompt part. */
   const answeredMs = new Map<string, number>();
   let quarantined: ReadonlySet<string> = new Set();
@@ -140,6 +155,7 @@
     const before = quarantined;
     quarantined = evidence.quarantined();
     if (quarantined === before) return;
+    trials.setQuarantined(quarantined);
     for (const suspect of quarantined) {
       if (before.has(suspect)) continue;
       for (const report of evidence.reportsOf(suspect)) {
@@ -154,22 +170,43 @@
     }
   }
 
+  /** Names of the request and its parts that are quarantined. */
+  function quarantinedOf({ fingerprints, parts }: ContainedRequest): string[] {
+    update();
+    if (quarantined.size === 0) return [];
+    return [...fingerprints, ...parts.map(partSuspectOf)]
+      .filter((name) => quarantined.has(name));
+  }
+
+  function refuse(
+    { id, fingerprints }: ContainedRequest,
+    suspects: readonly string[],
+  ): TillerError {
+    const suspect = suspects[0]!;
+    const crashes = crashesOf(suspect);
+    log.warn(LogEvent.Quarantined, { id, suspect, crashes });
+    return trials.refusalOf(
+      suspects,
+      fingerprints.includes(suspect)
+        ? "upstreams crashed while this request was in progress"
+        : "upstreams crashed under requests with a part of this prompt",
+    );
+  }
+
   return {
-    check({ id, fingerprints, parts }) {
-      update();
-      if (quarantined.size === 0) return;
-      const suspect = [...fingerprints, ...parts.map(partSuspectOf)]
-        .find((name) => quarantined.has(name));
-      if (suspect === undefined) return;
-      const crashes = crashesOf(suspect);
-      log.warn(LogEvent.Quarantined, { id, suspect, crashes });
-      throw new TillerError(
-        ErrorKind.Quarantined,
-        fingerprints.includes(suspect)
-          ? "upstreams crashed while this request was in progress"
-          : "upstreams crashed under requests with a part of this prompt",
-      );
+    async admit(request) {
+      const suspects = quarantinedOf(request);
+      if (suspects.length === 0) return undefined;
+      const trial = await trials.claim(request.id, suspects);
+      if (trial) return trial;
+      if (quarantinedOf(request).length === 0) return undefined;
+      throw refuse(request, suspects);
     },
+    check(request) {
+      const suspects = quarantinedOf(request);
+      if (suspects.length > 0) throw refuse(request, suspects);
+    },
+    isAllowed: (request) => quarantinedOf(request).length === 0,
     crashesOf: (request) => evidence.crashesOf(request, MAX_EARLIER_CRASHES),
     onCrash(crash, { fingerprints, parts }, earlier) {
       const report = {
@@ -190,8 +227,16 @@
       clear({ fingerprints: [], parts });
     },
     factHandlers: {
+      ...trials.factHandlers,
       [FactKind.Crash]: {
-        onAdded: (values) => evidence.add(reportOf(values)),
+        onAdded(values) {
+          const report = reportOf(values);
+          evidence.add(report);
+          for (const name of report.requests) trials.onCrash(name);
+          for (const part of report.parts ?? []) {
+            trials.onCrash(partSuspectOf(part));
+          }
+        },
         onRemoved: (values) => evidence.remove(reportOf(values)),
       },
       [FactKind.Cleared]: {
@@ -201,6 +246,9 @@
           evidence.unclear({ suspect, crash }),
       },
     },
-    update,
+    update() {
+      update();
+      trials.update();
+    },
   };
 }
--- a/packages/router/src/create_containment_test.ts
+++ b/packages/router/src/create_containment_test.ts
@@ -25,7 +25,13 @@
       [FactKind.Leaving]: { onAdded() {} },
     }),
   });
-  const containment = createContainment({ clock, log: createNoopLog(), facts });
+  const containment = createContainment({
+    clock,
+    log: createNoopLog(),
+    facts,
+    network: { isWhole: () => true, knownVmCount: () => 1 },
+    isFirstStart: true,
+  });
   return { containment, facts };
 }
 
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -174,7 +174,6 @@
     const id = metadata.id ?? "";
     // The last part is the request's own.
     const parts = metadata.prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
-    containment.check({ id, fingerprints, parts });
     const timeoutMs = Math.min(
       metadata.deadlineMs ?? Infinity,
       route.timeoutMs,
@@ -202,6 +201,7 @@
         signal: controller.signal,
       }),
       brokenCalls: [],
+      trial: undefined,
       stream: {
         isStream: route.kind === RouteKind.Stream,
         lastEventId: metadata.lastEventId,
@@ -420,6 +420,7 @@
           fail(current, createDeadlineError(current), { response, id });
           current.abort();
         });
+        current.trial = await containment.admit(current);
         await runCalls(current);
       } catch (error) {
         if (!state?.signal.aborted) {
@@ -427,6 +428,7 @@
         }
       } finally {
         cancelDeadline();
+        state?.trial?.end();
         // A stop waits until the caller has got the response.
         response.onClosed(() => open.delete(end));
       }
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -85,6 +85,11 @@
    * routes or keys then get the retryable error `NotReady`.
    */
   staleMs: number;
+  /**
+   * Whether all VMs start for the first time; if not, a VM whose peers know of
+   * no earlier crash can't rely on that.
+   */
+  isFirstStart: boolean;
 }
 
 /** Settings and ports of a router. */
@@ -126,6 +131,8 @@
   "stopGraceMs",
   "entriesBackMs",
   "staleMs",
+  // Read at the start only.
+  "isFirstStart",
 ]);
 /** Interval at which expired idle connections and facts are removed, in ms. */
 const SWEEP_MS = 500;
@@ -237,7 +244,13 @@
     dataCentre,
     port: settings.peers.port,
   });
-  const containment = createContainment({ clock, log, facts });
+  const containment = createContainment({
+    clock,
+    log,
+    facts,
+    network,
+    isFirstStart: settings.isFirstStart,
+  });
   const statementOptions = {
     clock,
     log,
@@ -380,6 +393,7 @@
 
   return {
     async start() {
+      containment.update();
       await network.start({
         onHeartbeat,
         onLoadEvents(member, events) {
--- a/packages/router/src/create_router_test.ts
+++ b/packages/router/src/create_router_test.ts
@@ -20,6 +20,7 @@
   entriesBackMs: 300,
   drainMs: 2000,
   staleMs: 4000,
+  isFirstStart: true,
 };
 
 function createTestRouter() {
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -19,6 +19,12 @@
   Cleared = "cleared",
   /** Followed by an upstream and its run that is about to stop. */
   Leaving = "leaving",
+  /** Followed by a quarantined suspect and the token of a claim to try it. */
+  Trial = "trial",
+  /** Followed by the same and how the trial ended. */
+  TrialEnded = "trial-ended",
+  /** Alone: the facts reach back as far as a quarantine lasts. */
+  Complete = "complete",
 }
 
 /** Values of the `event` field of log lines. */
@@ -60,6 +66,9 @@
   QuarantineEnded = "quarantine-ended",
   /** A quarantined request was not sent. */
   Quarantined = "quarantined",
+  /** A quarantined request is sent once, as a trial. */
+  TrialStarted = "trial-started",
+  TrialEnded = "trial-ended",
   /** Facts that this VM lacked were fetched from a peer. */
   FactsPulled = "facts-pulled",
   /** A request was passed on to another VM, which reaches its service. */
--- a/packages/router/src/relay_headers.ts
+++ b/packages/router/src/relay_headers.ts
@@ -106,5 +106,6 @@
   ErrorKind.Overloaded,
   ErrorKind.NoUpstream,
   ErrorKind.Quarantined,
+  ErrorKind.TrialPending,
   ErrorKind.Stopping,
 ];
--- a/packages/router/src/request_state.ts
+++ b/packages/router/src/request_state.ts
@@ -1,5 +1,6 @@
 import type { CallRank } from "@rosemarytiller/policy";
 import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
+import type { QuarantineTrial } from "./create_quarantine_trials.ts";
 import type { Upstream } from "./create_registry.ts";
 import type { SendHistory } from "./create_send_history.ts";
 import type { Account, Route, ServiceDefinition } from "./ports.ts";
@@ -34,6 +35,8 @@
   sendHistory: SendHistory;
   /** Identifiers of the crashes that broken calls of the request may be. */
   brokenCalls: string[];
+  /** Set if the request is quarantined and sent once nevertheless. */
+  trial: QuarantineTrial | undefined;
   stream: StreamState;
   /** Copy of the newest run that was sent; undefined while or once it is used. */
   backup: BackupCopy | undefined;
--- a/packages/router/src/to_router_settings.ts
+++ b/packages/router/src/to_router_settings.ts
@@ -13,6 +13,7 @@
     retrySlack,
     retryWindowSeconds,
     stopGraceSeconds,
+    firstStart,
     seeds,
     platform: _platform,
     ...settings
@@ -20,6 +21,7 @@
   const graceMs = stopGraceSeconds * 1000;
   return {
     ...settings,
+    isFirstStart: firstStart,
     seeds: seeds.map(({ host }) => host),
     retries: {
       ratio: retryRatio,
--- a/packages/settings/src/router_settings_schema.ts
+++ b/packages/settings/src/router_settings_schema.ts
@@ -109,6 +109,14 @@
     2000,
     "Time after which a leaving upstream must get no more requests.",
   ),
+  firstStart: z._default(
+    z.boolean().check(
+      describe(
+        "Whether all VMs start for the first time, rather than after a failure.",
+      ),
+    ),
+    true,
+  ),
   staleMs: millisecondsField(
     4000,
     "Time since the last confirmation after which no route or key is denied.",
--- a/packages/shared/src/enums.ts
+++ b/packages/shared/src/enums.ts
@@ -16,6 +16,7 @@
   DeadlineExceeded = "deadline-exceeded",
   NoUpstream = "no-upstream",
   Quarantined = "quarantined",
+  TrialPending = "trial-pending",
   DuplicateKey = "duplicate-key",
   KeyMismatch = "key-mismatch",
   ClaimUnavailable = "claim-unavailable",
--- a/packages/shared/src/error_kinds.ts
+++ b/packages/shared/src/error_kinds.ts
@@ -72,6 +72,11 @@
     422,
     "The request crashed upstreams",
   ),
+  [ErrorKind.TrialPending]: createErrorResponse(
+    503,
+    "Whether the request crashes upstreams is to be seen",
+    true,
+  ),
   [ErrorKind.DuplicateKey]: createErrorResponse(
     409,
     "The idempotency key was used",
