peers: the calls of a VM that does not come back are forgotten with it

Found by reading, as a belief that nothing ends: calls in progress of another VM count at their upstream until that VM reports their end, sends a heartbeat without them, or starts again at the same address.

Test: "a VM that does not come back is forgotten with its calls" got no such notice before (ended by its time limit), passes now. Not shown with upstreams: the removal of calls itself is that after a restart, which is in use.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -86,8 +86,11 @@
    * Returns the event to reply with, or undefined if it is not known.
    */
   onStreamQuery(id: string): StreamStartedEvent | undefined;
-  /** The host runs a new process: calls of the previous one are lost. */
-  onRestart(host: string): void;
+  /**
+   * The process at the host is no more, as another one runs there or its member
+   * was removed: its calls are lost.
+   */
+  onProcessLost(host: string): void;
   /**
    * A VM became reachable (`present`) or unreachable; `members` is the number
    * of reachable VMs, this one included.
@@ -327,6 +330,7 @@
       if (idleMs <= MEMBER_EXPIRY_MS) continue;
       members.delete(member.host);
       currentLoadFleet = undefined;
+      listener?.onProcessLost(member.host);
     }
   }
 
@@ -418,7 +422,7 @@
   function touchMember(from: string, memberIncarnation: number): Member {
     let member = members.get(from);
     if (!member || member.incarnation !== memberIncarnation) {
-      if (member) listener?.onRestart(from);
+      if (member) listener?.onProcessLost(from);
       member = {
         host: from,
         dataCentre: "",
--- a/packages/peers/src/create_peer_network_test.ts
+++ b/packages/peers/src/create_peer_network_test.ts
@@ -3,7 +3,11 @@
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
 import { test } from "node:test";
-import { createPeerNetwork, type PeerNetwork } from "./create_peer_network.ts";
+import {
+  createPeerNetwork,
+  MEMBER_EXPIRY_MS,
+  type PeerNetwork,
+} from "./create_peer_network.ts";
 import { type LoadEvent, LoadEventKind } from "./peer_messages.ts";
 
 /** Address on which no VM of these tests listens. */
@@ -28,8 +32,13 @@
   const { port } = holder.address();
   const system = createSystemClock();
   const pendingTimers = new Set<object>();
+  /** Time by which the clock of the VMs is ahead, in milliseconds. */
+  let aheadMs = 0;
+  /** Hosts whose process each VM lost, by VM. */
+  const lost = dataCentres.map((): string[] => []);
   const clock: Clock = {
     ...system,
+    now: () => system.now() + aheadMs,
     after(ms, action) {
       const timer = {};
       pendingTimers.add(timer);
@@ -73,7 +82,10 @@
       },
       onItems() {},
       onStreamQuery: () => undefined,
-      onRestart() {},
+      onProcessLost(host) {
+        lost[number]!.push(host);
+        onChange();
+      },
       onMembership() {},
     });
   }
@@ -85,7 +97,8 @@
   }
   const others = dataCentres.length - 1;
   await until(() => located.every((hosts) => hosts.size === others));
-  return { networks, received, until, pendingTimers };
+  const advance = (ms: number) => void (aheadMs += ms);
+  return { networks, received, until, pendingTimers, lost, advance };
 }
 
 test("the two lowest hosts of a data centre are readers", async (t) => {
@@ -112,6 +125,20 @@
   assert.equal(networks[0]!.knownVmCount(), 2);
 });
 
+// Guards against calls that count as in progress for ever after their VM was
+// lost for good.
+test("a VM that does not come back is forgotten with its calls", async (t) => {
+  const { networks, until, lost, advance } = await startNetworks(t, [
+    "north",
+    "south",
+  ]);
+  networks[1]!.close();
+  advance(MEMBER_EXPIRY_MS + 1);
+  await until(() => lost[0]!.length > 0);
+  assert.deepEqual(lost[0], ["127.0.0.2"]);
+  assert.equal(networks[0]!.knownVmCount(), 1);
+});
+
 test("in a small fleet, all VMs read the store", async (t) => {
   const { networks: few } = await startNetworks(t, ["north", "north", "south"]);
   assert.equal(few[0]!.hasStoreReaders(), false);
--- a/packages/peers/src/odd_messages_test.ts
+++ b/packages/peers/src/odd_messages_test.ts
@@ -169,7 +169,7 @@
       }
     },
     onStreamQuery: (id) => void id.concat(""),
-    onRestart() {},
+    onProcessLost() {},
     onMembership() {},
     onRefused: (host, reason) => refusals.push(`${host}: ${reason}`),
   });
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -402,7 +402,7 @@
         },
         onItems: state.onItems,
         onStreamQuery: (id) => origins.replyTo(id),
-        onRestart(host) {
+        onProcessLost(host) {
           for (const upstream of registry.all()) {
             upstream.model.reconcile(`${host}:`, new Set());
           }
