broker: a quarantined request is tried once

Change: three seconds after its last crash a fingerprint is a suspect once more, so that its next call runs alone. The trial counts as a crash from its start on, at all brokers, so that they make no other one; an answer clears the fingerprint, also while it is quarantined, and a trial that was not sent does not count. Retry-After of the refusals is the time until the trial.

--- a/packages/broker/src/create_containment.ts
+++ b/packages/broker/src/create_containment.ts
@@ -13,6 +13,12 @@
  * once; a suspect may have one call on one upstream.
  */
 export const MAX_FINGERPRINT_UPSTREAMS = 2;
+/** Outcomes of calls that no upstream ran. */
+const UNSENT_OUTCOMES: ReadonlySet<CallOutcome> = new Set([
+  CallOutcome.ConnectFailed,
+  CallOutcome.Refused,
+  CallOutcome.Unused,
+]);
 /** Largest share of a pool's upstreams reserved for suspects, at least one. */
 export const MAX_RESERVED_SHARE = 0.25;
 
@@ -162,6 +168,7 @@
     onGranted({ permit, fingerprint }, nowMs) {
       grantedMs.set(permit, nowMs);
       if (isSuspect(fingerprint)) exclusive.add(permit);
+      quarantine.onStarted(fingerprint, permit);
     },
     onDone(upstream, permit, { outcome, nowMs }) {
       if (outcome === CallOutcome.Crashed) {
@@ -173,6 +180,9 @@
       if (outcome === CallOutcome.Complete) {
         quarantine.onAnswer(permit.fingerprint);
       }
+      if (UNSENT_OUTCOMES.has(outcome)) {
+        quarantine.onUnused(permit.fingerprint, permit.permit);
+      }
       dropPermit(permit.permit);
     },
     onReport(upstream, report, nowMs) {
--- a/packages/broker/src/create_pool_test.ts
+++ b/packages/broker/src/create_pool_test.ts
@@ -12,6 +12,8 @@
   createQuarantine,
   FingerprintState,
   MAX_QUEUED,
+  QUARANTINE_CRASHES,
+  TRIAL_DELAY_MS,
 } from "@rosemarytiller/policy";
 import {
   CallOutcome,
@@ -473,3 +475,23 @@
   publish(3, "north");
   assert.equal(liveAt(), 0);
 });
+
+// Guards against a sound request that is refused for as long as its record is
+// kept, as upstreams crashed under it one after the other.
+test("a quarantined request is tried once, and served once that is answered", () => {
+  const fixture = createTestPool();
+  const fingerprint = "f";
+  const request = () => fixture.requestPermit({ fingerprint });
+  for (let crash = 0; crash < QUARANTINE_CRASHES; crash++) {
+    fixture.finish(request(), CallOutcome.Crashed);
+    fixture.clock.advance(100);
+  }
+  const kindOf = (id: string) => fixture.replyTo(id)?.kind;
+  assert.equal(kindOf(request()), MessageKind.Refuse);
+  fixture.clock.advance(TRIAL_DELAY_MS);
+  const trial = request();
+  fixture.grantOf(trial);
+  assert.equal(kindOf(request()), MessageKind.Refuse);
+  fixture.finish(trial, CallOutcome.Complete);
+  fixture.grantOf(request());
+});
--- a/packages/policy/src/create_quarantine.ts
+++ b/packages/policy/src/create_quarantine.ts
@@ -1,3 +1,5 @@
+import { MAX_REQUEST_TRIALS, TRIAL_DELAY_MS } from "./create_trial_record.ts";
+
 /** How long a fingerprint stays suspect after a crash, in milliseconds. */
 export const SUSPECT_MS = 60_000;
 /**
@@ -13,9 +15,9 @@
 /** Whether a fingerprint is suspected of crashing upstreams. */
 export enum FingerprintState {
   Clear = "clear",
-  /** An upstream crashed with it in flight. */
+  /** An upstream crashed with it in flight, or its trial is due. */
   Suspect = "suspect",
-  /** Upstreams crashed with two calls of it. */
+  /** Upstreams crashed with two calls of it, or a trial is in progress. */
   Quarantined = "quarantined",
 }
 
@@ -33,11 +35,21 @@
 /** Fingerprints of requests that were in flight when upstreams crashed. */
 export interface Quarantine {
   stateOf(fingerprint: string): FingerprintState;
-  /** Time until a fingerprint's record expires, in ms; 0 without a record. */
+  /**
+   * Time until a quarantined fingerprint is tried or its record expires, in ms;
+   * 0 without a record.
+   */
   remainingMs(fingerprint: string): number;
   /** Records a crash with the fingerprints that were in flight. */
   onCrash(crash: string, fingerprints: Iterable<string>): void;
-  /** Records a complete answer, which clears a suspect. */
+  /**
+   * A call of the fingerprint begins. A trial counts as a crash from now on, on
+   * all processes, so that they make no other one.
+   */
+  onStarted(fingerprint: string, crash: string): void;
+  /** The call that began as `crash` was not sent: if a trial, it has no result. */
+  onUnused(fingerprint: string, crash: string): void;
+  /** Records a complete answer, which clears the fingerprint. */
   onAnswer(fingerprint: string): void;
   /** Merges the record of another process. */
   merge(record: FingerprintRecord): void;
@@ -60,6 +72,8 @@
   crashes: Set<string>;
   cleared: Set<string>;
   untilMs: number;
+  /** Time at which the last crash became known. */
+  crashedMs: number;
 }
 
 type CrashChange = Partial<Pick<FingerprintRecord, "crashes" | "cleared">>;
@@ -79,6 +93,13 @@
     return undefined;
   }
 
+  /** Time at which a trial is due; infinite if none follows. */
+  function trialMs(entry: FingerprintEntry): number {
+    const hasTrial =
+      countCrashes(entry) < QUARANTINE_CRASHES + MAX_REQUEST_TRIALS;
+    return hasTrial ? entry.crashedMs + TRIAL_DELAY_MS : Infinity;
+  }
+
   function countCrashes({ crashes, cleared }: FingerprintEntry): number {
     return crashes.size - cleared.size;
   }
@@ -94,7 +115,7 @@
   }
 
   function createEntry(): FingerprintEntry {
-    return { crashes: new Set(), cleared: new Set(), untilMs: 0 };
+    return { crashes: new Set(), cleared: new Set(), untilMs: 0, crashedMs: 0 };
   }
 
   function update(
@@ -108,6 +129,7 @@
     for (const crash of [...crashes, ...cleared]) entry.crashes.add(crash);
     for (const crash of cleared) entry.cleared.add(crash);
     if (entry.crashes.size + entry.cleared.size === sizeBefore) return;
+    if (countCrashes(entry) > crashesBefore) entry.crashedMs = now();
     const isSecond = crashesBefore > 0 &&
       crashesBefore < QUARANTINE_CRASHES &&
       countCrashes(entry) >= QUARANTINE_CRASHES;
@@ -126,7 +148,7 @@
     const entry = find(fingerprint);
     const crashes = entry ? countCrashes(entry) : 0;
     if (crashes === 0) return FingerprintState.Clear;
-    return crashes < QUARANTINE_CRASHES
+    return crashes < QUARANTINE_CRASHES || trialMs(entry!) <= now()
       ? FingerprintState.Suspect
       : FingerprintState.Quarantined;
   }
@@ -135,15 +157,26 @@
     stateOf,
     remainingMs(fingerprint) {
       const entry = find(fingerprint);
-      return entry ? entry.untilMs - now() : 0;
+      if (!entry) return 0;
+      const untilMs = Math.min(entry.untilMs, trialMs(entry));
+      return Math.max(0, untilMs - now());
     },
     onCrash(crash, fingerprints) {
       for (const fingerprint of new Set(fingerprints)) {
         update(fingerprint, { crashes: [crash] }, SUSPECT_MS);
       }
     },
+    onStarted(fingerprint, crash) {
+      const entry = find(fingerprint);
+      if (!entry || countCrashes(entry) < QUARANTINE_CRASHES) return;
+      update(fingerprint, { crashes: [crash] }, SUSPECT_MS);
+    },
+    onUnused(fingerprint, crash) {
+      if (!find(fingerprint)?.crashes.has(crash)) return;
+      update(fingerprint, { cleared: [crash] }, SUSPECT_MS);
+    },
     onAnswer(fingerprint) {
-      if (stateOf(fingerprint) !== FingerprintState.Suspect) return;
+      if (stateOf(fingerprint) === FingerprintState.Clear) return;
       const cleared = [...find(fingerprint)!.crashes];
       update(fingerprint, { cleared }, SUSPECT_MS);
     },
