policy: of two parts at the same three crashes none is taken for the cause

Requests with a sound part and with a crashing one were in flight at the same three upstreams.

Cause: two parts of different prompts with three requests each were both taken for causes, although a further crash or an answer tells them apart, as between requests.

Change: a part stays open while a part of other prompts was in flight at as many crashes, whatever their numbers of requests. Four crashes suffice in any case.

--- a/packages/policy/src/create_crash_evidence.ts
+++ b/packages/policy/src/create_crash_evidence.ts
@@ -10,11 +10,6 @@
  * send a request again to a second upstream.
  */
 export const PART_QUARANTINE_REQUESTS = 2;
-/**
- * Number of different requests from which a part is a cause beside another part
- * with as many.
- */
-const SURE_PART_REQUESTS = 3;
 
 /** A call that was in flight when an upstream crashed. */
 export interface CrashReport {
@@ -180,8 +175,7 @@
 
   /**
    * Whether a part of other prompts was in flight at as many crashes in
-   * succession: a further one shows which of them is the cause. Two parts that
-   * were each in flight with many requests are both taken for causes.
+   * succession: a further one shows which of them is the cause.
    */
   function hasRivalPart(
     { name: cause, entry, count }: OpenSuspect,
@@ -189,13 +183,11 @@
   ): boolean {
     if (!entry.isPart || count > PART_QUARANTINE_CRASHES) return false;
     const requests = requestsAt(entry, openCrashes(cause, explained));
-    const isSure = requests.size >= SURE_PART_REQUESTS;
     for (const [name, other] of suspects) {
       if (!other.isPart || other.crashes.size < count) continue;
       const crashes = openCrashes(name, explained);
       if (crashes.length < count || !hasSuccession(other, crashes)) continue;
       const others = requestsAt(other, crashes);
-      if (isSure && others.size >= SURE_PART_REQUESTS) continue;
       if (![...others].some((request) => requests.has(request))) return true;
     }
     return false;
--- a/packages/policy/src/create_crash_evidence_test.ts
+++ b/packages/policy/src/create_crash_evidence_test.ts
@@ -142,6 +142,21 @@
   assert.deepEqual([...evidence.quarantined()], [partSuspectOf("bad")]);
 });
 
+// Guards against a sound part that is refused as requests with it and with the
+// harmful one were in flight at the same three crashes.
+test("of two parts with as many requests at the same three crashes none is taken", () => {
+  const evidence = createCrashEvidence();
+  for (const crash of ["c1", "c2", "c3"]) {
+    for (const part of ["bad", "sound"]) {
+      const parts = ["shared", part];
+      evidence.add({ crash, requests: [`${part} ${crash}`], parts });
+    }
+  }
+  assert.equal(evidence.quarantined().has(partSuspectOf("sound")), false);
+  evidence.add({ crash: "c4", requests: ["bad c4"], parts: ["shared", "bad"] });
+  assert.deepEqual([...evidence.quarantined()], [partSuspectOf("bad")]);
+});
+
 // Guards against VMs that quarantine different requests by the same facts.
 test("the order and repetition of changes do not matter", () => {
   const names = fc.constantFrom("a", "b", "c", "d");
