--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -80,6 +80,10 @@
   entriesBackMs: number;
   /** Time after which a leaving upstream must get no more requests, in ms. */
   drainMs: number;
+  /** Memory that the process may use, in bytes. */
+  memoryBytes: number;
+  /** File descriptors that the process may have open. */
+  maxDescriptors: number;
   /**
    * Age beyond which a configuration is stale, in ms. Requests with unknown
    * routes or keys then get the retryable error `NotReady`.
--- a/packages/router/src/create_router_test.ts
+++ b/packages/router/src/create_router_test.ts
@@ -21,6 +21,8 @@
   drainMs: 2000,
   staleMs: 4000,
   isFirstStart: true,
+  memoryBytes: 536_870_912,
+  maxDescriptors: 4096,
 };
 
 function createTestRouter() {
--- a/packages/router/src/to_router_settings.ts
+++ b/packages/router/src/to_router_settings.ts
@@ -6,6 +6,8 @@
 /** Largest part of a short grace period that is reserved for that. */
 const MAX_STOP_MARGIN_SHARE = 1 / 12;
 
+const BYTES_PER_MEGABYTE = 1_048_576;
+
 /** Converts the settings of a file to the router's fields and units. */
 export function toRouterSettings(file: RouterFileSettings): RouterSettings {
   const {
@@ -14,6 +16,7 @@
     retryWindowSeconds,
     stopGraceSeconds,
     firstStart,
+    memoryMegabytes,
     seeds,
     platform: _platform,
     ...settings
@@ -22,6 +25,7 @@
   return {
     ...settings,
     isFirstStart: firstStart,
+    memoryBytes: memoryMegabytes * BYTES_PER_MEGABYTE,
     seeds: seeds.map(({ host }) => host),
     retries: {
       ratio: retryRatio,
--- a/packages/settings/src/router_settings_schema.ts
+++ b/packages/settings/src/router_settings_schema.ts
@@ -117,6 +117,16 @@
     ),
     true,
   ),
+  memoryMegabytes: numberField(512, {
+    minimum: 64,
+    maximum: 1_000_000,
+    description: "Memory that the process may use, in megabytes.",
+  }),
+  maxDescriptors: numberField(4096, {
+    minimum: 64,
+    maximum: 10_000_000,
+    description: "File descriptors that the process may have open.",
+  }),
   staleMs: millisecondsField(
     4000,
     "Time since the last confirmation after which no route or key is denied.",
--- a/packages/standins/src/start_process_fleet.ts
+++ b/packages/standins/src/start_process_fleet.ts
@@ -3,6 +3,7 @@
   closeSync,
   mkdtempSync,
   openSync,
+  readdirSync,
   readFileSync,
   renameSync,
   rmSync,
@@ -19,6 +20,12 @@
 export interface ProcessFleet {
   /** Address for callers. */
   addressOf(router: number): { host: string; port: number };
+  /** Addresses of the readiness check and of the metrics. */
+  sideAddressesOf(router: number): Record<"ready" | "metrics", HostAndPort>;
+  /** Most memory that a router's process has had resident, in bytes. */
+  peakMemoryOf(router: number): number;
+  /** Number of descriptors that a router's process has open. */
+  descriptorCountOf(router: number): number;
   /** Address at which a router receives its peers' datagrams. */
   peerAddressOf(router: number): { host: string; port: number };
   isReady(router: number): Promise<boolean>;
@@ -52,6 +59,12 @@
   close(): void;
 }
 
+/** Host and port of a server. */
+export interface HostAndPort {
+  host: string;
+  port: number;
+}
+
 /** Options of a change of a router's settings. */
 export interface ReloadOptions {
   settings: Record<string, unknown>;
@@ -101,6 +114,8 @@
 /** Longest time until a started process listens, in milliseconds. */
 const START_TIMEOUT_MS = 15_000;
 const START_POLL_MS = 20;
+/** Unit of the memory figures of the operating system. */
+const BYTES_PER_KILOBYTE = 1024;
 
 /** Starts routers on one store, with the first as their seed. */
 export async function startProcessFleet(
@@ -120,6 +135,10 @@
     renameSync(newFile, settingsFile);
   }
 
+  function readProcessFile(number: number, name: string): string {
+    return readFileSync(`/proc/${routers[number]!.child!.pid}/${name}`, "utf8");
+  }
+
   function logFileOf(number: number): string {
     return join(logDirectory ?? directory, `vm-${number + 1}.log`);
   }
@@ -232,6 +251,18 @@
       host: hostOf(number),
       port: routers[number]!.ports.callers,
     }),
+    sideAddressesOf(number) {
+      const host = hostOf(number);
+      const { ready, metrics } = routers[number]!.ports;
+      return { ready: { host, port: ready }, metrics: { host, port: metrics } };
+    },
+    peakMemoryOf(number) {
+      const status = readProcessFile(number, "status");
+      const [, kilobytes = "0"] = /VmHWM:\s+(\d+) kB/.exec(status) ?? [];
+      return Number(kilobytes) * BYTES_PER_KILOBYTE;
+    },
+    descriptorCountOf: (number) =>
+      readdirSync(`/proc/${routers[number]!.child!.pid}/fd`).length,
     peerAddressOf: (number) => ({ host: hostOf(number), port: peerPort }),
     setSuspended: (number, isSuspended) =>
       void routers[number]!.child?.kill(isSuspended ? "SIGSTOP" : "SIGCONT"),
