router: bound what callers may take of memory and descriptors

Cause: each chunk of a body was kept as a buffer of its own, without a sum over connections; bodies were read in full before route, key or size were looked at, and further after a refusal; all requests ahead on a connection were begun; a body had no longest time, and connections no bound below the descriptors.

Change: packages/router/src/callers/. A budget of bytes that is reserved before a body is read, one buffer a body, refusals by the head alone, requests of a connection one after the other, bounded connections, times for bodies and readers, and garbage collected when memory is tight (design 0018). Counters, a log line a second and reason, settings with defaults.

Found on the way, with a heap that stayed at 65 MB after the crowd had gone: the first form began the further requests of a connection that had closed.

--- a/packages/router/src/caller_exchange.ts
+++ b/packages/router/src/caller_exchange.ts
@@ -3,20 +3,24 @@
 import type { RequestMetadata } from "./ports.ts";
 import type { RelayedRequest } from "./relay_headers.ts";
 
-/** A caller's request, received with its complete body. */
-export interface CallerRequest {
+/** The head of a caller's request. */
+export interface CallerHead {
   metadata: RequestMetadata;
   method: string;
   /** Path and query, unmodified. */
   pathAndQuery: string;
   host: string;
-  body: Buffer;
   /** Unmodified headers; names and values alternate. */
   rawHeaders: readonly string[];
+  /** Monotonic time at which it was received, in milliseconds. */
+  arrivedMs: number;
+}
+
+/** A caller's request, received with its complete body. */
+export interface CallerRequest extends CallerHead {
+  body: Buffer;
   /** Set if another VM passed the request on, as it reaches no upstream. */
   relay?: RelayedRequest;
-  /** Monotonic time at which its headers were received, in milliseconds. */
-  arrivedMs: number;
 }
 
 /** Port: writes the response to one request. */
@@ -49,6 +53,9 @@
   end(): void;
   /** Destroys the connection, so that a stream is seen as incomplete. */
   destroy(): void;
-  /** Responds with an error of this system as a problem document. */
-  sendError(error: TillerError): void;
+  /**
+   * Responds with an error of this system as a problem document. With `isLast`
+   * it asks the caller to close the connection, and does not end the response.
+   */
+  sendError(error: TillerError, options?: { isLast?: boolean }): void;
 }
--- /dev/null
+++ b/packages/router/src/callers/create_intake.ts
@@ -0,0 +1,108 @@
+import type { Clock } from "@rosemarytiller/shared";
+import process from "node:process";
+import { LogEvent } from "../enums.ts";
+import type { EventLog } from "../event_log.ts";
+import { type BodyIntake, createBodyIntake } from "./create_body_intake.ts";
+import { type ByteBudget, createByteBudget } from "./create_byte_budget.ts";
+import {
+  type CallerConnections,
+  createCallerConnections,
+} from "./create_caller_connections.ts";
+import { createMemoryWatch } from "./create_memory_watch.ts";
+
+/** Bounds what callers and other VMs may occupy, over all servers. */
+export interface Intake {
+  budget: ByteBudget;
+  bodies: BodyIntake;
+  connections: CallerConnections;
+  /** Counts a refusal or a closed connection, and logs it once a second. */
+  report(reason: string): void;
+  /** Ends what takes too long; to be called every `CONNECTION_SWEEP_MS`. */
+  sweep(): void;
+  /** Reads the memory in use; to be called every `MEMORY_CHECK_MS`. */
+  checkMemory(): void;
+}
+
+/** Dependencies of the intake. */
+export interface IntakeOptions {
+  clock: Clock;
+  log: EventLog;
+  /** Memory that the process may use, in bytes. */
+  memoryBytes: number;
+  /** Descriptors that the process may have open. */
+  maxDescriptors: number;
+  /** Longest time from a request's head to the end of its body, in ms. */
+  bodyTimeoutMs: number;
+  /** Longest time without progress while a client reads a response, in ms. */
+  readerTimeoutMs: number;
+  /** Largest body within the limits, in bytes. */
+  maxBodyBytes(): number;
+  /** Counts a refusal or a closed connection. */
+  onRefused(reason: string): void;
+}
+
+/** Part of the memory that unfinished heads may take together. */
+const HEAD_MEMORY_SHARE = 1 / 16;
+/** Time for which callers that were refused count as a crowd, in ms. */
+const CROWDED_MS = 1000;
+/** Time between two log lines about the same reason, in milliseconds. */
+const LOG_INTERVAL_MS = 1000;
+
+/** Creates the bounds of a process. */
+export function createIntake(options: IntakeOptions): Intake {
+  const { clock, log, memoryBytes, maxDescriptors, maxBodyBytes } = options;
+  const { bodyTimeoutMs, readerTimeoutMs, onRefused } = options;
+  const loggedMs = new Map<string, number>();
+  let reportedMs = -Infinity;
+  const unlogged = new Map<string, number>();
+  const memory = createMemoryWatch({
+    clock,
+    memoryBytes,
+    residentBytes: () => process.memoryUsage.rss(),
+    isCrowded: () => clock.now() - reportedMs < CROWDED_MS,
+  });
+  const budget = createByteBudget({
+    memoryBytes,
+    maxBodyBytes,
+    isTight: memory.isTight,
+  });
+  const bodies = createBodyIntake({ clock, budget, bodyTimeoutMs });
+  const connections = createCallerConnections({
+    clock,
+    maxDescriptors,
+    maxHeadBytes: memoryBytes * HEAD_MEMORY_SHARE,
+    readerTimeoutMs,
+    onClosed: report,
+    onHeads: memory.check,
+  });
+
+  function report(reason: string): void {
+    reportedMs = clock.now();
+    onRefused(reason);
+    const count = (unlogged.get(reason) ?? 0) + 1;
+    unlogged.set(reason, count);
+    const nowMs = clock.now();
+    if (nowMs - (loggedMs.get(reason) ?? -Infinity) < LOG_INTERVAL_MS) return;
+    loggedMs.set(reason, nowMs);
+    unlogged.delete(reason);
+    log.warn(LogEvent.IntakeBounded, {
+      reason,
+      count,
+      usedBytes: budget.usedBytes(),
+      capacityBytes: Math.round(budget.capacityBytes()),
+      connections: connections.openCount(),
+    });
+  }
+
+  return {
+    budget,
+    bodies,
+    connections,
+    report,
+    sweep() {
+      bodies.sweep();
+      connections.sweep();
+    },
+    checkMemory: memory.check,
+  };
+}
--- a/packages/router/src/classify_request.ts
+++ b/packages/router/src/classify_request.ts
@@ -1,6 +1,6 @@
 import { type CallRank, rankTarget } from "@rosemarytiller/policy";
 import { ErrorKind, TillerError } from "@rosemarytiller/shared";
-import type { CallerRequest } from "./caller_exchange.ts";
+import type { CallerHead } from "./caller_exchange.ts";
 import type { ConfigurationIndex } from "./create_configuration_index.ts";
 import type { Account, Route, ServiceDefinition } from "./ports.ts";
 
@@ -30,7 +30,7 @@
 
 /** Returns the route that a request matches, undefined if there is none. */
 export function findRouteOf(
-  { host, pathAndQuery }: Pick<CallerRequest, "host" | "pathAndQuery">,
+  { host, pathAndQuery }: Pick<CallerHead, "host" | "pathAndQuery">,
   index: ConfigurationIndex,
 ): Route | undefined {
   const query = pathAndQuery.indexOf("?");
@@ -44,7 +44,7 @@
  * received or one of them is unknown.
  */
 export function classifyRequest(
-  request: CallerRequest,
+  request: CallerHead,
   options: ClassifyOptions,
 ): RequestClassification {
   const { index, isCurrent } = options;
--- a/packages/router/src/create_caller_handler.ts
+++ b/packages/router/src/create_caller_handler.ts
@@ -6,7 +6,18 @@
 } from "@rosemarytiller/shared";
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
+import type {
+  CallerHead,
+  CallerRequest,
+  CallerResponse,
+} from "./caller_exchange.ts";
+import {
+  BodyEnd,
+  declaredBytes,
+  findHeader,
+  type Intake,
+  SMALL_BYTES,
+} from "./callers/index.ts";
 import type { CallerLimits, WireProtocol } from "./ports.ts";
 
 /** Dependencies of a handler of callers' requests. */
@@ -17,8 +28,11 @@
   limits(): CallerLimits;
   /** Whether responses ask the caller to close its connection. */
   isDraining(): boolean;
+  intake: Pick<Intake, "bodies" | "connections" | "report">;
   /** Further headers of an error's response; names and values alternate. */
   errorHeaders?(error: TillerError): string[];
+  /** Refuses a request whatever its body is; undefined if that is needed. */
+  refuseAtHead?(head: CallerHead): TillerError | undefined;
   /** Handles a completely received request. */
   serve(request: CallerRequest, response: CallerResponse): void;
 }
@@ -36,92 +50,130 @@
 /** Names of headers. */
 const TOKEN_PATTERN = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 
+/** Retry-after for a request whose body found no memory, in ms. */
+const NO_MEMORY_RETRY_AFTER_MS = 1000;
+/**
+ * Time for which a caller that is still sending can read why its request was
+ * refused, before its connection is closed, in milliseconds.
+ */
+const LINGER_MS = 500;
+
+/** Errors for bodies that were not read; none for a connection that closed. */
+const BODY_ERRORS: Partial<Record<BodyEnd, () => TillerError>> = {
+  [BodyEnd.TooLarge]: () =>
+    new TillerError(ErrorKind.BodyTooLarge, "the body is too large"),
+  [BodyEnd.TooSlow]: () =>
+    new TillerError(
+      ErrorKind.RequestTimeout,
+      "the body did not arrive in time",
+    ),
+  [BodyEnd.NoMemory]: createNoMemoryError,
+};
+
+function createNoMemoryError(): TillerError {
+  return new TillerError(
+    ErrorKind.Overloaded,
+    "this VM has no memory for the request now",
+    { retryAfterMs: NO_MEMORY_RETRY_AFTER_MS },
+  );
+}
+
 /** Creates the handler, which reads requests within the limits. */
 export function createCallerHandler(
   options: CallerHandlerOptions,
 ): CallerHandler {
-  const { clock, protocol, serve, limits } = options;
+  const { clock, protocol, serve, limits, intake } = options;
 
   async function handleRequest(
-    incoming: IncomingMessage,
-    response: ServerResponse,
+    exchange: { incoming: IncomingMessage; response: ServerResponse },
+    onReceived: () => void,
   ): Promise<void> {
-    const arrivedMs = clock.now();
-    const callerResponse = createCallerResponse(response, options);
-    if (headerBytes(incoming) > limits().maxHeaderBytes) {
-      sendRefusal(
-        callerResponse,
-        ErrorKind.HeadersTooLarge,
-        "the head is too large",
-      );
-      return;
-    }
-    const fault = findFaultOf(incoming);
-    if (fault !== undefined) {
-      sendRefusal(callerResponse, ErrorKind.InvalidRequest, fault);
-      return;
-    }
-    const body = await readBody(incoming);
-    if (body === undefined) {
-      sendRefusal(
-        callerResponse,
-        ErrorKind.BodyTooLarge,
-        "the body is too large",
-      );
-      return;
+    const { incoming, response } = exchange;
+    const headMemory = intake.bodies.reserveHead(incoming);
+    if (!headMemory) {
+      intake.report("head-no-memory");
+      return refuse(exchange, createNoMemoryError());
     }
-    const metadata = protocol.readRequest(incoming.rawHeaders);
-    serve({
-      metadata,
+    response.once("close", headMemory.release);
+    const head: CallerHead = {
+      metadata: protocol.readRequest(incoming.rawHeaders),
       method: incoming.method ?? "GET",
       pathAndQuery: incoming.url ?? "/",
-      host: incoming.headers.host ?? "",
-      body,
+      host: findHeader(incoming.rawHeaders, "host") ?? "",
       rawHeaders: incoming.rawHeaders,
-      arrivedMs,
-    }, callerResponse);
+      arrivedMs: clock.now(),
+    };
+    const refusal = findFaultOf(incoming, limits()) ??
+      options.refuseAtHead?.(head);
+    if (refusal) return refuse(exchange, refusal);
+    const { maxBodyBytes: maxBytes } = limits();
+    const body = await intake.bodies.read(incoming, { maxBytes });
+    if (body.end !== BodyEnd.Complete) {
+      intake.report(`body-${body.end.replaceAll(" ", "-")}`);
+      const error = BODY_ERRORS[body.end]?.();
+      if (error) refuse(exchange, error);
+      else response.destroy();
+      return;
+    }
+    onReceived();
+    if (response.closed) body.release();
+    else response.once("close", body.release);
+    const callerResponse = createCallerResponse(response, options);
+    serve({ ...head, body: body.bytes }, callerResponse);
   }
 
-  function sendRefusal(
-    callerResponse: CallerResponse,
-    kind: ErrorKind,
-    detail: string,
+  /** Sends an error; closes the connection if much of the body is unread. */
+  function refuse(
+    { incoming, response }: {
+      incoming: IncomingMessage;
+      response: ServerResponse;
+    },
+    error: TillerError,
   ): void {
-    callerResponse.sendError(new TillerError(kind, detail));
-  }
-
-  /** Reads the body; undefined if it exceeds the limit. */
-  function readBody(incoming: IncomingMessage): Promise<Buffer | undefined> {
-    return new Promise((resolve, reject) => {
-      const chunks: Buffer[] = [];
-      let size = 0;
-      incoming.on("data", (chunk: Buffer) => {
-        size += chunk.length;
-        if (size > limits().maxBodyBytes) resolve(undefined);
-        else chunks.push(chunk);
-      });
-      incoming.on("end", () => resolve(Buffer.concat(chunks)));
-      incoming.on("error", reject);
-      incoming.on("close", () => {
-        if (!incoming.complete) {
-          reject(
-            new Error("the connection closed before the body was complete"),
-          );
-        }
-      });
-    });
+    const callerResponse = createCallerResponse(response, options);
+    const isShort = (declaredBytes(incoming) ?? Infinity) <= SMALL_BYTES;
+    if (incoming.complete || isShort) {
+      incoming.resume();
+      callerResponse.sendError(error);
+      return;
+    }
+    // What is still being sent is not read: it would pass through memory.
+    incoming.pause();
+    callerResponse.sendError(error, { isLast: true });
+    clock.after(LINGER_MS, () => void response.destroy());
   }
 
   return (incoming, response) => {
-    handleRequest(incoming, response).catch(() => response.destroy());
+    response.on("error", () => {});
+    intake.connections.enter({ incoming, response }, (onReceived) => {
+      if (response.destroyed) return;
+      handleRequest({ incoming, response }, onReceived)
+        .catch(() => response.destroy());
+    });
   };
 }
 
+/** Error for a head that is too large or invalid; undefined for a proper one. */
+function findFaultOf(
+  incoming: IncomingMessage,
+  { maxHeaderBytes }: CallerLimits,
+): TillerError | undefined {
+  if (headerBytes(incoming) > maxHeaderBytes) {
+    return new TillerError(ErrorKind.HeadersTooLarge, "the head is too large");
+  }
+  const fault = findInvalidPartOf(incoming);
+  return fault === undefined
+    ? undefined
+    : new TillerError(ErrorKind.InvalidRequest, fault);
+}
+
 /**
  * What HTTP/1.1 does not allow in a request's head although Node.js's server
  * accepts it; undefined for a proper one. The HTTP client writes no other.
  */
-function findFaultOf({ url, rawHeaders }: IncomingMessage): string | undefined {
+function findInvalidPartOf(
+  { url, rawHeaders }: IncomingMessage,
+): string | undefined {
   if (!TARGET_PATTERN.test(url ?? "")) return "the path has an invalid byte";
   let hosts = 0;
   for (let at = 0; at < rawHeaders.length; at += 2) {
@@ -152,7 +204,8 @@
     extraHeaders: string[] = [],
   ): void {
     const headers = [...rawHeaders, ...extraHeaders];
-    if (isDraining()) headers.push("Connection", "close");
+    const isClosing = headers.includes("Connection");
+    if (isDraining() && !isClosing) headers.push("Connection", "close");
     response.writeHead(status, headers as never);
   }
 
@@ -185,7 +238,7 @@
     onDrain: (action) => void response.once("drain", action),
     end: () => void response.end(),
     destroy: () => void response.destroy(),
-    sendError(error) {
+    sendError(error, { isLast = false } = {}) {
       if (response.destroyed || response.headersSent) return;
       const { status, title } = ERROR_RESPONSES[error.kind];
       const body = Buffer.from(JSON.stringify({
@@ -204,8 +257,10 @@
       if (error.retryAfterMs !== undefined) {
         headers.push("Retry-After", (error.retryAfterMs / 1000).toFixed(3));
       }
+      if (isLast) headers.push("Connection", "close");
       writeHead(status, headers, errorHeaders?.(error));
-      response.end(body);
+      if (isLast) response.write(body);
+      else response.end(body);
     },
   };
 }
--- a/packages/router/src/create_caller_server.ts
+++ b/packages/router/src/create_caller_server.ts
@@ -1,8 +1,11 @@
 import type { Clock } from "@rosemarytiller/shared";
 import { createServer, type Server } from "node:http";
 import { Server as NetServer } from "node:net";
-import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
-import { createCallerHandler } from "./create_caller_handler.ts";
+import {
+  type CallerHandlerOptions,
+  createCallerHandler,
+} from "./create_caller_handler.ts";
+import type { Intake } from "./callers/index.ts";
 import type { CallerLimits, WireProtocol } from "./ports.ts";
 
 /** HTTP server that callers connect to. */
@@ -24,8 +27,10 @@
 export interface CallerServerOptions {
   clock: Clock;
   protocol: WireProtocol;
-  /** Handles a completely received request. */
-  serve(request: CallerRequest, response: CallerResponse): void;
+  intake: Intake;
+  /** As in the handler's options. */
+  serve: CallerHandlerOptions["serve"];
+  refuseAtHead?: CallerHandlerOptions["refuseAtHead"];
 }
 
 /** Limits until a configuration has been received. */
@@ -44,7 +49,7 @@
 export function createCallerServer(
   options: CallerServerOptions,
 ): CallerServer {
-  const { clock, protocol, serve } = options;
+  const { clock, protocol, intake, serve, refuseAtHead } = options;
   let limits = INITIAL_LIMITS;
   let isDraining = false;
   const server: Server = createServer(
@@ -53,10 +58,13 @@
       clock,
       protocol,
       serve,
+      intake,
+      ...(refuseAtHead && { refuseAtHead }),
       limits: () => limits,
       isDraining: () => isDraining,
     }),
   );
+  intake.connections.track(server);
   applyLimits();
 
   function applyLimits(): void {
--- a/packages/router/src/create_relay_handler.ts
+++ b/packages/router/src/create_relay_handler.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@rosemarytiller/shared";
+import { type Clock, ErrorKind, TillerError } from "@rosemarytiller/shared";
 import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
 import {
   type CallerHandler,
@@ -8,6 +8,7 @@
 import { RELAY_PATH } from "./create_relays.ts";
 import { LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
+import type { Intake } from "./callers/index.ts";
 import type { CallerLimits, WireProtocol } from "./ports.ts";
 import {
   isRelayHeader,
@@ -20,6 +21,7 @@
   clock: Clock;
   log: EventLog;
   protocol: WireProtocol;
+  intake: Intake;
   /** Limits for callers' requests. */
   limits(): CallerLimits;
   /** Whether responses ask the other VM to close its connection. */
@@ -32,11 +34,11 @@
 export function createRelayHandler(
   options: RelayHandlerOptions,
 ): CallerHandler {
-  const { clock, log, protocol, limits, isDraining, serve } = options;
+  const { clock, log, protocol, intake, limits, isDraining, serve } = options;
 
   function serveRelayed(request: CallerRequest, response: CallerResponse) {
     const relay = readRelayHeaders(request.rawHeaders);
-    if (!relay) return response.destroy();
+    if (!relay) return response.sendError(createNotRelayedError());
     const rawHeaders: string[] = [];
     for (let at = 0; at < request.rawHeaders.length; at += 2) {
       const [name, value] = request.rawHeaders.slice(at, at + 2);
@@ -62,7 +64,17 @@
     protocol,
     limits: () => ({ ...limits(), maxHeaderBytes: HARD_MAX_HEADER_BYTES }),
     isDraining,
+    intake,
     errorHeaders: writeRelayError,
+    refuseAtHead: ({ rawHeaders }) =>
+      readRelayHeaders(rawHeaders) ? undefined : createNotRelayedError(),
     serve: serveRelayed,
   });
 }
+
+function createNotRelayedError(): TillerError {
+  return new TillerError(
+    ErrorKind.InvalidRequest,
+    "the request does not say which VM passed it on",
+  );
+}
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -7,7 +7,11 @@
   toTillerError,
 } from "@rosemarytiller/shared";
 import type { Buffer } from "node:buffer";
-import type { CallerRequest, CallerResponse } from "./caller_exchange.ts";
+import type {
+  CallerHead,
+  CallerRequest,
+  CallerResponse,
+} from "./caller_exchange.ts";
 import { classifyRequest, findRouteOf } from "./classify_request.ts";
 import { createAttemptStarter } from "./create_attempt_starter.ts";
 import type { BrittleServices } from "./create_brittle_services.ts";
@@ -84,6 +88,11 @@
    * disconnected; never rejects.
    */
   serve(request: CallerRequest, response: CallerResponse): Promise<void>;
+  /**
+   * Refuses a request whatever its body is: this VM stops, or the configuration
+   * has no such route or key. Undefined if its body is needed.
+   */
+  refuseAtHead(head: CallerHead): TillerError | undefined;
   /** Number of requests whose response has not been written completely. */
   openCount(): number;
   /**
@@ -213,6 +222,20 @@
     };
   }
 
+  /** Why a request is refused whatever its body is. */
+  function findRefusalOf(head: CallerHead): TillerError | undefined {
+    if (!plannedStop.acceptsRequests()) return createStoppingError();
+    const index = configuration();
+    // Without a configuration, a request waits for the first one.
+    if (!index) return undefined;
+    try {
+      classifyRequest(head, { index, isCurrent });
+      return undefined;
+    } catch (error) {
+      return toTillerError(error);
+    }
+  }
+
   /**
    * Sets the software version of a stream that another VM began. Throws a
    * `TillerError` if no VM knows it: the stream can't be resumed.
@@ -433,6 +456,14 @@
         response.onClosed(() => open.delete(end));
       }
     },
+    refuseAtHead(head) {
+      const refusal = findRefusalOf(head);
+      if (!refusal) return undefined;
+      const { kind, message: detail } = refusal;
+      log.warn(LogEvent.Refused, { id: head.metadata.id ?? "", kind, detail });
+      metrics.onRefusal(kind);
+      return refusal;
+    },
     openCount: () => open.size,
     endAll() {
       for (const end of [...open]) end();
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -12,10 +12,16 @@
 } from "@rosemarytiller/peers";
 import type { RetryBounds } from "@rosemarytiller/policy";
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import {
+  CONNECTION_SWEEP_MS,
+  createIntake,
+  MEMORY_CHECK_MS,
+} from "./callers/index.ts";
 import { createBrittleServices } from "./create_brittle_services.ts";
 import { createCallLimits } from "./create_call_limits.ts";
 import {
+  type CallerServer,
   createCallerServer,
   HARD_MAX_HEADER_BYTES,
   stopListening,
@@ -84,6 +90,10 @@
   memoryBytes: number;
   /** File descriptors that the process may have open. */
   maxDescriptors: number;
+  /** Longest time from a request's head to the end of its body, in ms. */
+  bodyTimeoutMs: number;
+  /** Longest time without progress while a client reads a response, in ms. */
+  readerTimeoutMs: number;
   /**
    * Age beyond which a configuration is stale, in ms. Requests with unknown
    * routes or keys then get the retryable error `NotReady`.
@@ -237,6 +247,8 @@
     limitedUpstreams: () => callLimits.limitedCount(),
     openRelays: () => relays.openCount(),
     lostServices: () => reach.lostServices().length,
+    intakeBytes: () => intake.budget.usedBytes(),
+    callerConnections: () => intake.connections.openCount(),
   }, { loadAfterMs: METRICS_LOAD_DELAY_MS });
   const relays = createRelays({
     clock,
@@ -314,15 +326,28 @@
     routeHistory,
     isCurrent: () => state.confirmedAgeMs() <= settings.staleMs,
   });
-  const callerServer = createCallerServer({
+  const intake = createIntake({
+    clock,
+    log,
+    memoryBytes: settings.memoryBytes,
+    maxDescriptors: settings.maxDescriptors,
+    bodyTimeoutMs: settings.bodyTimeoutMs,
+    readerTimeoutMs: settings.readerTimeoutMs,
+    maxBodyBytes: () => callerServer.limits().maxBodyBytes,
+    onRefused: (reason) => metrics.onIntakeBounded(reason),
+  });
+  const callerServer: CallerServer = createCallerServer({
     clock,
     protocol,
+    intake,
     serve: (request, response) => void requestServer.serve(request, response),
+    refuseAtHead: (head) => requestServer.refuseAtHead(head),
   });
   const handleRelayed = createRelayHandler({
     clock,
     log,
     protocol,
+    intake,
     limits: () => callerServer.limits(),
     isDraining: plannedStop.hasBegun,
     serve: (request, response) => void requestServer.serve(request, response),
@@ -383,11 +408,20 @@
     const options = { maxHeaderSize: HARD_MAX_HEADER_BYTES };
     const server = createServer(options, (incoming, response) => {
       const path = (incoming.url ?? "/").split("?")[0]!;
-      const isRelayed = path.startsWith(`${RELAY_PATH}/`);
-      const handle = handlers[isRelayed ? RELAY_PATH : path] ?? handlers["*"];
-      if (handle) handle(incoming, response as never);
-      else response.writeHead(404).end();
+      if (path.startsWith(`${RELAY_PATH}/`) && handlers[RELAY_PATH]) {
+        handlers[RELAY_PATH](incoming, response as never);
+        return;
+      }
+      const handle = handlers[path] ?? handlers["*"];
+      intake.connections.enter({ incoming, response }, (onReceived) => {
+        // No path here takes a body.
+        if (hasBody(incoming)) response.setHeader("Connection", "close");
+        else onReceived();
+        if (handle) handle(incoming, response as never);
+        else response.writeHead(404).end();
+      });
     });
+    intake.connections.track(server);
     servers.push(server);
     return new Promise((resolve, reject) => {
       server.once("error", reject);
@@ -444,6 +478,10 @@
         facts.expire();
         containment.update();
       }));
+      timers.push(
+        repeat(clock, CONNECTION_SWEEP_MS, () => intake.sweep()),
+        repeat(clock, MEMORY_CHECK_MS, () => intake.checkMemory()),
+      );
       timers.push(repeat(clock, REACH_UPDATE_MS, () => reach.update()));
       log.info(LogEvent.Started, {
         startupMs: Math.round(performance.now()),
@@ -493,3 +531,8 @@
     },
   };
 }
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+}
--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -34,6 +34,8 @@
   limitedUpstreams(): number;
   openRelays(): number;
   lostServices(): number;
+  intakeBytes(): number;
+  callerConnections(): number;
 }
 
 /** Prometheus metrics of a VM; durations are passed in milliseconds. */
@@ -42,6 +44,8 @@
   onAttempt(service: string, result: AttemptResult): void;
   onFirstEvent(urgency: number, ms: number): void;
   onRefusal(kind: ErrorKind): void;
+  /** A caller was refused or closed as it took too much. */
+  onIntakeBounded(reason: string): void;
   /**
    * A request was sent of which an earlier send may have been executed;
    * `isCopy`: to go on from a backup copy of that.
@@ -107,6 +111,9 @@
     onFirstEvent(urgency, ms) {
       record(({ firstEvents }) => firstEvents.observe({ urgency }, ms / 1000));
     },
+    onIntakeBounded(reason) {
+      record(({ intakeBounded }) => intakeBounded.inc({ reason }));
+    },
     onRefusal: (kind) => record(({ refusals }) => refusals.inc({ kind })),
     onRepeatedSend(kind, isCopy) {
       const labels = { kind, copy: isCopy ? "yes" : "no" };
@@ -156,6 +163,12 @@
     help: "Requests that ended with an error of this system by kind.",
     labelNames: ["kind"] as const,
   }));
+  const intakeBounded = new Counter(describe("counter", {
+    name: "rosemarytiller_intake_bounded_total",
+    help: "Requests refused and connections closed as clients took too much " +
+      "memory, time or room, by reason.",
+    labelNames: ["reason"] as const,
+  }));
   const repeatedSends = new Counter(describe("counter", {
     name: "rosemarytiller_repeated_sends_total",
     help: "Sends of requests that may have been executed before, by the " +
@@ -190,6 +203,16 @@
       "Services whose upstreams this VM does not reach.",
       gauges.lostServices,
     ],
+    [
+      "intake_bytes",
+      "Memory reserved for the bodies of requests, in bytes.",
+      gauges.intakeBytes,
+    ],
+    [
+      "caller_connections",
+      "Connections of callers and of other VMs.",
+      gauges.callerConnections,
+    ],
     ["log_lines_dropped", "Log lines left out.", gauges.droppedLines],
   ];
   for (const [name, help, read] of readings) {
@@ -211,6 +234,7 @@
     attempts,
     firstEvents,
     refusals,
+    intakeBounded,
     repeatedSends,
   };
 }
--- a/packages/router/src/create_router_test.ts
+++ b/packages/router/src/create_router_test.ts
@@ -19,10 +19,12 @@
   stopGraceMs: 1000,
   entriesBackMs: 300,
   drainMs: 2000,
-  staleMs: 4000,
-  isFirstStart: true,
   memoryBytes: 536_870_912,
   maxDescriptors: 4096,
+  bodyTimeoutMs: 30_000,
+  readerTimeoutMs: 20_000,
+  staleMs: 4000,
+  isFirstStart: true,
 };
 
 function createTestRouter() {
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -88,6 +88,8 @@
   RetryDenied = "retry-denied",
   Resumed = "resumed",
   Refused = "refused",
+  /** Callers were refused or closed as they took too much; see `intake`. */
+  IntakeBounded = "intake-bounded",
   Answered = "answered",
   Cut = "cut",
   CallerLeft = "caller-left",
--- a/packages/router/src/to_router_settings.ts
+++ b/packages/router/src/to_router_settings.ts
@@ -17,6 +17,8 @@
     stopGraceSeconds,
     firstStart,
     memoryMegabytes,
+    bodyTimeoutSeconds,
+    readerTimeoutSeconds,
     seeds,
     platform: _platform,
     ...settings
@@ -26,6 +28,8 @@
     ...settings,
     isFirstStart: firstStart,
     memoryBytes: memoryMegabytes * BYTES_PER_MEGABYTE,
+    bodyTimeoutMs: bodyTimeoutSeconds * 1000,
+    readerTimeoutMs: readerTimeoutSeconds * 1000,
     seeds: seeds.map(({ host }) => host),
     retries: {
       ratio: retryRatio,
--- a/packages/sessions/src/format_router_metrics.ts
+++ b/packages/sessions/src/format_router_metrics.ts
@@ -28,6 +28,8 @@
     limitedUpstreams: () => 0,
     openRelays: () => 0,
     lostServices: () => 0,
+    intakeBytes: () => 0,
+    callerConnections: () => 0,
   }, { loadAfterMs: 0 });
   const rows: string[] = [];
   for (const { name, type, help, labels } of await metrics.list()) {
--- a/packages/settings/src/router_settings_schema.ts
+++ b/packages/settings/src/router_settings_schema.ts
@@ -127,6 +127,17 @@
     maximum: 10_000_000,
     description: "File descriptors that the process may have open.",
   }),
+  bodyTimeoutSeconds: numberField(30, {
+    minimum: 1,
+    maximum: 3600,
+    description: "Longest time until a request's body is complete, in seconds.",
+  }),
+  readerTimeoutSeconds: numberField(20, {
+    minimum: 1,
+    maximum: 3600,
+    description:
+      "Longest time for which a client takes nothing of a response, in seconds.",
+  }),
   staleMs: millisecondsField(
     4000,
     "Time since the last confirmation after which no route or key is denied.",
