router: large fleets know the load of engines in other data centres

Cause: beyond 24 VMs, a VM knew the calls to its own data centre's engines only, so that each data centre read a session's prompt again and a burst in one waited beside free engines of another.

The choice weighs engines elsewhere that cache more of the prompt and, if those here are busy, two random ones of each data centre, against what leaving costs (new settings). The choice of an upstream moves out of create_scheduler.ts to create_upstream_choice.ts.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -122,6 +122,8 @@
    * otherwise, or without `dataCentre`, to all members.
    */
   publishLoadEvent(event: LoadEvent, dataCentre?: string): void;
+  /** Sends load events to the given hosts immediately. */
+  sendLoadEvents(events: readonly LoadEvent[], hosts: readonly string[]): void;
   /** Queues a fact for all members; see `SharedFacts`. */
   publishFact(fact: SharedFact): void;
   /**
@@ -391,12 +393,16 @@
   function flushEvents(): void {
     cancelFlush?.();
     cancelFlush = undefined;
-    for (const [centre, events] of queuedEvents) sendEvents(centre, events);
+    for (const [centre, events] of queuedEvents) {
+      sendLoadEvents(events, [...hostsIn(centre)]);
+    }
     queuedEvents.clear();
   }
 
-  function sendEvents(centre: string, events: readonly LoadEvent[]): void {
-    const hosts = [...hostsIn(centre)];
+  function sendLoadEvents(
+    events: readonly LoadEvent[],
+    hosts: readonly string[],
+  ): void {
     for (const batch of inDatagrams(events.map(encodeLoadEvent))) {
       send([PeerMessageKind.Load, incarnation, batch], hosts);
     }
@@ -543,6 +549,7 @@
       sendHeartbeat();
     },
     publishLoadEvent,
+    sendLoadEvents,
     publishFact: ({ values, remainingMs }) =>
       publishLoadEvent({ kind: LoadEventKind.Fact, values, remainingMs }),
     pushItems(push) {
--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -46,6 +46,8 @@
   Fact = 8,
   /** An upstream has prefilled parts that no VM of its data centre knew cached. */
   PartsCached = 9,
+  /** Load of an upstream, for VMs that do not know each of its calls. */
+  UpstreamLoad = 10,
 }
 
 /** How a call ended, as reported to the other VMs. */
@@ -134,6 +136,21 @@
   parts: [string, number][];
 }
 
+/**
+ * Load of an upstream by all calls that the sender knows. In a large fleet, VMs
+ * report the upstreams of their data centre to VMs of the others.
+ */
+export interface UpstreamLoadEvent {
+  kind: LoadEventKind.UpstreamLoad;
+  upstream: string;
+  /** Prompt tokens still to be prefilled; 0 at a plain service. */
+  queuedTokens: number;
+  /** Calls that run or are queued there. */
+  calls: number;
+  /** Tokens of memory that these calls occupy or will occupy. */
+  memoryTokens: number;
+}
+
 /** A change of a call or an upstream that a VM sends to the others. */
 export type LoadEvent =
   | StartedEvent
@@ -142,6 +159,7 @@
   | StalledEvent
   | StreamStartedEvent
   | PartsCachedEvent
+  | UpstreamLoadEvent
   | FactEvent;
 
 /**
@@ -268,6 +286,12 @@
       keepMs: readNumber,
     }],
     [LoadEventKind.PartsCached, { upstream: readText, parts: readParts }],
+    [LoadEventKind.UpstreamLoad, {
+      upstream: readText,
+      queuedTokens: readNumber,
+      calls: readNumber,
+      memoryTokens: readNumber,
+    }],
   ],
 );
 
--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -1,3 +1,5 @@
+import { createReportedLoad, type EngineLoad } from "./create_reported_load.ts";
+
 /** A part of a prompt. Engines cache the parts that they have prefilled. */
 export interface PromptPart {
   id: string;
@@ -73,6 +75,10 @@
   end(key: string, nowMs: number): void;
   /** Parts that are cached through calls that are not known here. */
   addCached(parts: readonly PromptPart[]): void;
+  /** Load that a VM of the engine's data centre reports, of all calls there. */
+  onReport(load: EngineLoad, nowMs: number): void;
+  /** Time since the last such report in ms, infinite without one. */
+  reportAgeMs(nowMs: number): number;
   /** Removes the calls whose keys begin with `owner` and aren't in `keys`. */
   reconcile(owner: string, keys: ReadonlySet<string>): void;
   /** Prompt tokens still to be prefilled for calls as urgent or more. */
@@ -82,7 +88,7 @@
    * show it; without any, that of the service.
    */
   tokensPerMs(nowMs: number): number;
-  /** Calls that run or are queued at the engine. */
+  /** Calls that run or are queued at the engine, by the last known time. */
   callCount(): number;
   /** Tokens of memory that calls occupy or will occupy. */
   memoryTokens(): number;
@@ -143,6 +149,8 @@
   /** Calls that are to prefill parts of the cache, by the part's identifier. */
   const prefilling = new Map<string, string>();
   let reservedTokens = 0;
+  /** Calls of other VMs, where these do not report each of them. */
+  const reported = createReportedLoad();
   let advancedMs = 0;
   let utilization = 0;
   /** Difference to the service's speed at `observedMs`, in tokens per ms. */
@@ -259,7 +267,7 @@
   function evict(): void {
     const capacity = Math.max(
       0,
-      size.memoryTokens * MAX_FILL_SHARE - reservedTokens,
+      size.memoryTokens * MAX_FILL_SHARE - memoryTokens(),
     );
     for (const [id, tokens] of cache) {
       if (cacheTokens <= capacity) return;
@@ -269,6 +277,24 @@
     }
   }
 
+  /** Load that other VMs' reports add to the calls known here. */
+  function reportedLoad(): EngineLoad {
+    return reported.current(advancedMs, tokensPerMs(advancedMs));
+  }
+
+  function memoryTokens(): number {
+    return reservedTokens + reportedLoad().memoryTokens;
+  }
+
+  /** Own prompt tokens still to be prefilled for calls as urgent or more. */
+  function ownQueuedTokens(urgency: number): number {
+    let tokens = 0;
+    for (const call of waiting) {
+      if (call.urgency <= urgency) tokens += call.remainingTokens;
+    }
+    return tokens;
+  }
+
   /** Tokens of the leading parts that are cached and meet a condition. */
   function sumLeading(
     parts: readonly PromptPart[],
@@ -328,6 +354,17 @@
       }
       evict();
     },
+    onReport(load, nowMs) {
+      advance(nowMs);
+      const own = {
+        queuedTokens: ownQueuedTokens(Infinity),
+        calls: calls.size,
+        memoryTokens: reservedTokens,
+      };
+      reported.onReport(load, { own, nowMs });
+      evict();
+    },
+    reportAgeMs: reported.ageMs,
     reconcile(owner, keys) {
       for (const key of calls.keys()) {
         if (key.startsWith(owner) && !keys.has(key)) removeCall(key);
@@ -335,15 +372,11 @@
     },
     queuedPrefillTokens(urgency, nowMs) {
       advance(nowMs);
-      let tokens = 0;
-      for (const call of waiting) {
-        if (call.urgency <= urgency) tokens += call.remainingTokens;
-      }
-      return tokens;
+      return ownQueuedTokens(urgency) + reportedLoad().queuedTokens;
     },
     tokensPerMs,
-    callCount: () => calls.size,
-    memoryTokens: () => reservedTokens,
+    callCount: () => calls.size + reportedLoad().calls,
+    memoryTokens,
     interferenceWeight(urgency) {
       let weight = 0;
       for (const group of groups.values()) {
--- a/packages/router/src/create_load_event_handler.ts
+++ b/packages/router/src/create_load_event_handler.ts
@@ -60,6 +60,12 @@
         upstream.model.addCached(toParts(event.parts));
         continue;
       }
+      if (event.kind === LoadEventKind.UpstreamLoad) {
+        // VMs of its data centre know each call.
+        const isRemote = upstream.entry.dataCentre !== dataCentre;
+        if (isRemote) upstream.model.onReport(event, nowMs);
+        continue;
+      }
       const key = `${member.host}:${event.call}`;
       if (event.kind === LoadEventKind.Started) {
         const parts = toParts(event.parts);
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -35,6 +35,7 @@
 import { createRouterFacts } from "./create_router_facts.ts";
 import { createFactsSync } from "./create_facts_sync.ts";
 import { createReach } from "./create_reach.ts";
+import { createLoadReports, LOAD_REPORT_MS } from "./create_load_reports.ts";
 import { createLoadEventHandler } from "./create_load_event_handler.ts";
 import { createConfirmation } from "./create_confirmation.ts";
 import { createConfigurationGate } from "./create_configuration_gate.ts";
@@ -50,6 +51,7 @@
 import { createScheduler } from "./create_scheduler.ts";
 import { createStreamOrigins } from "./create_stream_origins.ts";
 import { createUpstreamLimits } from "./create_upstream_limits.ts";
+import type { LeavingCosts } from "./create_upstream_choice.ts";
 import { FactKind, LogEvent } from "./enums.ts";
 import type { EventLog } from "./event_log.ts";
 import type { DecodeItem, PublishedSource, WireProtocol } from "./ports.ts";
@@ -94,6 +96,10 @@
   bodyTimeoutMs: number;
   /** Longest time without progress while a client reads a response, in ms. */
   readerTimeoutMs: number;
+  /** What it costs to send a call to another data centre. */
+  leavingCosts: LeavingCosts;
+  /** Whether VMs report their upstreams' load to the other data centres. */
+  reportsLoad: boolean;
   /**
    * Age beyond which a configuration is stale, in ms. Requests with unknown
    * routes or keys then get the retryable error `NotReady`.
@@ -289,6 +295,13 @@
     network,
     upstreamLimits,
     overflow,
+    leavingCosts: settings.leavingCosts,
+    dataCentre,
+  });
+  const loadReports = createLoadReports({
+    clock,
+    registry,
+    network,
     dataCentre,
   });
   const origins = createStreamOrigins({ clock, network, dataCentre });
@@ -483,6 +496,9 @@
         repeat(clock, MEMORY_CHECK_MS, () => intake.checkMemory()),
       );
       timers.push(repeat(clock, REACH_UPDATE_MS, () => reach.update()));
+      if (settings.reportsLoad) {
+        timers.push(repeat(clock, LOAD_REPORT_MS, () => loadReports.send()));
+      }
       log.info(LogEvent.Started, {
         startupMs: Math.round(performance.now()),
         settings,
--- a/packages/router/src/create_router_test.ts
+++ b/packages/router/src/create_router_test.ts
@@ -19,6 +19,8 @@
   stopGraceMs: 1000,
   entriesBackMs: 300,
   drainMs: 2000,
+  leavingCosts: { callMs: 4, kilobyteMs: 3 },
+  reportsLoad: true,
   memoryBytes: 536_870_912,
   maxDescriptors: 4096,
   bodyTimeoutMs: 30_000,
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -4,12 +4,10 @@
   LoadEventKind,
   type PeerNetwork,
 } from "@rosemarytiller/peers";
-import {
-  type CallRank,
-  chooseEngine,
-  type EngineCandidate,
-  type EngineChoice,
-  type PromptPart,
+import type {
+  CallRank,
+  EngineChoice,
+  PromptPart,
 } from "@rosemarytiller/policy";
 import {
   type CancelTimer,
@@ -21,6 +19,14 @@
 import { createCachedPrefixes } from "./create_cached_prefixes.ts";
 import type { Overflow } from "./create_overflow.ts";
 import type { Registry, Upstream } from "./create_registry.ts";
+import {
+  type ArrivedRequest,
+  type Candidate,
+  choiceOf,
+  createUpstreamChoice,
+  isVersionServing,
+  type LeavingCosts,
+} from "./create_upstream_choice.ts";
 import type { UpstreamLimits } from "./create_upstream_limits.ts";
 import type { Prompt, ServiceDefinition } from "./ports.ts";
 import { createPauseError } from "./request_errors.ts";
@@ -99,6 +105,7 @@
   >;
   upstreamLimits: UpstreamLimits;
   overflow: Pick<Overflow, "onRequest" | "drawDataCentre">;
+  leavingCosts: LeavingCosts;
   /** Data centre of this VM. */
   dataCentre: string;
 }
@@ -118,11 +125,6 @@
  * on-time start.
  */
 const LATE_TOLERANCE_SHARE = 0.25;
-/**
- * Fraction of the target beyond which a predicted time to the first event shows
- * that the engines of this data centre are busy.
- */
-const BUSY_SHARE = 0.5;
 /** Fewest new tokens of shared parts that are announced to all VMs. */
 const MIN_ANNOUNCED_TOKENS = 500;
 /** Poll interval for free capacity while requests are queued, in ms. */
@@ -131,49 +133,27 @@
 const MAX_QUEUE_CHECK_SHARE = 0.1;
 /** Longest time between two checks, also after a pause of the process, in ms. */
 const MAX_QUEUE_CHECK_INTERVAL_MS = 50;
-/** Cost of another data centre's engine, in milliseconds of delay. */
-const REMOTE_COST_MS = 4;
-/**
- * Cost of each byte of a body that goes to another data centre, in milliseconds
- * of delay: links between data centres are dearer than those within one.
- */
-const REMOTE_COST_MS_PER_BYTE = 0.003;
-/** Largest random extra cost of an engine with unknown load, in ms. */
-const UNKNOWN_LOAD_JITTER_MS = 120;
-/** Calls that an upstream of a plain service may queue beyond its slots. */
-const PLAIN_QUEUE_CALLS = 3;
-/** Cost of a plain service's upstream that fails every call, in calls. */
-const PLAIN_FAILURE_COST_CALLS = 12;
-/** Cost of another data centre for calls of a plain service, in calls. */
-const PLAIN_REMOTE_COST_CALLS = 0.4;
-/**
- * Cost of another data centre for calls of a plain service in a large fleet,
- * where its load is mostly unknown, in calls.
- */
-const PLAIN_UNKNOWN_LOAD_COST_CALLS = 2;
 /** Range of the retry-after for refused requests before jitter, in ms. */
 const RETRY_AFTER_RANGE_MS = [150, 1500] as const;
 
-/** A request with what was decided at its arrival. */
-interface ArrivedRequest extends PlacementRequest {
-  /** Data centre that may take it while the engines of this one are busy. */
-  overflowTo: string | undefined;
-}
-
 interface QueuedRequest {
   request: ArrivedRequest;
   resolve(placement: Placement): void;
   reject(error: TillerError): void;
 }
 
-interface Candidate extends EngineCandidate {
-  upstream: Upstream;
-}
-
 /** Creates a scheduler, which polls for capacity while requests are queued. */
 export function createScheduler(options: SchedulerOptions): Scheduler {
   const { clock, registry, network, upstreamLimits, dataCentre } = options;
-  const { overflow } = options;
+  const { overflow, leavingCosts } = options;
+  const { listEligible, choose } = createUpstreamChoice({
+    clock,
+    registry,
+    network,
+    upstreamLimits,
+    leavingCosts,
+    dataCentre,
+  });
   /** Queued requests, the most urgent and oldest first. */
   const queue: QueuedRequest[] = [];
   const callsByUpstream = new Map<string, Set<number>>();
@@ -182,160 +162,6 @@
   /** Earliest time of the next check of the queue. */
   let nextCheckMs = 0;
 
-  /** Eligible upstreams of the software version that may serve a request. */
-  function listEligible(request: PlacementRequest): Upstream[] {
-    return registry.eligible(request.service.name)
-      .filter((upstream) => isVersionServing(upstream, request));
-  }
-
-  function listCandidates(request: PlacementRequest): Upstream[] {
-    const list: Upstream[] = [];
-    const isLarge = network.isLargeFleet();
-    const vms = isLarge ? network.localVmCount() : network.knownVmCount();
-    for (const upstream of listEligible(request)) {
-      if (request.avoid.has(upstream.entry.id)) continue;
-      if (!registry.canAdmitAfterPause(upstream)) continue;
-      const isShared = upstreamLimits.isShared(upstream);
-      const isInWarmUp = upstream.warmUpUntilMs > clock.now();
-      // In a large fleet, only VMs in the upstream's data centre know all calls
-      // to it.
-      const isRemote = upstream.entry.dataCentre !== dataCentre;
-      if ((isShared || isInWarmUp) && isLarge && isRemote) continue;
-      if (isInWarmUp && !registry.canAdmitInWarmUp(upstream, vms)) continue;
-      if (!upstreamLimits.canAdmit(upstream)) continue;
-      list.push(upstream);
-    }
-    return list;
-  }
-
-  /**
-   * In a large fleet, only the load of engines in this data centre is known.
-   * Others appear idle at any load and are used only if there is none here.
-   */
-  function preferLocal(list: Upstream[]): Upstream[] {
-    const local = list.filter((one) => one.entry.dataCentre === dataCentre);
-    return local.length > 0 ? local : list;
-  }
-
-  /**
-   * Chooses among the engines of this data centre in a large fleet, and where a
-   * request may overflow, also among those of the other one if these are busy.
-   */
-  function choose(
-    request: ArrivedRequest,
-  ): EngineChoice<Candidate> | undefined {
-    const list = listCandidates(request);
-    if (!network.isLargeFleet() || !request.service.engine) {
-      return chooseAmong(list, request);
-    }
-    const choice = chooseAmong(preferLocal(list), request);
-    if (!request.overflowTo || (choice && !isBusy(choice, request))) {
-      return choice;
-    }
-    const others = list.filter(({ entry }) =>
-      entry.dataCentre === request.overflowTo
-    );
-    return chooseAmong(others, request) ?? choice;
-  }
-
-  function isBusy(
-    { shouldQueue, predictedMs }: EngineChoice<Candidate>,
-    { targetMs }: PlacementRequest,
-  ): boolean {
-    return shouldQueue || predictedMs > targetMs * BUSY_SHARE;
-  }
-
-  function chooseAmong(
-    list: readonly Upstream[],
-    request: PlacementRequest,
-  ): EngineChoice<Candidate> | undefined {
-    const { engine } = request.service;
-    if (!engine || !request.prompt) return chooseLeastLoaded(list);
-    const size = { slots: engine.slots, memoryTokens: engine.memoryTokens };
-    const nowMs = clock.now();
-    const cached = createCachedPrefixes(
-      listEligible(request),
-      request.prompt.parts,
-    );
-    return chooseEngine(
-      {
-        urgency: request.urgency,
-        rank: request.rank,
-        parts: request.prompt.parts,
-        promptTokens: request.prompt.promptTokens,
-        outputTokens: request.prompt.likelyOutputTokens,
-        maxPauseMs: request.maxPauseMs,
-      },
-      list.map((upstream) => ({
-        upstream,
-        model: upstream.model,
-        size,
-        remoteCostMs: remoteCostMs(upstream, request),
-        failureShare: registry.failureShare(upstream),
-        fetchableTokens: cached.longest(upstream.entry.softwareVersion),
-      })),
-      {
-        speed: registry.speedOf(request.service.name).speed,
-        fetchMsPerToken: engine.bytesPerToken / engine.fetchBytesPerMs,
-        nowMs,
-      },
-    );
-  }
-
-  /** Cost of another data centre; higher if its load is not known. */
-  function remoteCostMs(
-    { entry }: Upstream,
-    { bodyBytes }: PlacementRequest,
-  ): number {
-    if (entry.dataCentre === dataCentre) return 0;
-    const costMs = REMOTE_COST_MS + bodyBytes * REMOTE_COST_MS_PER_BYTE;
-    if (!network.isLargeFleet()) return costMs;
-    // The random part keeps VMs with the same incomplete view from choosing the
-    // same engine.
-    return costMs + Math.random() * UNKNOWN_LOAD_JITTER_MS;
-  }
-
-  function chooseLeastLoaded(
-    list: readonly Upstream[],
-  ): EngineChoice<Candidate> | undefined {
-    let best: Upstream | undefined;
-    let bestCost = Infinity;
-    for (const upstream of list) {
-      const calls = upstream.model.callCount();
-      if (calls >= upstream.entry.slots + PLAIN_QUEUE_CALLS) continue;
-      const isRemote = upstream.entry.dataCentre !== dataCentre;
-      const remoteCalls = network.isLargeFleet()
-        ? PLAIN_UNKNOWN_LOAD_COST_CALLS
-        : PLAIN_REMOTE_COST_CALLS;
-      const cost = calls +
-        registry.failureShare(upstream) * PLAIN_FAILURE_COST_CALLS +
-        (isRemote ? remoteCalls : 0);
-      if (cost >= bestCost) continue;
-      bestCost = cost;
-      best = upstream;
-    }
-    return best && choiceOf(best);
-  }
-
-  function choiceOf(upstream: Upstream): EngineChoice<Candidate> {
-    const candidate = {
-      upstream,
-      model: upstream.model,
-      size: { slots: upstream.entry.slots, memoryTokens: Infinity },
-      remoteCostMs: 0,
-      failureShare: 0,
-      fetchableTokens: 0,
-    };
-    return {
-      candidate,
-      uncachedTokens: 0,
-      fetchedTokens: 0,
-      fetchMs: 0,
-      predictedMs: 0,
-      shouldQueue: false,
-    };
-  }
-
   /**
    * Shared parts of a prompt that no engine caches yet, with those before them,
    * if VMs of other data centres do not learn of the call. The last part is the
@@ -652,15 +478,6 @@
   };
 }
 
-/** Whether an upstream has the software version that may serve a request. */
-function isVersionServing(
-  { entry }: Upstream,
-  { softwareVersion }: PlacementRequest,
-): boolean {
-  return softwareVersion === undefined ||
-    entry.softwareVersion === softwareVersion;
-}
-
 function createAbortError(): TillerError {
   return new TillerError(ErrorKind.DeadlineExceeded, "the request was aborted");
 }
--- a/packages/router/src/create_scheduler_test.ts
+++ b/packages/router/src/create_scheduler_test.ts
@@ -82,6 +82,7 @@
       onDeclined() {},
       onEnded() {},
     },
+    leavingCosts: { callMs: 4, kilobyteMs: 3 },
     overflow: {
       onRequest() {},
       drawDataCentre: () => options.overflowTo,
@@ -460,3 +461,61 @@
   assert.equal(placement.fetchFrom?.entry.id, "u1");
   assert.equal(placement.newTokens, 600);
 });
+
+/** A large fleet's scheduler with engines 0 and 1 here and engine 2 elsewhere. */
+function createWithSessionElsewhere() {
+  const test = createTestScheduler(3, { isLarge: true, remoteFrom: 2 });
+  const parts = [
+    { id: "prompt", tokens: 3000 },
+    { id: "session", tokens: 4000 },
+    { id: "own", tokens: 500 },
+  ];
+  const { registry } = test;
+  registry.find("u0")!.model.addCached(parts.slice(0, 1));
+  registry.find("u1")!.model.addCached(parts.slice(0, 1));
+  registry.find("u2")!.model.addCached(parts.slice(0, 2));
+  const request = (): PlacementRequest => ({
+    ...requestOf(CallRank.Loose, {
+      tokens: 7500,
+      arrivedMs: test.clock.now(),
+      targetMs: 1200,
+    }),
+    prompt: {
+      promptTokens: 7500,
+      outputTokens: 50,
+      likelyOutputTokens: 50,
+      parts,
+    },
+  });
+  const place = async () => {
+    const signal = new AbortController().signal;
+    return (await test.scheduler.place(request(), signal)).upstream.entry.id;
+  };
+  const report = (queuedTokens: number) =>
+    registry.find("u2")!.model.onReport(
+      { queuedTokens, calls: 1, memoryTokens: 0 },
+      test.clock.now(),
+    );
+  return { ...test, place, report };
+}
+
+// Load: the requests of a session come at one data centre after the other.
+test("in a large fleet, a request leaves for the engine with its session", async () => {
+  const { place, report } = createWithSessionElsewhere();
+  report(0);
+  assert.equal(await place(), "u2");
+});
+
+test("a request stays if the engine with its session is crowded", async () => {
+  const { place, report } = createWithSessionElsewhere();
+  report(200_000);
+  assert.notEqual(await place(), "u2");
+});
+
+// Failure: the other data centre is cut off, so that its reports stop.
+test("a request stays if the load elsewhere is not known lately", async () => {
+  const { clock, place, report } = createWithSessionElsewhere();
+  report(0);
+  clock.advance(1500);
+  assert.notEqual(await place(), "u2");
+});
--- a/packages/router/src/to_router_settings.ts
+++ b/packages/router/src/to_router_settings.ts
@@ -16,6 +16,9 @@
     retryWindowSeconds,
     stopGraceSeconds,
     firstStart,
+    leavingCallMs,
+    leavingKilobyteMs,
+    shareUpstreamLoad,
     memoryMegabytes,
     bodyTimeoutSeconds,
     readerTimeoutSeconds,
@@ -27,6 +30,8 @@
   return {
     ...settings,
     isFirstStart: firstStart,
+    leavingCosts: { callMs: leavingCallMs, kilobyteMs: leavingKilobyteMs },
+    reportsLoad: shareUpstreamLoad,
     memoryBytes: memoryMegabytes * BYTES_PER_MEGABYTE,
     bodyTimeoutMs: bodyTimeoutSeconds * 1000,
     readerTimeoutMs: readerTimeoutSeconds * 1000,
--- a/packages/settings/src/router_settings_schema.ts
+++ b/packages/settings/src/router_settings_schema.ts
@@ -117,6 +117,22 @@
     ),
     true,
   ),
+  shareUpstreamLoad: z._default(
+    z.boolean().check(
+      describe(
+        "Whether VMs of a large fleet report the load of their upstreams to other data centres.",
+      ),
+    ),
+    true,
+  ),
+  leavingCallMs: millisecondsField(
+    4,
+    "Cost of a call to another data centre, as delay that it must save.",
+  ),
+  leavingKilobyteMs: millisecondsField(
+    3,
+    "Cost of each kilobyte of a body sent to another data centre, likewise.",
+  ),
   memoryMegabytes: numberField(512, {
     minimum: 64,
     maximum: 1_000_000,
