router: requests leave a data centre for their session only

Cause: a part that many sessions share drew the requests of all VMs to the engine that was the first to cache it; reported prefill was counted down though calls went on to arrive; and calls of plain services, shorter than a report is old, went to the same upstream.

Change: engines elsewhere are weighed for the session's parts only; reported prefill stays until the next report; plain services go by distance as before.

--- a/packages/policy/src/create_engine_model.ts
+++ b/packages/policy/src/create_engine_model.ts
@@ -279,7 +279,7 @@
 
   /** Load that other VMs' reports add to the calls known here. */
   function reportedLoad(): EngineLoad {
-    return reported.current(advancedMs, tokensPerMs(advancedMs));
+    return reported.current(advancedMs);
   }
 
   function memoryTokens(): number {
--- a/packages/policy/src/create_reported_load.ts
+++ b/packages/policy/src/create_reported_load.ts
@@ -14,8 +14,11 @@
 export interface ReportedLoad {
   /** Replaces the last report; `own` is the load by this VM's own calls. */
   onReport(load: EngineLoad, options: { own: EngineLoad; nowMs: number }): void;
-  /** Reported load that is still there, given the engine's prefill speed. */
-  current(nowMs: number, tokensPerMs: number): EngineLoad;
+  /**
+   * Reported load. Its prefill is not counted down: while calls go on to arrive,
+   * an engine's queue stays more or less as it was reported.
+   */
+  current(nowMs: number): EngineLoad;
   /** Time since the last report in milliseconds, infinite without one. */
   ageMs(nowMs: number): number;
 }
@@ -51,15 +54,8 @@
         memoryTokens: Math.max(0, load.memoryTokens - own.memoryTokens),
       };
     },
-    current(nowMs, tokensPerMs) {
-      const ageMs = nowMs - reportedMs;
-      if (ageMs > MAX_REPORT_AGE_MS) return NO_LOAD;
-      const doneTokens = Math.max(0, ageMs) * tokensPerMs;
-      return {
-        ...others,
-        queuedTokens: Math.max(0, others.queuedTokens - doneTokens),
-      };
-    },
+    current: (nowMs) =>
+      nowMs - reportedMs > MAX_REPORT_AGE_MS ? NO_LOAD : others,
     ageMs: (nowMs) => nowMs - reportedMs,
   };
 }
--- a/packages/policy/src/select_distant_engines.ts
+++ b/packages/policy/src/select_distant_engines.ts
@@ -1,16 +1,16 @@
 /** An engine of another data centre, as this VM knows it. */
 export interface DistantEngine {
   dataCentre: string;
-  /** Tokens of the prompt's leading parts that it presumably caches. */
-  cachedTokens: number;
+  /** Whether it presumably caches all shared parts of the prompt. */
+  hasSession: boolean;
   /** Age of the last report of its load in ms, infinite without one. */
   reportAgeMs: number;
 }
 
 /** What the engines of this data centre offer a request. */
 export interface LocalOffer {
-  /** Most tokens of the prompt's leading parts that one of them caches. */
-  cachedTokens: number;
+  /** Whether one of them presumably caches all shared parts of the prompt. */
+  hasSession: boolean;
   /** Whether none of them is predicted to begin the response in time. */
   isBusy: boolean;
 }
@@ -24,8 +24,6 @@
   random?: () => number;
 }
 
-/** Fewest cached tokens more than here for which an engine is considered. */
-const MIN_MORE_CACHED_TOKENS = 500;
 /**
  * Engines of each data centre that are considered when those here are busy. The
  * better one of two random engines is rarely crowded, even by the same report.
@@ -34,8 +32,10 @@
 
 /**
  * Selects the engines of other data centres that a request is weighed for,
- * beside those here: the ones that cache more of its prompt and, if the engines
- * here are busy, two random ones of each data centre. An engine whose load is
+ * beside those here: the ones that cache its session, if none here does, and, if
+ * the engines here are busy, two random ones of each data centre. Parts that many
+ * sessions share are no reason: all VMs would choose the engine that is the first
+ * to cache one. An engine whose load is
  * not known lately is never selected, so that a data centre that is cut off or
  * has no VM gets nothing.
  */
@@ -48,8 +48,7 @@
   const othersByCentre = new Map<string, T[]>();
   for (const engine of engines) {
     if (engine.reportAgeMs > maxReportAgeMs) continue;
-    const moreTokens = engine.cachedTokens - local.cachedTokens;
-    if (moreTokens >= MIN_MORE_CACHED_TOKENS) {
+    if (engine.hasSession && !local.hasSession) {
       selected.push(engine);
       continue;
     }
--- a/packages/router/src/create_upstream_choice.ts
+++ b/packages/router/src/create_upstream_choice.ts
@@ -66,8 +66,11 @@
 const PLAIN_FAILURE_COST_CALLS = 12;
 /** Cost of another data centre for calls of a plain service, in calls. */
 const PLAIN_REMOTE_COST_CALLS = 0.4;
-/** The same while the upstream's load is not known. */
-const PLAIN_UNKNOWN_LOAD_COST_CALLS = 2;
+/**
+ * The same in a large fleet, whose VMs know the load elsewhere too late for the
+ * short calls of a plain service.
+ */
+const PLAIN_LATE_LOAD_COST_CALLS = 2;
 const BYTES_PER_KILOBYTE = 1000;
 
 /** Creates the choice among a registry's upstreams. */
@@ -85,6 +88,7 @@
       .filter((upstream) => isVersionServing(upstream, request));
   }
 
+  /** Upstreams that can admit a request now. */
   function listCandidates(request: PlacementRequest): Upstream[] {
     const list: Upstream[] = [];
     const isLarge = network.isLargeFleet();
@@ -138,10 +142,11 @@
   ): Upstream[] {
     const { request, local, isBusy } = options;
     const parts = request.prompt?.parts ?? [];
-    let cachedTokens = 0;
-    for (const { model } of local) {
-      cachedTokens = Math.max(cachedTokens, model.cachedTokens(parts));
-    }
+    // The last part is the request's own.
+    const shared = parts.slice(0, -1);
+    const sharedTokens = shared.reduce((sum, part) => sum + part.tokens, 0);
+    const hasSession = ({ model }: Upstream) =>
+      sharedTokens > 0 && model.cachedTokens(shared) >= sharedTokens;
     const nowMs = clock.now();
     const distant = [];
     for (const upstream of list) {
@@ -149,12 +154,12 @@
       distant.push({
         upstream,
         dataCentre: upstream.entry.dataCentre,
-        cachedTokens: upstream.model.cachedTokens(parts),
+        hasSession: hasSession(upstream),
         reportAgeMs: upstream.model.reportAgeMs(nowMs),
       });
     }
     const selected = selectDistantEngines(distant, {
-      local: { cachedTokens, isBusy },
+      local: { hasSession: local.some(hasSession), isBusy },
       maxReportAgeMs: MAX_REPORT_AGE_MS,
     });
     return selected.map(({ upstream }) => upstream);
@@ -215,9 +220,9 @@
 
   function remoteCostCalls(upstream: Upstream): number {
     if (!isRemote(upstream)) return 0;
-    const isKnown = !network.isLargeFleet() ||
-      upstream.model.reportAgeMs(clock.now()) <= MAX_REPORT_AGE_MS;
-    return isKnown ? PLAIN_REMOTE_COST_CALLS : PLAIN_UNKNOWN_LOAD_COST_CALLS;
+    return network.isLargeFleet()
+      ? PLAIN_LATE_LOAD_COST_CALLS
+      : PLAIN_REMOTE_COST_CALLS;
   }
 
   function chooseLeastLoaded(
