router: accounts that ask for far more than usual give way under contention

Cause: no decision of a router knew the client account.

Change: each VM measures the current and the usual rate of each account and reports the largest in its heartbeats (design 0021). While at least 0.9 of a service's engines have no room for half a second, a pressure rises by which the largest excess is refused at arrival, not run; growth that accounts have in common is never cut. Nothing is refused while engines are free.

--- a/packages/peers/src/peer_messages.ts
+++ b/packages/peers/src/peer_messages.ts
@@ -175,6 +175,18 @@
  */
 export type ServiceDemand = [service: string, own: number, all: number];
 
+/**
+ * Demand of a client account for a service at the sender, in prompt tokens a
+ * second; `pool` numbers the requests that compete with each other.
+ */
+export type AccountDemand = [
+  service: string,
+  pool: number,
+  account: string,
+  current: number,
+  usual: number,
+];
+
 /** Content of a VM's heartbeat. */
 export interface Heartbeat {
   dataCentre: string;
@@ -224,6 +236,8 @@
   demand?: ServiceDemand[];
   /** Whether a planned stop has begun; undefined from VMs of older versions. */
   isStopping?: boolean;
+  /** Largest demand by account; undefined from VMs of older versions. */
+  accountDemand?: AccountDemand[];
 }
 
 /** Changes that a reader of the platform's store forwards as they arrive. */
@@ -253,6 +267,15 @@
 const readDemand = listOf(
   tupleOf<ServiceDemand>(readText, readNumber, readNumber),
 );
+const readAccountDemand = listOf(
+  tupleOf<AccountDemand>(
+    readText,
+    readNumber,
+    readText,
+    readNumber,
+    readNumber,
+  ),
+);
 const readCalls = listOf(
   tupleOf<[string, number[]]>(readText, listOf(readNumber)),
 );
@@ -318,6 +341,7 @@
     keepRemovedMs: added(readNumber),
     demand: added(readDemand),
     isStopping: added(readBoolean),
+    accountDemand: added(readAccountDemand),
   };
 const HEARTBEAT_NAMES = Object.keys(HEARTBEAT_FIELDS) as (keyof Heartbeat)[];
 
--- a/packages/policy/src/choose_engine.ts
+++ b/packages/policy/src/choose_engine.ts
@@ -71,6 +71,8 @@
   fetchMs: number;
   /** Predicted time from now to the first event, in milliseconds. */
   predictedMs: number;
+  /** Cost by which it was chosen, in milliseconds of delay. */
+  costMs: number;
   /**
    * Whether the call should queue outside the engine, because too much prefill
    * is queued there for its rank or the memory is nearly full; never set for a
@@ -113,6 +115,9 @@
 /** Cost of a call that is likely to be preempted, in milliseconds. */
 const PREEMPTION_COST_MS = 2000;
 
+/** Queued prefill beyond which calls that aren't loose are likely late, in ms. */
+const LATE_PREFILL_MS = 300;
+
 /** Longest queued prefill, in ms, at which a call of a rank may be sent. */
 const MAX_QUEUED_PREFILL_MS: Record<CallRank, number> = {
   [CallRank.Tight]: Infinity,
@@ -181,12 +186,28 @@
       fetchedTokens: fetch.tokens,
       fetchMs: fetch.ms,
       predictedMs,
+      costMs: cost,
       shouldQueue,
     };
   }
   return best;
 }
 
+/**
+ * Whether an engine has no room for calls of a rank: loose ones get no more for
+ * now, and the others are likely to be late.
+ */
+export function isEngineBusy(
+  model: EngineModel,
+  options: { isLoose: boolean; nowMs: number },
+): boolean {
+  const { isLoose, nowMs } = options;
+  const queuedMs = model.queuedPrefillTokens(Infinity, nowMs) /
+    model.tokensPerMs(nowMs);
+  return queuedMs >
+    (isLoose ? MAX_QUEUED_PREFILL_MS[CallRank.Loose] : LATE_PREFILL_MS);
+}
+
 /**
  * Cost of pauses that become too long: those of the engine's streams through the
  * call's prefill, unless prompts that are queued there prolong them anyway, and
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./choose_engine.ts";
 export * from "./choose_upstream.ts";
+export * from "./create_account_shares.ts";
 export * from "./create_admission.ts";
 export * from "./create_crash_evidence.ts";
 export * from "./create_drain_rate.ts";
--- a/packages/router/src/create_request_server.ts
+++ b/packages/router/src/create_request_server.ts
@@ -13,6 +13,7 @@
   CallerResponse,
 } from "./caller_exchange.ts";
 import { classifyRequest, findRouteOf } from "./classify_request.ts";
+import type { AccountAdmission } from "./create_account_admission.ts";
 import { createAttemptStarter } from "./create_attempt_starter.ts";
 import type { BrittleServices } from "./create_brittle_services.ts";
 import type { CallLimits } from "./create_call_limits.ts";
@@ -60,6 +61,7 @@
   network: PeerNetwork;
   origins: StreamOrigins;
   containment: Containment;
+  accountAdmission: Pick<AccountAdmission, "admit">;
   reach: Reach;
   relays: Relays;
   callLimits: CallLimits;
@@ -122,7 +124,7 @@
   const { origins, containment, reach, relays, callLimits, facts } = options;
   const { brittleServices, upstreamLimits, retryBounds, vm } = options;
   const { configuration, gate, isCurrent, confirm } = options;
-  const { routeHistory, plannedStop } = options;
+  const { routeHistory, plannedStop, accountAdmission } = options;
   const crashDetector = createCrashDetector({
     clock,
     log,
@@ -443,6 +445,7 @@
           fail(current, createDeadlineError(current), { response, id });
           current.abort();
         });
+        accountAdmission.admit(current);
         current.trial = await containment.admit(current);
         await runCalls(current);
       } catch (error) {
--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -12,12 +12,14 @@
 } from "@rosemarytiller/peers";
 import type { RetryBounds } from "@rosemarytiller/policy";
 import { type CancelTimer, type Clock, repeat } from "@rosemarytiller/shared";
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import { createServer, type Server } from "node:http";
 import {
   CONNECTION_SWEEP_MS,
   createIntake,
+  declaredBytes,
   MEMORY_CHECK_MS,
 } from "./callers/index.ts";
+import { createAccountAdmission } from "./create_account_admission.ts";
 import { createBrittleServices } from "./create_brittle_services.ts";
 import { createCallLimits } from "./create_call_limits.ts";
 import {
@@ -197,6 +199,7 @@
       ...state.platformReads(),
       demand: overflow.demand(),
       isStopping: plannedStop.hasBegun(),
+      accountDemand: accountAdmission.demand(),
     }),
   });
   const gate = createConfigurationGate(clock);
@@ -254,6 +257,7 @@
     openRelays: () => relays.openCount(),
     lostServices: () => reach.lostServices().length,
     intakeBytes: () => intake.budget.usedBytes(),
+    contendedPools: () => accountAdmission.contendedCount(),
     callerConnections: () => intake.connections.openCount(),
   }, { loadAfterMs: METRICS_LOAD_DELAY_MS });
   const relays = createRelays({
@@ -288,6 +292,13 @@
     facts,
     pull: (host) => pullFacts({ host, port: settings.peers.port }),
   });
+  const accountAdmission = createAccountAdmission({
+    clock,
+    log,
+    registry,
+    network,
+    dataCentre,
+  });
   const overflow = createOverflow({ clock, registry, network, dataCentre });
   const scheduler = createScheduler({
     clock,
@@ -324,6 +335,7 @@
     network,
     origins,
     containment,
+    accountAdmission,
     reach,
     relays,
     callLimits,
@@ -428,8 +440,9 @@
       const handle = handlers[path] ?? handlers["*"];
       intake.connections.enter({ incoming, response }, (onReceived) => {
         // No path here takes a body.
-        if (hasBody(incoming)) response.setHeader("Connection", "close");
-        else onReceived();
+        if (declaredBytes(incoming) !== 0) {
+          response.setHeader("Connection", "close");
+        } else onReceived();
         if (handle) handle(incoming, response as never);
         else response.writeHead(404).end();
       });
@@ -547,8 +560,3 @@
     },
   };
 }
-
-function hasBody({ headers }: IncomingMessage): boolean {
-  return headers["transfer-encoding"] !== undefined ||
-    Number(headers["content-length"] ?? 0) > 0;
-}
--- a/packages/router/src/create_router_metrics.ts
+++ b/packages/router/src/create_router_metrics.ts
@@ -36,6 +36,7 @@
   lostServices(): number;
   intakeBytes(): number;
   callerConnections(): number;
+  contendedPools(): number;
 }
 
 /** Prometheus metrics of a VM; durations are passed in milliseconds. */
@@ -213,6 +214,11 @@
       "Connections of callers and of other VMs.",
       gauges.callerConnections,
     ],
+    [
+      "contended_pools",
+      "Pools of engines with too little room, where accounts get shares.",
+      gauges.contendedPools,
+    ],
     ["log_lines_dropped", "Log lines left out.", gauges.droppedLines],
   ];
   for (const [name, help, read] of readings) {
--- a/packages/router/src/create_upstream_choice.ts
+++ b/packages/router/src/create_upstream_choice.ts
@@ -37,6 +37,11 @@
   listEligible(request: PlacementRequest): Upstream[];
   /** The best upstream; undefined while none can admit the request. */
   choose(request: ArrivedRequest): EngineChoice<Candidate> | undefined;
+  /** What a choice of this upstream would be; undefined if it is full. */
+  weigh(
+    upstream: Upstream,
+    request: PlacementRequest,
+  ): EngineChoice<Candidate> | undefined;
 }
 
 /** Dependencies of the choice. */
@@ -245,6 +250,7 @@
 
   return {
     listEligible,
+    weigh: (upstream, request) => chooseAmong([upstream], request),
     choose(request) {
       const list = listCandidates(request);
       return network.isLargeFleet() && request.service.engine
@@ -270,6 +276,7 @@
     fetchedTokens: 0,
     fetchMs: 0,
     predictedMs: 0,
+    costMs: 0,
     shouldQueue: false,
   };
 }
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -88,6 +88,9 @@
   RetryDenied = "retry-denied",
   Resumed = "resumed",
   Refused = "refused",
+  /** Nearly all engines of a service are busy: accounts get their shares. */
+  ContentionBegan = "contention-began",
+  ContentionEnded = "contention-ended",
   /** Callers were refused or closed as they took too much; see `intake`. */
   IntakeBounded = "intake-bounded",
   Answered = "answered",
--- a/packages/sessions/src/format_router_metrics.ts
+++ b/packages/sessions/src/format_router_metrics.ts
@@ -30,6 +30,7 @@
     lostServices: () => 0,
     intakeBytes: () => 0,
     callerConnections: () => 0,
+    contendedPools: () => 0,
   }, { loadAfterMs: 0 });
   const rows: string[] = [];
   for (const { name, type, help, labels } of await metrics.list()) {
