tillerctl: where would a request go now, and why

Cause: operators could not ask a router without brokers where it would send a request; `explain` reads documents of the broker path only.

Change: `tillerctl where ADDRESS HOST PATH` asks a router at its metrics address. The router answers with the choice for each service of the route: the part of the account's requests that is taken, the upstream of least cost, and the candidates with what rules each out. It sends and counts nothing.

--- a/packages/router/src/create_router.ts
+++ b/packages/router/src/create_router.ts
@@ -52,6 +52,7 @@
 import { createRouterMetrics } from "./create_router_metrics.ts";
 import { createScheduler } from "./create_scheduler.ts";
 import { createStreamOrigins } from "./create_stream_origins.ts";
+import { createWhereHandler, WHERE_PATH } from "./create_where_handler.ts";
 import { createUpstreamLimits } from "./create_upstream_limits.ts";
 import type { LeavingCosts } from "./create_upstream_choice.ts";
 import { FactKind, LogEvent } from "./enums.ts";
@@ -494,6 +495,17 @@
         listen(settings.metrics, {
           "/metrics": async (_incoming, response) =>
             void response.end(await metrics.text()),
+          [WHERE_PATH]: createWhereHandler({
+            clock,
+            vm,
+            dataCentre,
+            index: state.index,
+            registry,
+            choice: scheduler.choice,
+            upstreamLimits,
+            admission: accountAdmission,
+            isLargeFleet: network.isLargeFleet,
+          }),
         }),
         callerServer.listen(settings.callers),
       ]);
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -26,6 +26,7 @@
   createUpstreamChoice,
   isVersionServing,
   type LeavingCosts,
+  type UpstreamChoice,
 } from "./create_upstream_choice.ts";
 import type { UpstreamLimits } from "./create_upstream_limits.ts";
 import type { Prompt, ServiceDefinition } from "./ports.ts";
@@ -83,6 +84,8 @@
   place(request: PlacementRequest, signal: AbortSignal): Promise<Placement>;
   /** Places a call at the given upstream without queueing. */
   placeAt(upstream: Upstream, request: PlacementRequest): Placement;
+  /** The choice of upstreams, for an explanation. */
+  choice: UpstreamChoice;
   /** Numbers of this VM's calls in progress, by upstream identifier. */
   ownCalls(): [string, number[]][];
   /** Number of queued requests. */
@@ -146,7 +149,7 @@
 export function createScheduler(options: SchedulerOptions): Scheduler {
   const { clock, registry, network, upstreamLimits, dataCentre } = options;
   const { overflow, leavingCosts } = options;
-  const { listEligible, choose } = createUpstreamChoice({
+  const choice = createUpstreamChoice({
     clock,
     registry,
     network,
@@ -154,6 +157,7 @@
     leavingCosts,
     dataCentre,
   });
+  const { listEligible, choose } = choice;
   /** Queued requests, the most urgent and oldest first. */
   const queue: QueuedRequest[] = [];
   const callsByUpstream = new Map<string, Set<number>>();
@@ -471,6 +475,7 @@
         if (!cancelPoll) schedulePoll();
       });
     },
+    choice,
     placeAt: (upstream, request) => startCall(request, choiceOf(upstream)),
     ownCalls: () => [...callsByUpstream].map(([id, calls]) => [id, [...calls]]),
     queuedCount: () => queue.length,
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -6,6 +6,11 @@
 } from "./create_connection_pool.ts";
 export * from "./create_router.ts";
 export * from "./create_router_metrics.ts";
+export {
+  type WhereAnswer,
+  type WhereCandidate,
+  type WherePlace,
+} from "./create_where_handler.ts";
 export * from "./end_to_end_headers.ts";
 export * from "./enums.ts";
 export * from "./event_log.ts";
--- a/packages/tillerctl/src/command.ts
+++ b/packages/tillerctl/src/command.ts
@@ -28,6 +28,10 @@
   class?: string;
   kind?: string[];
   since?: string;
+  tokens?: string;
+  output?: string;
+  parts?: string;
+  bytes?: string;
 }
 
 /** Arguments and output functions of a subcommand. */
--- a/packages/tillerctl/src/main.ts
+++ b/packages/tillerctl/src/main.ts
@@ -14,6 +14,8 @@
         [--format text|jsonl|html] [--out FILE] [--request ID] [--class NAME]
         [--kind KIND,...] [--since TIME]
     $ tillerctl trace REQUEST [LOG]...
+    $ tillerctl where ADDRESS HOST PATH [--client NAME] [--tokens N]
+        [--output N] [--parts ID:TOKENS,...] [--bytes N]
 
   Options
     --json      Write JSON; timeline and trace write JSON Lines
@@ -31,6 +33,10 @@
     --class     Show events of this class
     --kind      Show events of these kinds
     --since     Show events since an age (30s, 5m, 1h) or a date and time
+    --tokens    Tokens of the request's prompt; none at a plain service
+    --output    Tokens of output that are expected
+    --parts     Parts of the prompt, each with its tokens, the first one first
+    --bytes     Size of the request's body
 
   Exit codes
     0  succeeded, and every process answered
@@ -45,6 +51,8 @@
     $ tillerctl timeline --settings vm-1.jsonc --since 5m \\
         --format html --out timeline.html
     $ tillerctl trace 9c41d07be2a35f68 router-*.log
+    $ tillerctl where 10.0.0.1:9464 ledger.example /digest/1 \\
+        --client label-press --tokens 7100 --parts 5c1e07a2:2500,91bd3f06:3800
 `,
   {
     importMeta: import.meta,
@@ -65,6 +73,10 @@
       class: { type: "string" },
       kind: { type: "string", isMultiple: true },
       since: { type: "string" },
+      tokens: { type: "string" },
+      output: { type: "string" },
+      parts: { type: "string" },
+      bytes: { type: "string" },
     },
   },
 );
--- a/packages/tillerctl/src/run_command.ts
+++ b/packages/tillerctl/src/run_command.ts
@@ -10,6 +10,7 @@
 import { showStatus } from "./show_status.ts";
 import { showTimeline } from "./show_timeline.ts";
 import { traceRequest } from "./trace_request.ts";
+import { whereRequest } from "./where_request.ts";
 
 const COMMANDS: Record<string, Command> = {
   check: checkFiles,
@@ -17,6 +18,7 @@
   status: showStatus,
   timeline: showTimeline,
   trace: traceRequest,
+  where: whereRequest,
 };
 
 /**
