--- a/packages/settings/src/router_settings_schema.ts
+++ b/packages/settings/src/router_settings_schema.ts
@@ -123,7 +123,7 @@
         "Whether VMs of a large fleet report the load of their upstreams to other data centres.",
       ),
     ),
-    true,
+    false,
   ),
   leavingCallMs: millisecondsField(
     4,
