--- a/review/rig/client.js
+++ b/review/rig/client.js
@@ -128,11 +128,13 @@
         const leave = leaveAfterMs === undefined
           ? undefined
           : setTimeout(() => {
+            isClosed = true;
             socket.destroy();
             finish({ status: 0, body: "", isWhole: false, hasLeft: true });
           }, leaveAfterMs);
         // The client gives up at its deadline.
         const timer = setTimeout(() => {
+          isClosed = true;
           socket.destroy();
           finish({
             status: 0,
--- a/review/rig/runner.js
+++ b/review/rig/runner.js
@@ -13,16 +13,20 @@
   { id, host, port = 0, behave, record, health = () => 200 },
 ) {
   const sockets = new Set();
+  const hooks = { onSocket: undefined };
   const born = Date.now();
   const server = net.createServer((socket) => {
     sockets.add(socket);
     socket.setNoDelay(true);
+    hooks.onSocket?.(socket);
     let buffer = Buffer.alloc(0);
     let current; // call whose body is being read
     let isHeld = false;
+    let isClosed = false;
     const calls = [];
     socket.on("error", () => {});
     socket.on("close", () => {
+      isClosed = true;
       sockets.delete(socket);
       for (const call of calls) {
         if (!call.isOver) call.drop("its connection closed");
@@ -76,7 +80,10 @@
         head,
         isOver: false,
         onDrop: () => {},
-        write: (text) => !socket.destroyed && socket.write(text),
+        write: (text) => {
+          if (socket.held) return void socket.held.push(text);
+          return !socket.destroyed && socket.write(text);
+        },
         note: (what, more = {}) =>
           record({ runner: id, attempt, path, what, ...more }),
         end(what) {
@@ -91,7 +98,11 @@
         },
         hold(isOn) {
           isHeld = isOn;
-          if (!isOn) read();
+          if (isOn) socket.pause();
+          else if (!isClosed) {
+            read();
+            socket.resume();
+          }
         },
         seal: () => [
           `Rosemarytiller-Attempt-Id: ${attempt}`,
@@ -154,7 +165,10 @@
       behave(call);
     }
   });
-  await new Promise((done) => server.listen(port, host, done));
+  await new Promise((done, fail) => {
+    server.once("error", fail);
+    server.listen(port, host, done);
+  });
   const address = `${host}:${server.address().port}`;
   return {
     id,
@@ -173,6 +187,8 @@
       ...fields,
     }),
     connections: () => sockets.size,
+    hooks,
+    sockets,
     /** Ends it as a crash does: all connections are reset. */
     crash() {
       server.close();
