--- a/review/6/main.js
+++ b/review/6/main.js
@@ -64,6 +64,15 @@
     const ms = Date.now() - greyFromMs;
     return ms >= 0 && ms < GREY.forMs;
   };
+  let greyRuns = 0;
+  let greyFailures = 0;
+  /** Never lets more than the dose's part of the requests fail. */
+  const mayFail = () => {
+    greyRuns++;
+    if (greyFailures + 1 > GREY.x * greyRuns) return false;
+    greyFailures++;
+    return true;
+  };
   const runners = [];
   for (let number = 0; number < 4; number++) {
     const runner = await startRunner({
@@ -80,7 +89,7 @@
         const payment = body.toString();
         booked.set(payment, (booked.get(payment) ?? 0) + 1);
         // It has run the request, and fails while it writes the answer.
-        const fails = isGrey() && Math.random() < GREY.x;
+        const fails = isGrey() && mayFail();
         if (fails) call.answer(503, "the ledger could not confirm the entry");
         else call.answer(200, `booked ${payment}`);
       },
@@ -143,11 +152,13 @@
       attempts: runs.size,
       refusedThoughRun: broken,
       paymentsBookedTwice: twice,
+      greyRuns,
+      greyFailures,
     };
     note(result);
     console.log(JSON.stringify(result));
   } finally {
-    fleet.close();
+    await fleet.close();
     for (const runner of runners) runner.close();
     store.close();
   }
--- a/review/rig/fleet.js
+++ b/review/rig/fleet.js
@@ -126,6 +126,10 @@
     for (const { child, isUp } of routers) if (isUp) child.kill("SIGKILL");
   };
   process.on("exit", cleanUp);
+  // A signal ends this process without its exit handlers.
+  for (const name of ["SIGINT", "SIGTERM", "SIGHUP"]) {
+    process.once(name, () => process.exit(2));
+  }
   return {
     folder,
     ports,
@@ -135,10 +139,11 @@
     waitReady,
     address: (number) => ({ host: routers[number].host, port: ports.front }),
     signal: (number, name) => routers[number].child.kill(name),
-    close() {
+    async close() {
       if (isOver) return;
       isOver = true;
       cleanUp();
+      while (routers.some(({ isUp }) => isUp)) await sleep(10);
       if (!process.env.KEEP) rmSync(folder, { recursive: true, force: true });
     },
   };
