router: logs show what a VM knows of an upstream's warm-up

A placed line named VM and upstream, but neither whether the VM took the upstream for cold nor by how many VMs it divided the rate; probes were not logged at all. So the logs of an incident could not tell VMs that assume too few others from VMs that do not know the warm-up, nor calls from health requests.

placed, hedged and resumed lines have warmUp (time left, VMs assumed); upstream-probed is a line for each probe. No decision changes.

--- a/packages/router/src/create_call_runner.ts
+++ b/packages/router/src/create_call_runner.ts
@@ -215,6 +215,7 @@
       at: placement.upstream.entry.id,
       version: placement.upstream.entry.softwareVersion,
       call: placement.call,
+      warmUp: placement.warmUp,
       copy: resumed?.copy.name,
       lastEventId: state.stream.lastEventId,
     });
@@ -294,6 +295,7 @@
       fetchFrom: placement.fetchFrom?.entry.id,
       calls: placement.upstream.model.callCount(),
       predictedMs: Math.round(placement.predictedMs),
+      warmUp: placement.warmUp,
       revision: configuration()?.configuration.version,
     });
     return await measure(state, runCall(state, placement));
@@ -375,6 +377,8 @@
       id: state.id,
       at: placement.upstream.entry.id,
       version: placement.upstream.entry.softwareVersion,
+      call: placement.call,
+      warmUp: placement.warmUp,
       copy: copy.name,
       lastEventId: state.stream.lastEventId,
     });
--- a/packages/router/src/create_reach.ts
+++ b/packages/router/src/create_reach.ts
@@ -194,6 +194,7 @@
    * nothing arrives, as by a middlebox or the kernel of a stopped host.
    */
   async function probe(upstream: Upstream): Promise<boolean> {
+    log.info(LogEvent.UpstreamProbed, { upstream: upstream.entry.id });
     if (!await pool.probe(upstream.entry)) {
       onConnectFailed(upstream);
       return false;
--- a/packages/router/src/create_registry.ts
+++ b/packages/router/src/create_registry.ts
@@ -58,6 +58,16 @@
   nextWarmUpSlotMs: number;
   /** Time between two warm-up slots of this VM, in milliseconds. */
   warmUpSlotIntervalMs: number;
+  /** VMs by which this one last divided the warm-up rate. */
+  warmUpVms: number;
+}
+
+/** The warm-up of an upstream as this VM knows it. */
+export interface WarmUp {
+  /** Time left, in milliseconds. */
+  leftMs: number;
+  /** VMs that this one assumes to share the rate. */
+  vms: number;
 }
 
 /** Registry of the known upstreams and their state. */
@@ -169,6 +179,8 @@
   failureShare(upstream: Upstream): number;
   /** Counts a call sent by this VM (`isOwn`) or another one. */
   onSent(upstream: Upstream, isOwn: boolean): void;
+  /** The upstream's warm-up; undefined outside of it. */
+  warmUpOf(upstream: Upstream): WarmUp | undefined;
   /**
    * Whether an upstream can admit a call from this VM if `vms` VMs share its
    * warm-up rate; true outside of the warm-up.
@@ -259,6 +271,7 @@
       returningCalls: 0,
       nextWarmUpSlotMs: 0,
       warmUpSlotIntervalMs: WARM_UP_WINDOW_MS,
+      warmUpVms: 0,
     };
   }
 
@@ -523,6 +536,10 @@
         upstream.nextWarmUpSlotMs = nowMs + upstream.warmUpSlotIntervalMs;
       }
     },
+    warmUpOf({ warmUpUntilMs, warmUpVms }) {
+      const leftMs = Math.round(warmUpUntilMs - clock.now());
+      return leftMs > 0 ? { leftMs, vms: warmUpVms } : undefined;
+    },
     canAdmitInWarmUp(upstream, vms) {
       const nowMs = clock.now();
       if (upstream.warmUpUntilMs <= nowMs) return true;
@@ -531,6 +548,7 @@
       if (perSecond <= 0) return true;
       if (countRecent(upstream.recentSends) >= perSecond) return false;
       const vmCount = vms > 1 ? vms : ASSUMED_VMS;
+      upstream.warmUpVms = vmCount;
       upstream.warmUpSlotIntervalMs = WARM_UP_WINDOW_MS * vmCount / perSecond;
       // A random first slot spreads the VMs over the interval.
       upstream.nextWarmUpSlotMs ||= nowMs +
--- a/packages/router/src/create_scheduler.ts
+++ b/packages/router/src/create_scheduler.ts
@@ -18,7 +18,7 @@
 import { chooseFetchSource } from "./choose_fetch_source.ts";
 import { createCachedPrefixes } from "./create_cached_prefixes.ts";
 import type { Overflow } from "./create_overflow.ts";
-import type { Registry, Upstream } from "./create_registry.ts";
+import type { Registry, Upstream, WarmUp } from "./create_registry.ts";
 import {
   type ArrivedRequest,
   type Candidate,
@@ -69,6 +69,8 @@
   predictedMs: number;
   /** Time that the request was queued, in milliseconds. */
   queuedMs: number;
+  /** Warm-up of the upstream when it was chosen. */
+  warmUp: WarmUp | undefined;
   /** Records an event; notifies the other VMs of the first one. */
   onEvent(): void;
   /** Records the end and notifies the other VMs; further calls do nothing. */
@@ -209,6 +211,7 @@
       ? chooseFetchSource(upstream, parts, listEligible(request))
       : undefined;
     upstream.model.start(key, work, { nowMs, parts });
+    const warmUp = registry.warmUpOf(upstream);
     registry.onSent(upstream, true);
     const endReturn = registry.startReturningCall(upstream);
     let calls = callsByUpstream.get(id);
@@ -248,6 +251,7 @@
       fetchFrom,
       predictedMs: choice.predictedMs,
       queuedMs: nowMs - request.arrivedMs,
+      warmUp,
       onEvent() {
         if (!isOpen) return;
         const eventMs = clock.now();
--- a/packages/router/src/enums.ts
+++ b/packages/router/src/enums.ts
@@ -40,6 +40,8 @@
   UpstreamDown = "upstream-down",
   /** This VM lost its links to all upstreams of a service, or regained one. */
   ServiceReach = "service-reach",
+  /** This VM checked whether it reaches an upstream. */
+  UpstreamProbed = "upstream-probed",
   /** An upstream announced in a response that it is about to stop. */
   UpstreamLeaving = "upstream-leaving",
   /** An upstream asked this VM to send nothing for a time. */
