peers: VMs of a large fleet find all others of their data centre

Callers of the large hive saw cold engines crash: VMs that share a rate with the 30 VMs of their data centre took 4 to share it.

Cause: a heartbeat listed the first 24 reachable hosts in the order in which they were found, so all lists held the same hosts, those from which the others start. Beyond 24 members, a host that is known from a list only was contacted by the round-robin of other data centres, 4 hosts a heartbeat, and forgotten after 30 s, which is less than a round of 195 VMs (40 s); members of other data centres were removed after the same 30 s.

Change: a list holds other hosts each time, in a large fleet those of one data centre. A host that a VM of the same data centre lists is contacted at once and with each heartbeat. In a large fleet a new VM is greeted with hosts of its own data centre, in place of a heartbeat to all. Members that send by round-robin are unreachable after one and a half rounds and removed after three.

Not measured here: processor time and bytes of full membership.

--- a/packages/peers/src/create_peer_network.ts
+++ b/packages/peers/src/create_peer_network.ts
@@ -32,8 +32,8 @@
 /** Heartbeat intervals without a message that make a member unreachable. */
 const MAX_MISSED_HEARTBEATS = 5;
 /**
- * Time without a message after which a member is removed, in milliseconds.
- * Until then it counts towards the VMs that share a limit.
+ * Time without a message after which a member is removed, in milliseconds; one
+ * of another data centre of a large fleet later (`REMOTE_EXPIRY_ROUNDS`). Until then it counts towards the VMs that share a limit.
  */
 export const MEMBER_EXPIRY_MS = 30_000;
 /** Members beyond which a fleet is large: load events no longer go to all. */
@@ -46,6 +46,12 @@
 const MAX_READER_MISSED_HEARTBEATS = 2.5;
 /** Members of other data centres that a large fleet's heartbeat goes to. */
 const REMOTE_HEARTBEAT_TARGETS = 4;
+/**
+ * Rounds of such heartbeats through all members without a message after which a
+ * member of another data centre is unreachable, and after which it is removed.
+ */
+const REMOTE_UNREACHABLE_ROUNDS = 1.5;
+const REMOTE_EXPIRY_ROUNDS = 3;
 /** Members of each data centre that a large fleet's query goes to. */
 const QUERIED_PER_DATA_CENTRE = 3;
 /** Time for which load events are collected into a batch, in milliseconds. */
@@ -177,6 +183,14 @@
   close(): void;
 }
 
+/** A host that another VM has listed. */
+interface Candidate {
+  /** Time of discovery, in milliseconds. */
+  sinceMs: number;
+  /** Data centre of the VM that listed it, probably its own. */
+  dataCentre: string;
+}
+
 /** Options of `createPeerNetwork`. */
 export interface PeerNetworkOptions {
   clock: Clock;
@@ -212,12 +226,14 @@
   const incarnation = randomInt(2 ** 32);
   const members = new Map<string, Member>();
   const reachableHosts = new Set<string>();
-  /** Hosts known from heartbeats of others only, with the time of discovery. */
-  const candidates = new Map<string, number>();
+  /** Hosts known from heartbeats of others only, by name. */
+  const candidates = new Map<string, Candidate>();
   /** Load events to be sent, by data centre; an empty name stands for all. */
   const queuedEvents = new Map<string, LoadEvent[]>();
   /** Result of `loadFleet`; undefined after a change of the membership. */
   let currentLoadFleet: LoadFleet | undefined;
+  /** Whether a heartbeat is due at the end of this turn of the event loop. */
+  let isAnnouncing = false;
   let cancelFlush: (() => void) | undefined;
   let cancelHeartbeat: (() => void) | undefined;
   let listener: PeerListener | undefined;
@@ -246,22 +262,61 @@
 
   function sendHeartbeat(): void {
     cancelHeartbeat?.();
-    // The `setImmediate` for a new member may fire after `close`.
+    // The `setImmediate` of `announce` may fire after `close`.
     if (!socket) return;
     cancelHeartbeat = clock.after(heartbeatMs(), sendHeartbeat);
     expireMembers();
+    sendState(heartbeatTargets(), dataCentre);
+  }
+
+  /** Sends this VM's state, with some hosts of a data centre. */
+  function sendState(hosts: Iterable<string>, centre: string): void {
     const state = {
       dataCentre,
-      members: [...reachableHosts],
+      members: listSomeHosts(centre),
       ...heartbeatState(),
     };
-    state.members.length = Math.min(state.members.length, MAX_LISTED_MEMBERS);
     send(
       [PeerMessageKind.Heartbeat, incarnation, encodeHeartbeat(state)],
-      heartbeatTargets(),
+      hosts,
     );
   }
 
+  /**
+   * Up to `MAX_LISTED_MEMBERS` reachable hosts, in a large fleet of a data
+   * centre. Others with each call, as VMs that all list the same ones never
+   * find the rest.
+   */
+  function listSomeHosts(centre: string): string[] {
+    const isLarge = isLargeFleet();
+    const hosts: string[] = [];
+    for (const name of reachableHosts) {
+      if (isLarge && members.get(name)?.dataCentre !== centre) continue;
+      hosts.push(name);
+    }
+    if (hosts.length <= MAX_LISTED_MEMBERS) return hosts;
+    const from = randomInt(hosts.length);
+    return [...hosts.slice(from), ...hosts.slice(0, from)]
+      .slice(0, MAX_LISTED_MEMBERS);
+  }
+
+  /** Sends a VM that is new to this one its state, and hosts near that VM. */
+  function greet(name: string, centre: string): void {
+    setImmediate(() => {
+      if (socket) sendState([name], centre);
+    });
+  }
+
+  /** Sends a heartbeat at the end of this turn of the event loop. */
+  function announce(): void {
+    if (isAnnouncing) return;
+    isAnnouncing = true;
+    setImmediate(() => {
+      isAnnouncing = false;
+      sendHeartbeat();
+    });
+  }
+
   /**
    * All hosts; in a large fleet those of this data centre and some others in
    * round-robin order.
@@ -271,7 +326,8 @@
     const local: string[] = [];
     const remote: string[] = [];
     for (const name of contactHosts()) {
-      const isLocal = members.get(name)?.dataCentre === dataCentre;
+      const known = members.get(name) ?? candidates.get(name);
+      const isLocal = known?.dataCentre === dataCentre;
       (isLocal ? local : remote).push(name);
     }
     for (
@@ -310,26 +366,36 @@
     }
   }
 
-  /**
-   * Time without a message until a member is unreachable, in milliseconds:
-   * longer for remote members of a large fleet, which send by round-robin.
-   */
+  /** Whether a member sends to this VM by round-robin. */
+  const isRoundRobin = (member: Member) =>
+    isLargeFleet() && member.dataCentre !== dataCentre;
+
+  /** Time in which a member's round-robin comes to each VM, in milliseconds. */
+  const roundMs = () => heartbeatMs() * members.size / REMOTE_HEARTBEAT_TARGETS;
+
+  /** Time without a message until a member is unreachable, in milliseconds. */
   function unreachableMs(member: Member): number {
-    const isRemote = isLargeFleet() && member.dataCentre !== dataCentre;
-    const intervals = MAX_MISSED_HEARTBEATS *
-      (isRemote ? members.size / REMOTE_HEARTBEAT_TARGETS : 1);
-    return Math.min(MEMBER_EXPIRY_MS, heartbeatMs() * intervals);
+    return isRoundRobin(member)
+      ? roundMs() * REMOTE_UNREACHABLE_ROUNDS
+      : Math.min(MEMBER_EXPIRY_MS, heartbeatMs() * MAX_MISSED_HEARTBEATS);
+  }
+
+  /** Time without a message until a member is removed, in milliseconds. */
+  function expiryMs(member: Member): number {
+    return isRoundRobin(member)
+      ? Math.max(MEMBER_EXPIRY_MS, roundMs() * REMOTE_EXPIRY_ROUNDS)
+      : MEMBER_EXPIRY_MS;
   }
 
   function expireMembers(): void {
     const nowMs = clock.now();
-    for (const [name, sinceMs] of candidates) {
+    for (const [name, { sinceMs }] of candidates) {
       if (nowMs - sinceMs > MEMBER_EXPIRY_MS) candidates.delete(name);
     }
     for (const member of members.values()) {
       const idleMs = nowMs - member.lastMessageMs;
       if (idleMs > unreachableMs(member)) setReachable(member.host, false);
-      if (idleMs <= MEMBER_EXPIRY_MS) continue;
+      if (idleMs <= expiryMs(member)) continue;
       members.delete(member.host);
       currentLoadFleet = undefined;
       listener?.onProcessLost(member.host);
@@ -445,9 +511,9 @@
       };
       members.set(from, member);
       currentLoadFleet = undefined;
-      candidates.delete(from);
-      // Announces this VM to a new member before the next regular heartbeat.
-      if (!reachableHosts.has(from)) setImmediate(sendHeartbeat);
+      // In a large fleet, only the new member is greeted, once its data centre
+      // is known.
+      if (!reachableHosts.has(from) && !isLargeFleet()) announce();
     }
     member.lastMessageMs = clock.now();
     setReachable(from, true);
@@ -485,6 +551,11 @@
   }
 
   function receiveHeartbeat(member: Member, heartbeat: Heartbeat): void {
+    const isFirst = member.heartbeatMs === -Infinity;
+    const wasGreeted = candidates.delete(member.host);
+    if (isFirst && !wasGreeted && isLargeFleet()) {
+      greet(member.host, heartbeat.dataCentre);
+    }
     member.heartbeatMs = clock.now();
     member.heartbeat = heartbeat;
     if (member.dataCentre !== heartbeat.dataCentre) {
@@ -493,7 +564,9 @@
     }
     for (const name of heartbeat.members) {
       if (name === host || members.has(name) || candidates.has(name)) continue;
-      candidates.set(name, clock.now());
+      const { dataCentre: centre } = heartbeat;
+      candidates.set(name, { sinceMs: clock.now(), dataCentre: centre });
+      if (isLargeFleet() && centre === dataCentre) greet(name, centre);
     }
     listener?.onHeartbeat(member);
   }
